Frame of the project: layout, messages, typed objects, tools

Ruled out: golangci-lint as a go tool (its module does not resolve there), so the Makefile installs pinned binaries into a shared folder. Conclusion: packages can now be built side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,62 @@
+# Tool versions. Tools are installed once into TOOLS and shared between checkouts.
+GOLANGCI_VERSION := v2.15.0
+GOFUMPT_VERSION  := v0.12.0
+TOOLS ?= $(HOME)/.cache/umberhill-tools
+BIN   := bin
+GO    ?= go
+
+GOLANGCI := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
+GOFUMPT  := $(TOOLS)/gofumpt-$(GOFUMPT_VERSION)
+
+.PHONY: all build test fmt fmt-check lint unit proto demo measure soak fuzz clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# test is the command CI runs: formatter, linter, build, all tests.
+test: fmt-check lint build unit
+
+$(GOLANGCI):
+	mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS)/tmp-lint $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv $(TOOLS)/tmp-lint/golangci-lint $@
+
+$(GOFUMPT):
+	mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS)/tmp-fumpt $(GO) install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+	mv $(TOOLS)/tmp-fumpt/gofumpt $@
+
+GOFILES = $(shell git ls-files --cached --others --exclude-standard '*.go' ':!*.pb.go')
+
+fmt: $(GOFUMPT)
+	$(GOFUMPT) -w $(GOFILES)
+
+fmt-check: $(GOFUMPT)
+	@out="$$($(GOFUMPT) -l $(GOFILES))"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+lint: $(GOLANGCI)
+	$(GOLANGCI) run --allow-parallel-runners ./...
+
+unit:
+	$(GO) test -count=1 ./...
+
+# proto regenerates the committed protobuf code; needs protoc and protoc-gen-go.
+proto:
+	protoc --go_out=. --go_opt=module=github.com/umberhill/umberhill $$(find api -name '*.proto' | sort)
+
+demo: build
+	$(BIN)/umberhill-bench demo
+
+# measure prints one row for each figure; ONLY=prefix runs a part.
+measure: build
+	@$(BIN)/umberhill-bench measure --only "$(ONLY)"
+
+SECONDS ?= 60
+SEED ?= 1
+soak: build
+	@$(BIN)/umberhill-bench soak --seconds $(SECONDS) --seed $(SEED)
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/umberhill-bench/main.go
@@ -0,0 +1,4 @@
+// Command umberhill-bench is a placeholder until its package lands.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/umberhill-standin/main.go
@@ -0,0 +1,4 @@
+// Command umberhill-standin is a placeholder until its package lands.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/ids/ids_test.go
@@ -0,0 +1,16 @@
+package ids_test
+
+import (
+	"testing"
+
+	"github.com/umberhill/umberhill/internal/ids"
+)
+
+func TestPools(t *testing.T) {
+	if got := ids.ModelPool("m"); got != "model/m" {
+		t.Errorf("model pool %q", got)
+	}
+	if got := ids.ServicePool("s"); got != "service/s" {
+		t.Errorf("service pool %q", got)
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,170 @@
+// Package settings holds the daemon's settings file.
+package settings
+
+// Settings is the daemon's whole settings file.
+type Settings struct {
+	// Fleet is the name that all routers of a fleet share. Required.
+	Fleet string `json:"fleet"`
+	// Instance names this router, unique in the fleet. Required.
+	Instance string `json:"instance"`
+	// Domain is the failure domain of this instance. Required.
+	Domain string `json:"domain"`
+	// Callers is the listener for callers' requests.
+	Callers Callers `json:"callers"`
+	// Admin is the listener for operators, metrics and health.
+	Admin Admin `json:"admin"`
+	// Peer is the link to other routers.
+	Peer Peer `json:"peer"`
+	// Platform is the object service of the platform.
+	Platform Platform `json:"platform"`
+	// Fairness tunes the exchange of accounts and permits.
+	Fairness Fairness `json:"fairness,omitzero"`
+	// Ledger tunes once-only claims.
+	Ledger Ledger `json:"ledger,omitzero"`
+	// Quarantine tunes the handling of requests that crash targets.
+	Quarantine Quarantine `json:"quarantine,omitzero"`
+	// Retry tunes retries of idempotent work.
+	Retry Retry `json:"retry,omitzero"`
+	// Targets tunes the connections to back ends.
+	Targets Targets `json:"targets,omitzero"`
+	// Log tunes logging.
+	Log Log `json:"log,omitzero"`
+	// StopSeconds is how long a planned stop waits for running requests.
+	// Default 600, 1 to 86,400.
+	StopSeconds int `json:"stop_seconds,omitempty"`
+}
+
+// Callers is the listener for callers.
+type Callers struct {
+	// Address is the IP and port to listen on. Required.
+	Address string `json:"address"`
+	// TLS of the listener; none for plain HTTP.
+	TLS *TLS `json:"tls,omitempty"`
+	// MaxBodyBytes bounds a request's body. Default 4,194,304.
+	MaxBodyBytes int64 `json:"max_body_bytes,omitempty"`
+	// MaxHeaderBytes bounds a request's headers. Default 65,536.
+	MaxHeaderBytes int `json:"max_header_bytes,omitempty"`
+	// ReadSeconds bounds the reading of a whole request. Default 30.
+	ReadSeconds int `json:"read_seconds,omitempty"`
+	// IdleSeconds bounds an idle kept-alive connection. Default 90.
+	IdleSeconds int `json:"idle_seconds,omitempty"`
+	// MaxHeld bounds the requests held at a time, waiting and running.
+	// Default 8,192.
+	MaxHeld int `json:"max_held,omitempty"`
+	// DefaultDeadlineSeconds is how long a request without a deadline may
+	// wait in the queue. Default 600.
+	DefaultDeadlineSeconds int `json:"default_deadline_seconds,omitempty"`
+}
+
+// Admin is the listener for operators.
+type Admin struct {
+	// Address is the IP and port to listen on. Required.
+	Address string `json:"address"`
+	// TLS of the listener; none for plain HTTP.
+	TLS *TLS `json:"tls,omitempty"`
+	// Token that operators' requests carry as a bearer token. Required but
+	// for /healthz, /readyz and /metrics, which need none.
+	Token string `json:"token"`
+}
+
+// Peer is the link to other routers.
+type Peer struct {
+	// Address is the IP and port to listen on. Required.
+	Address string `json:"address"`
+	// Advertise is the IP and port that peers dial. Default Address.
+	Advertise string `json:"advertise,omitempty"`
+	// TLS of the links, mutual; none for plain TCP.
+	TLS *TLS `json:"tls,omitempty"`
+	// Seeds are peers known from the start.
+	Seeds []Seed `json:"seeds,omitempty"`
+	// HeartbeatMS is the interval between heartbeats in ms. Default 1,000.
+	HeartbeatMS int `json:"heartbeat_ms,omitempty"`
+	// TimeoutMS is the silence in ms after which a peer is taken for dead.
+	// Default 3,000.
+	TimeoutMS int `json:"timeout_ms,omitempty"`
+}
+
+// Seed is a peer known from the settings.
+type Seed struct {
+	Instance string `json:"instance"`
+	Address  string `json:"address"`
+	Domain   string `json:"domain"`
+}
+
+// TLS names certificate files; they are read again when they change.
+type TLS struct {
+	// CertFile is the certificate chain in PEM.
+	CertFile string `json:"cert_file"`
+	// KeyFile is the private key in PEM.
+	KeyFile string `json:"key_file"`
+	// CAFile verifies the other side in PEM; required for peers.
+	CAFile string `json:"ca_file,omitempty"`
+}
+
+// Platform is the object service.
+type Platform struct {
+	// URL of the service, such as "http://127.0.0.1:7000". Required.
+	URL string `json:"url"`
+	// Token sent as a bearer token; none where empty.
+	Token string `json:"token,omitempty"`
+	// TimeoutMS bounds one call in ms, watches apart. Default 2,000.
+	TimeoutMS int `json:"timeout_ms,omitempty"`
+	// Watchers is how many routers of a failure domain watch the platform.
+	// Default 2.
+	Watchers int `json:"watchers,omitempty"`
+}
+
+// Fairness tunes accounts and permits.
+type Fairness struct {
+	// ReportMS is the interval in ms between reports of service. Default 500.
+	ReportMS int `json:"report_ms,omitempty"`
+	// Tolerance in service units within which a permit is reused. Default 256.
+	Tolerance float64 `json:"tolerance,omitempty"`
+	// Mode is "fleet", or one of the baselines "local" and "fifo", which exist
+	// for comparison only. Default "fleet".
+	Mode string `json:"mode,omitempty"`
+}
+
+// Ledger tunes once-only claims.
+type Ledger struct {
+	// Buckets is the number of claim objects for each window. Default 64.
+	Buckets int `json:"buckets,omitempty"`
+	// WindowSeconds is how long an idempotency key is remembered at least.
+	// Default 86,400.
+	WindowSeconds int `json:"window_seconds,omitempty"`
+	// MaxAnswerBytes of an answer are kept for a repeat. Default 2,048.
+	MaxAnswerBytes int `json:"max_answer_bytes,omitempty"`
+}
+
+// Quarantine tunes the handling of requests that crash targets.
+type Quarantine struct {
+	// Seconds that a request stays in quarantine. Default 600.
+	Seconds int `json:"seconds,omitempty"`
+}
+
+// Retry tunes retries.
+type Retry struct {
+	// BudgetShare of first tries that may be retried. Default 0.1.
+	BudgetShare float64 `json:"budget_share,omitempty"`
+	// MaxAttempts for a request, the first included. Default 3.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+}
+
+// Targets tunes the connections to back ends.
+type Targets struct {
+	// DialMS bounds connecting in ms. Default 1,000.
+	DialMS int `json:"dial_ms,omitempty"`
+	// StallMS is the silence in ms of a running engine stream after which the
+	// target is taken for frozen. Default 10,000.
+	StallMS int `json:"stall_ms,omitempty"`
+	// LoadMS is the interval in ms of reading engines' load. Default 1,000.
+	LoadMS int `json:"load_ms,omitempty"`
+}
+
+// Log tunes logging.
+type Log struct {
+	// Level is "debug", "info", "warn" or "error". Default "info".
+	Level string `json:"level,omitempty"`
+	// Format is "json" or "text". Default "json".
+	Format string `json:"format,omitempty"`
+}
