--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,163 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/umberhill/umberhill/internal/api"
+)
+
+var value = json.RawMessage(`{"a":1}`)
+
+// serve returns a client of a service that answers by the handler.
+func serve(t *testing.T, h http.HandlerFunc) *Client {
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return New(Options{URL: srv.URL, Token: "t", Timeout: time.Second})
+}
+
+// answerWith returns a client of a service that gives one answer.
+func answerWith(t *testing.T, status int, header, body string) *Client {
+	return serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		if name, text, ok := strings.Cut(header, ": "); ok {
+			w.Header().Set(name, text)
+		}
+		w.WriteHeader(status)
+		w.Write([]byte(body))
+	})
+}
+
+func TestPut(t *testing.T) {
+	g := NewWithT(t)
+	var got *http.Request
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		got = r
+		w.Write([]byte(`{"kind":"claims","name":"x","version":7,"value":{"a":1}}`))
+	})
+	obj, err := c.Put(context.Background(), api.KindClaims, "a b/c", value, Condition{Version: 6})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(obj.Version).To(Equal(uint64(7)))
+	g.Expect(got.URL.EscapedPath()).To(Equal("/v1/objects/claims/a%20b%2Fc"))
+	g.Expect(got.Header.Get("If-Match")).To(Equal(`"6"`))
+	g.Expect(got.Header.Get("Authorization")).To(Equal("Bearer t"))
+}
+
+func TestWriteErrors(t *testing.T) {
+	var conflict *ConflictError
+	var notApplied *NotAppliedError
+	var unsure *UnsureError
+	cases := []struct {
+		status       int
+		header, body string
+		want         any
+	}{
+		{412, "", `{"error":"conflict","current":{"kind":"claims","name":"x","version":3,"value":1}}`, &conflict},
+		{412, "", `{"error":"conflict","current":null}`, &conflict},
+		{412, "", `<html>`, &notApplied},
+		{413, "", ``, &notApplied},
+		{401, "", ``, &notApplied},
+		{503, "Umberhill-Applied: no", ``, &notApplied},
+		{429, "Umberhill-Applied: no", ``, &notApplied},
+		{503, "", ``, &unsure},
+		{429, "", ``, &unsure},
+		{500, "", ``, &unsure},
+		{307, "Location: /v1/objects/claims/y", ``, &unsure},
+		{200, "", `{"kind":`, &unsure},
+	}
+	for _, x := range cases {
+		c := answerWith(t, x.status, x.header, x.body)
+		_, err := c.Put(context.Background(), api.KindClaims, "x", value, Condition{})
+		g := NewWithT(t)
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(asType(err, x.want)).To(BeTrue(), "%d %q %q: %T", x.status, x.header, x.body, err)
+	}
+	c := answerWith(t, 412, "", `{"error":"conflict","current":{"kind":"claims","name":"x","version":3,"value":1}}`)
+	_, err := c.Delete(context.Background(), api.KindClaims, "x", Condition{Version: 2})
+	NewWithT(t).Expect(err).To(MatchError(ContainSubstring("at version 3")))
+}
+
+func TestNoConnectionIsNotApplied(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	l.Close()
+	c := New(Options{URL: "http://" + l.Addr().String()})
+	_, err = c.Put(context.Background(), api.KindClaims, "x", value, Condition{})
+	var notApplied *NotAppliedError
+	g.Expect(asType(err, &notApplied)).To(BeTrue(), "%T", err)
+	_, err = c.Put(context.Background(), api.KindClaims, "x", make([]byte, MaxValueBytes+1), Condition{})
+	g.Expect(asType(err, &notApplied)).To(BeTrue(), "%T", err)
+}
+
+// A write whose answer is lost on a kept-alive connection is unsure, and it
+// reached the service once.
+func TestLostAnswerIsUnsureAndNotReplayed(t *testing.T) {
+	for _, op := range []string{"put", "put empty", "delete"} {
+		g := NewWithT(t)
+		var writes atomic.Int32
+		c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				w.Write([]byte(`{"revision":1,"objects":[]}`))
+				return
+			}
+			writes.Add(1)
+			panic(http.ErrAbortHandler)
+		})
+		_, _, err := c.List(context.Background(), api.KindClaims)
+		g.Expect(err).NotTo(HaveOccurred())
+		switch op {
+		case "put":
+			_, err = c.Put(context.Background(), api.KindClaims, "x", value, Condition{})
+		case "put empty":
+			_, err = c.Put(context.Background(), api.KindClaims, "x", nil, Condition{})
+		default:
+			_, err = c.Delete(context.Background(), api.KindClaims, "x", Condition{})
+		}
+		var unsure *UnsureError
+		g.Expect(asType(err, &unsure)).To(BeTrue(), "%s: %T", op, err)
+		g.Expect(writes.Load()).To(Equal(int32(1)), op)
+	}
+}
+
+func TestReads(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	_, err := answerWith(t, 404, "", ``).Get(ctx, api.KindClaims, "x")
+	g.Expect(err).To(MatchError(ErrNotFound))
+	_, err = answerWith(t, 410, "", ``).Watch(ctx, api.ConfigKinds, 1, time.Millisecond)
+	g.Expect(err).To(MatchError(ErrCompacted))
+	_, err = answerWith(t, 503, "Retry-After: 7", ``).Watch(ctx, api.ConfigKinds, 1, time.Millisecond)
+	var read *ReadError
+	g.Expect(asType(err, &read)).To(BeTrue(), "%T", err)
+	g.Expect(read.RetryAfter).To(Equal(7 * time.Second))
+	_, err = answerWith(t, 200, "", strings.Repeat(" ", maxObjectBytes+1)).Get(ctx, api.KindClaims, "x")
+	g.Expect(err).To(MatchError(ContainSubstring("over the limit")))
+	objs, rev, err := answerWith(t, 200, "", `{"revision":9,"objects":[{"kind":"contracts","name":"a","version":8,"value":{}}]}`).List(ctx, api.KindContract)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(rev).To(Equal(uint64(9)))
+	g.Expect(objs).To(HaveLen(1))
+}
+
+func TestCallsAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	scope := tally.NewTestScope("", nil)
+	c := answerWith(t, 404, "", ``)
+	c.scope = scope
+	c.Get(context.Background(), api.KindClaims, "x")
+	counter := scope.Snapshot().Counters()["platform_calls+call=get,result=not_found"]
+	g.Expect(counter).NotTo(BeNil())
+	g.Expect(counter.Value()).To(Equal(int64(1)))
+}
+
+func asType(err error, target any) bool { return errors.As(err, target) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,11 +4,11 @@
 // Settings is the daemon's whole settings file.
 type Settings struct {
 	// Fleet is the name that all routers of a fleet share. Required.
-	Fleet string `json:"fleet"`
+	Fleet string `json:"fleet" jsonschema:"maxLength=64"`
 	// Instance names this router, unique in the fleet. Required.
-	Instance string `json:"instance"`
+	Instance string `json:"instance" jsonschema:"maxLength=64"`
 	// Domain is the failure domain of this instance. Required.
-	Domain string `json:"domain"`
+	Domain string `json:"domain" jsonschema:"maxLength=64"`
 	// Callers is the listener for callers' requests.
 	Callers Callers `json:"callers"`
 	// Admin is the listener for operators, metrics and health.
@@ -31,7 +31,7 @@
 	Log Log `json:"log,omitzero"`
 	// StopSeconds is how long a planned stop waits for running requests.
 	// Default 600, 1 to 86,400.
-	StopSeconds int `json:"stop_seconds,omitempty"`
+	StopSeconds int `json:"stop_seconds,omitempty" jsonschema:"default=600,minimum=1,maximum=86400"`
 }
 
 // Callers is the listener for callers.
@@ -41,19 +41,19 @@
 	// TLS of the listener; none for plain HTTP.
 	TLS *TLS `json:"tls,omitempty"`
 	// MaxBodyBytes bounds a request's body. Default 4,194,304.
-	MaxBodyBytes int64 `json:"max_body_bytes,omitempty"`
+	MaxBodyBytes int64 `json:"max_body_bytes,omitempty" jsonschema:"default=4194304,minimum=1024,maximum=67108864"`
 	// MaxHeaderBytes bounds a request's headers. Default 65,536.
-	MaxHeaderBytes int `json:"max_header_bytes,omitempty"`
+	MaxHeaderBytes int `json:"max_header_bytes,omitempty" jsonschema:"default=65536,minimum=4096,maximum=1048576"`
 	// ReadSeconds bounds the reading of a whole request. Default 30.
-	ReadSeconds int `json:"read_seconds,omitempty"`
+	ReadSeconds int `json:"read_seconds,omitempty" jsonschema:"default=30,minimum=1,maximum=3600"`
 	// IdleSeconds bounds an idle kept-alive connection. Default 90.
-	IdleSeconds int `json:"idle_seconds,omitempty"`
+	IdleSeconds int `json:"idle_seconds,omitempty" jsonschema:"default=90,minimum=1,maximum=3600"`
 	// MaxHeld bounds the requests held at a time, waiting and running.
 	// Default 8,192.
-	MaxHeld int `json:"max_held,omitempty"`
+	MaxHeld int `json:"max_held,omitempty" jsonschema:"default=8192,minimum=1,maximum=1000000"`
 	// DefaultDeadlineSeconds is how long a request without a deadline may
 	// wait in the queue. Default 600.
-	DefaultDeadlineSeconds int `json:"default_deadline_seconds,omitempty"`
+	DefaultDeadlineSeconds int `json:"default_deadline_seconds,omitempty" jsonschema:"default=600,minimum=1,maximum=86400"`
 }
 
 // Admin is the listener for operators.
@@ -78,17 +78,17 @@
 	// Seeds are peers known from the start.
 	Seeds []Seed `json:"seeds,omitempty"`
 	// HeartbeatMS is the interval between heartbeats in ms. Default 1,000.
-	HeartbeatMS int `json:"heartbeat_ms,omitempty"`
+	HeartbeatMS int `json:"heartbeat_ms,omitempty" jsonschema:"default=1000,minimum=50,maximum=60000"`
 	// TimeoutMS is the silence in ms after which a peer is taken for dead.
 	// Default 3,000.
-	TimeoutMS int `json:"timeout_ms,omitempty"`
+	TimeoutMS int `json:"timeout_ms,omitempty" jsonschema:"default=3000,minimum=100,maximum=600000"`
 }
 
 // Seed is a peer known from the settings.
 type Seed struct {
-	Instance string `json:"instance"`
+	Instance string `json:"instance" jsonschema:"maxLength=64"`
 	Address  string `json:"address"`
-	Domain   string `json:"domain"`
+	Domain   string `json:"domain" jsonschema:"maxLength=64"`
 }
 
 // TLS names certificate files; they are read again when they change.
@@ -108,63 +108,63 @@
 	// Token sent as a bearer token; none where empty.
 	Token string `json:"token,omitempty"`
 	// TimeoutMS bounds one call in ms, watches apart. Default 2,000.
-	TimeoutMS int `json:"timeout_ms,omitempty"`
+	TimeoutMS int `json:"timeout_ms,omitempty" jsonschema:"default=2000,minimum=50,maximum=60000"`
 	// Watchers is how many routers of a failure domain watch the platform.
 	// Default 2.
-	Watchers int `json:"watchers,omitempty"`
+	Watchers int `json:"watchers,omitempty" jsonschema:"default=2,minimum=1,maximum=16"`
 }
 
 // Fairness tunes accounts and permits.
 type Fairness struct {
 	// ReportMS is the interval in ms between reports of service. Default 500.
-	ReportMS int `json:"report_ms,omitempty"`
+	ReportMS int `json:"report_ms,omitempty" jsonschema:"default=500,minimum=20,maximum=60000"`
 	// Tolerance in service units within which a permit is reused. Default 256.
-	Tolerance float64 `json:"tolerance,omitempty"`
+	Tolerance float64 `json:"tolerance,omitempty" jsonschema:"default=256,minimum=0,maximum=1000000000"`
 	// Mode is "fleet", or one of the baselines "local" and "fifo", which exist
 	// for comparison only. Default "fleet".
-	Mode string `json:"mode,omitempty"`
+	Mode string `json:"mode,omitempty" jsonschema:"default=fleet,enum=fleet,enum=local,enum=fifo"`
 }
 
 // Ledger tunes once-only claims.
 type Ledger struct {
 	// Buckets is the number of claim objects for each window. Default 64.
-	Buckets int `json:"buckets,omitempty"`
+	Buckets int `json:"buckets,omitempty" jsonschema:"default=64,minimum=1,maximum=65536"`
 	// WindowSeconds is how long an idempotency key is remembered at least.
 	// Default 86,400.
-	WindowSeconds int `json:"window_seconds,omitempty"`
+	WindowSeconds int `json:"window_seconds,omitempty" jsonschema:"default=86400,minimum=60,maximum=2678400"`
 	// MaxAnswerBytes of an answer are kept for a repeat. Default 2,048.
-	MaxAnswerBytes int `json:"max_answer_bytes,omitempty"`
+	MaxAnswerBytes int `json:"max_answer_bytes,omitempty" jsonschema:"default=2048,minimum=0,maximum=65536"`
 }
 
 // Quarantine tunes the handling of requests that crash targets.
 type Quarantine struct {
 	// Seconds that a request stays in quarantine. Default 600.
-	Seconds int `json:"seconds,omitempty"`
+	Seconds int `json:"seconds,omitempty" jsonschema:"default=600,minimum=1,maximum=86400"`
 }
 
 // Retry tunes retries.
 type Retry struct {
 	// BudgetShare of first tries that may be retried. Default 0.1.
-	BudgetShare float64 `json:"budget_share,omitempty"`
+	BudgetShare float64 `json:"budget_share,omitempty" jsonschema:"default=0.1,minimum=0,maximum=1"`
 	// MaxAttempts for a request, the first included. Default 3.
-	MaxAttempts int `json:"max_attempts,omitempty"`
+	MaxAttempts int `json:"max_attempts,omitempty" jsonschema:"default=3,minimum=1,maximum=10"`
 }
 
 // Targets tunes the connections to back ends.
 type Targets struct {
 	// DialMS bounds connecting in ms. Default 1,000.
-	DialMS int `json:"dial_ms,omitempty"`
+	DialMS int `json:"dial_ms,omitempty" jsonschema:"default=1000,minimum=10,maximum=60000"`
 	// StallMS is the silence in ms of a running engine stream after which the
 	// target is taken for frozen. Default 10,000.
-	StallMS int `json:"stall_ms,omitempty"`
+	StallMS int `json:"stall_ms,omitempty" jsonschema:"default=10000,minimum=100,maximum=600000"`
 	// LoadMS is the interval in ms of reading engines' load. Default 1,000.
-	LoadMS int `json:"load_ms,omitempty"`
+	LoadMS int `json:"load_ms,omitempty" jsonschema:"default=1000,minimum=50,maximum=60000"`
 }
 
 // Log tunes logging.
 type Log struct {
 	// Level is "debug", "info", "warn" or "error". Default "info".
-	Level string `json:"level,omitempty"`
+	Level string `json:"level,omitempty" jsonschema:"default=info,enum=debug,enum=info,enum=warn,enum=error"`
 	// Format is "json" or "text". Default "json".
-	Format string `json:"format,omitempty"`
+	Format string `json:"format,omitempty" jsonschema:"default=json,enum=json,enum=text"`
 }
--- /dev/null
+++ b/internal/strictjson/check.go
@@ -0,0 +1,180 @@
+package strictjson
+
+import (
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+)
+
+// field holds the rules of one struct field.
+type field struct {
+	name      string
+	index     int
+	typ       reflect.Type
+	required  bool
+	preset    string
+	minimum   string
+	maximum   string
+	maxLength string
+	maxItems  string
+	enum      []string
+}
+
+func orderedFields(t reflect.Type) []field {
+	var out []field
+	for i := range t.NumField() {
+		sf := t.Field(i)
+		name, opts, _ := strings.Cut(sf.Tag.Get("json"), ",")
+		if !sf.IsExported() || name == "" || name == "-" {
+			continue
+		}
+		f := field{name: name, index: i, typ: sf.Type}
+		f.required = !strings.Contains(opts, "omitempty") && !strings.Contains(opts, "omitzero")
+		f.parseRules(sf.Tag.Get("jsonschema"))
+		out = append(out, f)
+	}
+	return out
+}
+
+func (f *field) parseRules(tag string) {
+	for rule := range strings.SplitSeq(tag, ",") {
+		key, value, _ := strings.Cut(rule, "=")
+		switch key {
+		case "default":
+			f.preset = value
+		case "minimum":
+			f.minimum = value
+		case "maximum":
+			f.maximum = value
+		case "maxLength":
+			f.maxLength = value
+		case "maxItems":
+			f.maxItems = value
+		case "enum":
+			f.enum = append(f.enum, value)
+		}
+	}
+}
+
+func fieldsOf(t reflect.Type) map[string]field {
+	out := map[string]field{}
+	for _, f := range orderedFields(t) {
+		out[f.name] = f
+	}
+	return out
+}
+
+// fill sets the defaults of the fields that are not present.
+func fill(v reflect.Value, path string, present map[string]bool) {
+	switch v.Kind() {
+	case reflect.Pointer:
+		if !v.IsNil() {
+			fill(v.Elem(), path, present)
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			fill(v.Index(i), index(path, i), present)
+		}
+	case reflect.Struct:
+		for _, f := range orderedFields(v.Type()) {
+			at := join(path, f.name)
+			if f.preset != "" && !present[at] {
+				setPreset(v.Field(f.index), f.preset)
+			}
+			fill(v.Field(f.index), at, present)
+		}
+	}
+}
+
+// setPreset panics on a default that does not fit its field: a fault of the
+// tag, found by the tests of the type.
+func setPreset(v reflect.Value, preset string) {
+	var err error
+	switch {
+	case v.Kind() == reflect.String:
+		v.SetString(preset)
+	case v.Kind() >= reflect.Uint && v.Kind() <= reflect.Uint64:
+		var n uint64
+		n, err = strconv.ParseUint(preset, 10, 64)
+		v.SetUint(n)
+	case isInteger(v.Kind()):
+		var n int64
+		n, err = strconv.ParseInt(preset, 10, 64)
+		v.SetInt(n)
+	default:
+		var x float64
+		x, err = strconv.ParseFloat(preset, 64)
+		v.SetFloat(x)
+	}
+	if err != nil {
+		panic(err)
+	}
+}
+
+// checker checks values against the rules of their fields.
+type checker struct {
+	errs    Errors
+	present map[string]bool
+}
+
+func (c *checker) check(v reflect.Value, path string) {
+	switch v.Kind() {
+	case reflect.Pointer:
+		if !v.IsNil() {
+			c.check(v.Elem(), path)
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			c.check(v.Index(i), index(path, i))
+		}
+	case reflect.Struct:
+		for _, f := range orderedFields(v.Type()) {
+			c.checkField(v.Field(f.index), f, join(path, f.name))
+		}
+	}
+}
+
+func (c *checker) checkField(v reflect.Value, f field, path string) {
+	leftOut := v.IsZero() && !f.required && !c.present[path]
+	if leftOut {
+		return
+	}
+	switch {
+	case f.required && v.Kind() == reflect.String && v.Len() == 0:
+		c.errs.Add(path, "is required")
+	case len(f.enum) > 0 && !slices.Contains(f.enum, v.String()):
+		c.errs.Add(path, "must be one of %s", strings.Join(f.enum, ", "))
+	case f.maxLength != "" && float64(utf8.RuneCountInString(v.String())) > bound(f.maxLength):
+		c.errs.Add(path, "must be at most %s characters", f.maxLength)
+	case f.maxItems != "" && float64(v.Len()) > bound(f.maxItems):
+		c.errs.Add(path, "must have at most %s items", f.maxItems)
+	case f.minimum != "" && number(v) < bound(f.minimum):
+		c.errs.Add(path, "must be at least %s, not %v", f.minimum, v.Interface())
+	case f.maximum != "" && number(v) > bound(f.maximum):
+		c.errs.Add(path, "must be at most %s, not %v", f.maximum, v.Interface())
+	default:
+		c.check(v, path)
+	}
+}
+
+func bound(text string) float64 {
+	x, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		panic(err)
+	}
+	return x
+}
+
+func number(v reflect.Value) float64 {
+	switch {
+	case v.CanInt():
+		return float64(v.Int())
+	case v.CanUint():
+		return float64(v.Uint())
+	case v.CanFloat():
+		return v.Float()
+	}
+	return 0
+}
