--- /dev/null
+++ b/internal/quarantine/controller_test.go
@@ -0,0 +1,264 @@
+package quarantine
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	quarantinev1 "github.com/umberhill/umberhill/api/quarantine/v1"
+	"github.com/umberhill/umberhill/internal/ids"
+)
+
+// fleet is a set of controllers with one clock and links that can be cut.
+type fleet struct {
+	t       *testing.T
+	now     time.Time
+	routers []*Controller
+	cut     map[int]bool
+	attempt uint64
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, now: time.UnixMilli(1_800_000_000_000), cut: map[int]bool{}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for i := range n {
+		f.routers = append(f.routers, New(Options{
+			Self:   ids.Instance(fmt.Sprint("r", i)),
+			Send:   func(m *quarantinev1.Message) { f.spread(i, m) },
+			Alone:  func() bool { return f.cut[i] },
+			Now:    func() time.Time { return f.now },
+			Logger: logrus.NewEntry(log),
+		}))
+	}
+	return f
+}
+
+// spread delivers a message twice to every other router that can be reached.
+func (f *fleet) spread(from int, m *quarantinev1.Message) {
+	raw, err := proto.Marshal(m)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for i, r := range f.routers {
+		if i == from || f.cut[i] || f.cut[from] {
+			continue
+		}
+		for range 2 {
+			var got quarantinev1.Message
+			if err := proto.Unmarshal(raw, &got); err != nil {
+				f.t.Fatal(err)
+			}
+			r.Receive(f.routers[from].opts.Self, &got)
+		}
+	}
+}
+
+func (f *fleet) pass(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(trialInterval)
+		for _, r := range f.routers {
+			r.Tick()
+		}
+	}
+}
+
+// admit asks until the trial has settled.
+func (f *fleet) admit(router int, fp uint64) Verdict {
+	v := f.routers[router].Admit(fp)
+	for i := 0; i < 10 && v.Refuse && !v.Quarantined; i++ {
+		f.now = f.now.Add(askInterval)
+		v = f.routers[router].Admit(fp)
+	}
+	return v
+}
+
+// run sends a request; false where it was refused.
+func (f *fleet) run(router int, fp uint64, target ids.Target, how End) (ran bool) {
+	v := f.admit(router, fp)
+	if !v.Run {
+		return false
+	}
+	f.attempt++
+	if !f.routers[router].Started(f.attempt, fp, target, v.Solo) {
+		return false
+	}
+	f.routers[router].Ended(f.attempt, how)
+	return true
+}
+
+func TestAtMostTwoCrashes(t *testing.T) {
+	f := newFleet(t, 8)
+	crashes := 0
+	for i := range 40 { // the caller sends it again and again, everywhere
+		if f.run(i%8, 1, ids.Target(fmt.Sprint("t", i%9)), Crashed) {
+			crashes++
+		}
+		f.pass(2 * time.Second)
+	}
+	if crashes != 2 {
+		t.Fatalf("%d crashes", crashes)
+	}
+	for i := range f.routers {
+		if v := f.routers[i].Admit(1); !v.Quarantined || v.RetryAfter <= 0 {
+			t.Errorf("router %d: %+v", i, v)
+		}
+	}
+	if !f.run(3, 2, "t1", OK) {
+		t.Error("other work was refused")
+	}
+}
+
+// Eight copies that are admitted at once, of which one crashes: the others are
+// stopped before they are dispatched, and tried out one at a time.
+func TestCopiesAdmittedBeforeTheCrash(t *testing.T) {
+	f := newFleet(t, 8)
+	for i := range f.routers {
+		if !f.routers[i].Admit(1).Run {
+			t.Fatal("a clean request was refused")
+		}
+	}
+	crashes := 0
+	for i, r := range f.routers {
+		if r.Started(uint64(i), 1, "t1", false) {
+			r.Ended(uint64(i), Crashed)
+			crashes++
+		}
+	}
+	if crashes != 1 {
+		t.Fatalf("%d crashes", crashes)
+	}
+	solo := 0
+	for range 20 {
+		for _, r := range f.routers {
+			if v := r.Admit(1); v.Solo {
+				solo++
+			}
+		}
+		f.now = f.now.Add(askInterval)
+	}
+	if solo != 1 {
+		t.Fatalf("%d trials at once", solo)
+	}
+}
+
+// Routers that are cut off may each cause one crash more; after they rejoin
+// all know of the quarantine.
+func TestCutOffRouters(t *testing.T) {
+	f := newFleet(t, 8)
+	f.cut[6], f.cut[7] = true, true
+	crashes := 0
+	for i := range 64 {
+		if f.run(i%8, 1, ids.Target(fmt.Sprint("t", i%5)), Crashed) {
+			crashes++
+		}
+		f.pass(time.Second)
+	}
+	if crashes != 2+2 {
+		t.Fatalf("%d crashes", crashes)
+	}
+	f.cut = map[int]bool{}
+	f.pass(2*digestInterval + time.Second)
+	want := f.routers[0].table.Digest()
+	for i, r := range f.routers {
+		if r.table.Digest() != want || !r.Admit(1).Quarantined {
+			t.Errorf("router %d has not learned", i)
+		}
+	}
+}
+
+// Innocent requests beside the one that crashes are cleared by a run alone.
+func TestInnocentsAreCleared(t *testing.T) {
+	f := newFleet(t, 4)
+	for i := range 13 { // request 0 crashes the target
+		f.routers[i%4].Started(uint64(i), uint64(i), "t1", false)
+	}
+	for i := range 13 {
+		f.routers[i%4].Ended(uint64(i), Crashed)
+	}
+	f.pass(time.Second)
+	if got := f.routers[0].View().Suspects; got != 13 {
+		t.Fatalf("%d suspects", got)
+	}
+	f.attempt = 100
+	for i := 1; i < 13; i++ {
+		if !f.run((i+1)%4, uint64(i), "t2", OK) {
+			t.Errorf("innocent %d was refused", i)
+		}
+	}
+	if !f.run(0, 0, "t2", Crashed) {
+		t.Fatal("no trial")
+	}
+	for i, r := range f.routers {
+		if v := r.View(); v.Suspects != 0 || v.Quarantined != 1 {
+			t.Errorf("router %d: %+v", i, v)
+		}
+		if !r.Admit(5).Run {
+			t.Errorf("router %d still refuses an innocent", i)
+		}
+	}
+}
+
+// A router that restarts without memory learns from the digests.
+func TestRestartedRouterLearns(t *testing.T) {
+	f := newFleet(t, 3)
+	f.run(0, 1, "t1", Crashed)
+	f.run(1, 1, "t2", Crashed)
+	fresh := newFleet(t, 3).routers[2]
+	fresh.opts.Now = func() time.Time { return f.now }
+	fresh.opts.Send = func(m *quarantinev1.Message) { f.spread(2, m) }
+	f.routers[2] = fresh
+	f.pass(3 * digestInterval)
+	if !fresh.Admit(1).Quarantined {
+		t.Fatal("the restarted router would run it")
+	}
+}
+
+func TestWithdraw(t *testing.T) {
+	f := newFleet(t, 2)
+	f.run(0, 1, "t1", Crashed)
+	if v := f.admit(0, 1); !v.Solo {
+		t.Fatalf("%+v", v)
+	}
+	if v := f.admit(1, 1); v.Run {
+		t.Fatal("two trials at once")
+	}
+	f.routers[0].Withdraw(1)
+	if v := f.admit(1, 1); !v.Solo {
+		t.Fatalf("%+v after the trial was withdrawn", v)
+	}
+}
+
+func TestHostileMessages(t *testing.T) {
+	f := newFleet(t, 2)
+	long := make([]byte, 1<<16)
+	f.routers[0].Receive("r1", &quarantinev1.Message{
+		Crashes: []*quarantinev1.Crash{nil, {CrashId: string(long)}, {Fingerprint: 9, AtMs: 1 << 62}},
+		Trials:  []*quarantinev1.Trial{nil, {Fingerprint: 9, Instance: "r5", Running: true}},
+	})
+	if v := f.admit(0, 9); !v.Solo {
+		t.Errorf("a router spoke for another: %+v", v)
+	}
+	f.routers[0].Withdraw(9)
+	f.pass(3 * DefaultDuration)
+	if f.routers[0].View() != (View{}) {
+		t.Errorf("%+v is remembered", f.routers[0].View())
+	}
+}
+
+func TestFingerprint(t *testing.T) {
+	a := Fingerprint("ledus", "model/m", []byte("x"))
+	for _, b := range []uint64{
+		Fingerprint("ledu", "smodel/m", []byte("x")),
+		Fingerprint("ledus", "model/", []byte("mx")),
+		Fingerprint("ledus", "model/m", nil),
+	} {
+		if a == b {
+			t.Error("different requests share a fingerprint")
+		}
+	}
+}
