settings: stop_lead_ms and service_stall_ms

Cause: the lead between readiness off and refusal, and the silence of a plain service, differ between deployments; both were constants. Change: two fields with default and range.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,10 @@
 	// StopSeconds is how long a planned stop waits for running requests.
 	// Default 600, 1 to 86,400.
 	StopSeconds int `json:"stop_seconds,omitempty" jsonschema:"default=600,minimum=1,maximum=86400"`
+	// StopLeadMS is how long in ms a stopping router still takes requests after
+	// its readiness went off, so that the balancer sees it first. Default
+	// 1,000, 1 to 60,000.
+	StopLeadMS int `json:"stop_lead_ms,omitempty" jsonschema:"default=1000,minimum=1,maximum=60000"`
 }
 
 // Callers is the listener for callers.
@@ -157,6 +161,9 @@
 	// StallMS is the silence in ms of a running engine stream after which the
 	// target is taken for frozen. Default 10,000.
 	StallMS int `json:"stall_ms,omitempty" jsonschema:"default=10000,minimum=100,maximum=600000"`
+	// ServiceStallMS is the silence in ms of a plain service after which the
+	// outcome of its request is unknown. Default 60,000.
+	ServiceStallMS int `json:"service_stall_ms,omitempty" jsonschema:"default=60000,minimum=100,maximum=3600000"`
 	// LoadMS is the interval in ms of reading engines' load. Default 1,000.
 	LoadMS int `json:"load_ms,omitempty" jsonschema:"default=1000,minimum=50,maximum=60000"`
 }
