--- a/cmd/umberhill-standin/main.go
+++ b/cmd/umberhill-standin/main.go
@@ -1,4 +1,23 @@
-// Command umberhill-standin is a placeholder until its package lands.
+// Command umberhill-standin serves a stand-in for the platform, a model engine
+// or a plain service on loopback, for the demo, tests and measurements.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/umberhill/umberhill/internal/standin/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := command.New(os.Stdout).Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/harness/cli.go
@@ -0,0 +1,67 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/umberhill/umberhill/internal/api"
+)
+
+// Key returns the bearer key of a workspace's callers in a fleet started here.
+func Key(workspace string) string { return "key-of-" + workspace }
+
+// Contract returns a contract of a workspace with its Key and a weight.
+func Contract(workspace string, weight float64) api.Contract {
+	sum := sha256.Sum256([]byte(Key(workspace)))
+	return api.Contract{
+		Workspace: workspace,
+		Weight:    weight,
+		Keys:      []api.KeyHash{{ID: "bench", SHA256: hex.EncodeToString(sum[:])}},
+	}
+}
+
+// CLI runs the operators' tool against a router and returns its standard
+// output; the error carries the standard error.
+func (f *Fleet) CLI(ctx context.Context, r *Router, args ...string) (string, error) {
+	args = append([]string{"--admin", "http://" + r.Admin, "--token", AdminToken}, args...)
+	cmd := exec.CommandContext(ctx, f.Binaries.CLI, args...)
+	var out, failure bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &failure
+	err := starter.run(cmd.Run)
+	return out.String(), errors.Wrapf(err, "umberhill %v: %s", args[4:], failure.String())
+}
+
+// Apply writes a contract by the operators' tool and waits until it is in
+// force on all live routers.
+func (f *Fleet) Apply(ctx context.Context, contract api.Contract) error {
+	path, err := f.ContractFile(contract)
+	if err != nil {
+		return err
+	}
+	_, err = f.CLI(ctx, f.Routers[0], "contract", "apply", "-f", path, "--wait")
+	return err
+}
+
+// ApplyAll puts contracts at the platform and waits for the last of them, and
+// so for all, to be in force on all live routers.
+func (f *Fleet) ApplyAll(ctx context.Context, contracts ...api.Contract) error {
+	last := len(contracts) - 1
+	for _, c := range contracts[:last] {
+		if err := f.Platform.Put(ctx, api.KindContract, c.Workspace, c); err != nil {
+			return err
+		}
+	}
+	return f.Apply(ctx, contracts[last])
+}
+
+// ContractFile writes a contract to a file in the fleet's directory.
+func (f *Fleet) ContractFile(contract api.Contract) (string, error) {
+	path := filepath.Join(f.Dir, "contract-"+contract.Workspace+".json")
+	return path, writeJSON(path, contract)
+}
--- /dev/null
+++ b/internal/harness/links.go
@@ -0,0 +1,152 @@
+package harness
+
+import (
+	"net"
+	"sync"
+
+	"github.com/umberhill/umberhill/internal/faultlink"
+)
+
+// pair is a directed pair of routers.
+type pair struct{ from, to *Router }
+
+// Links are the relays of a fleet; without Spec.Links there are none, and
+// addresses are the processes' own.
+type Links struct {
+	fleet *Fleet
+
+	mu       sync.Mutex
+	peers    map[pair]*faultlink.Relay
+	platform map[*Router]*faultlink.Relay
+	targets  map[*Target]*faultlink.Relay
+}
+
+func newLinks(f *Fleet) *Links {
+	return &Links{
+		fleet:    f,
+		peers:    map[pair]*faultlink.Relay{},
+		platform: map[*Router]*faultlink.Relay{},
+		targets:  map[*Target]*faultlink.Relay{},
+	}
+}
+
+// Pair sets the rule between two routers: forward is the direction from a
+// to b, whichever of them dialed.
+func (l *Links) Pair(a, b *Router, rule faultlink.Rule) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peers[pair{a, b}].Set(rule)
+	l.peers[pair{b, a}].Set(faultlink.Rule{Reset: rule.Reset, Forward: rule.Back, Back: rule.Forward})
+}
+
+// Platform sets the rule between a router and the platform.
+func (l *Links) Platform(r *Router, rule faultlink.Rule) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.platform[r].Set(rule)
+}
+
+// Target sets the rule between a router and a target.
+func (l *Links) Target(r *Router, t *Target, rule faultlink.Rule) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.targets[t].SetClient(r.ID, rule)
+}
+
+// Domain sets the rule between a failure domain and all others: their routers
+// and their targets, in both directions.
+func (l *Links) Domain(domain string, rule faultlink.Rule) {
+	for _, r := range l.fleet.Routers {
+		l.domainPeers(r, domain, rule)
+		for _, t := range append(append([]*Target{}, l.fleet.Engines...), l.fleet.Services...) {
+			if (r.Domain == domain) != (t.Object.Domain == domain) {
+				l.Target(r, t, rule)
+			}
+		}
+	}
+}
+
+func (l *Links) domainPeers(r *Router, domain string, rule faultlink.Rule) {
+	if r.Domain != domain {
+		return
+	}
+	for _, other := range l.fleet.Routers {
+		if other.Domain != domain {
+			l.Pair(r, other, rule)
+		}
+	}
+}
+
+// Clear lifts all rules.
+func (l *Links) Clear() {
+	for _, relay := range l.all() {
+		relay.Clear()
+	}
+}
+
+func (l *Links) close() {
+	for _, relay := range l.all() {
+		relay.Close()
+	}
+}
+
+func (l *Links) all() []*faultlink.Relay {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var relays []*faultlink.Relay
+	for _, relay := range l.peers {
+		relays = append(relays, relay)
+	}
+	for _, relay := range l.platform {
+		relays = append(relays, relay)
+	}
+	for _, relay := range l.targets {
+		relays = append(relays, relay)
+	}
+	return relays
+}
+
+// between returns the address at which one router reaches another.
+func (l *Links) between(from, to *Router) (string, error) {
+	return place(l, l.peers, pair{from, to}, faultlink.Options{Target: to.Peer})
+}
+
+// toPlatform returns the address at which a router reaches the platform.
+func (l *Links) toPlatform(r *Router) (string, error) {
+	return place(l, l.platform, r, faultlink.Options{Target: l.fleet.Platform.Address})
+}
+
+// toTarget returns the address at which routers reach a target.
+func (l *Links) toTarget(t *Target) (string, error) {
+	return place(l, l.targets, t, faultlink.Options{Target: t.Address, Client: l.owner})
+}
+
+// place starts a relay where the fleet has them, and returns the address to
+// be used in place of the target's.
+func place[K comparable](l *Links, relays map[K]*faultlink.Relay, key K, opts faultlink.Options) (string, error) {
+	if !l.fleet.Spec.Links {
+		return opts.Target, nil
+	}
+	relay, err := faultlink.New(opts)
+	if err != nil {
+		return "", err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	relays[key] = relay
+	return relay.Address(), nil
+}
+
+// owner returns the id of the router that holds the other end of a connection.
+func (l *Links) owner(remote net.Addr) string {
+	inode, ok := socketInode(remote)
+	if !ok {
+		return ""
+	}
+	for _, r := range l.fleet.Routers {
+		if r.Running() && holdsSocket(r.PID(), inode) {
+			return r.ID
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/harness/router.go
@@ -0,0 +1,166 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/umberhill/umberhill/internal/api"
+	"github.com/umberhill/umberhill/internal/standin/platform"
+)
+
+// Router is a running umberhilld.
+type Router struct {
+	*Proc
+	ID     string
+	Domain string
+	// Callers, Admin and Peer are the addresses of the listeners.
+	Callers string
+	Admin   string
+	Peer    string
+	// SettingsFile is the path of the settings.
+	SettingsFile string
+
+	client *http.Client
+}
+
+// Restart starts the router again at the same addresses after it has ended.
+func (r *Router) Restart(ctx context.Context) error { return r.start(ctx) }
+
+// start starts the process and waits until it is ready.
+func (r *Router) start(ctx context.Context) error {
+	if err := r.Start(); err != nil {
+		return err
+	}
+	return r.WaitReady(ctx, readyTimeout)
+}
+
+// Start starts the process and does not wait until it is ready.
+func (r *Router) Start() error {
+	_, err := r.Proc.start()
+	return err
+}
+
+// WaitReady waits until the router says that it is ready.
+func (r *Router) WaitReady(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for !r.Ready(ctx) {
+		if !r.Running() {
+			return errors.Newf("%s ended before it was ready", r.ID)
+		}
+		select {
+		case <-time.After(readyPoll):
+		case <-ctx.Done():
+			return errors.Newf("%s not ready after %s", r.ID, timeout)
+		}
+	}
+	return nil
+}
+
+// Ready asks the router whether it is ready.
+func (r *Router) Ready(ctx context.Context) bool {
+	return call(ctx, r.client, http.MethodGet, "http://"+r.Admin+"/readyz", nil, nil) == nil
+}
+
+// Metrics returns the text of the router's metrics.
+func (r *Router) Metrics(ctx context.Context) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Admin+"/metrics", nil)
+	if err != nil {
+		return "", errors.Wrap(err, "metrics")
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return "", errors.Wrapf(err, "metrics of %s", r.ID)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return string(text), errors.Wrapf(err, "metrics of %s", r.ID)
+}
+
+// Platform is the running stand-in of the platform.
+type Platform struct {
+	*Proc
+	// Address accepts HTTP without a relay between.
+	Address string
+
+	client *http.Client
+}
+
+// Put writes an object.
+func (p *Platform) Put(ctx context.Context, kind api.Kind, name string, value any) error {
+	return call(ctx, p.client, http.MethodPut, p.url(kind, name), value, nil)
+}
+
+// Delete deletes an object.
+func (p *Platform) Delete(ctx context.Context, kind api.Kind, name string) error {
+	return call(ctx, p.client, http.MethodDelete, p.url(kind, name), nil, nil)
+}
+
+// List returns the objects of a kind.
+func (p *Platform) List(ctx context.Context, kind api.Kind) (platform.List, error) {
+	var list platform.List
+	err := call(ctx, p.client, http.MethodGet, "http://"+p.Address+"/v1/objects/"+string(kind), nil, &list)
+	return list, err
+}
+
+// SetFaults replaces the faults in force.
+func (p *Platform) SetFaults(ctx context.Context, faults platform.Faults) error {
+	return call(ctx, p.client, http.MethodPost, "http://"+p.Address+"/faults", faults, nil)
+}
+
+// Stats returns the calls counted so far.
+func (p *Platform) Stats(ctx context.Context) (platform.Stats, error) {
+	var stats platform.Stats
+	err := call(ctx, p.client, http.MethodGet, "http://"+p.Address+"/v1/stats", nil, &stats)
+	return stats, err
+}
+
+// ClientStats returns the calls counted so far by client token, which is the
+// router's id.
+func (p *Platform) ClientStats(ctx context.Context) (map[string]platform.Stats, error) {
+	var stats map[string]platform.Stats
+	err := call(ctx, p.client, http.MethodGet, "http://"+p.Address+"/stats/clients", nil, &stats)
+	return stats, err
+}
+
+func (p *Platform) url(kind api.Kind, name string) string {
+	return "http://" + p.Address + "/v1/objects/" + string(kind) + "/" + name
+}
+
+// call makes a JSON call; any status but 2xx is an error.
+func call(ctx context.Context, client *http.Client, method, url string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		content, err := json.Marshal(in)
+		if err != nil {
+			return errors.Wrapf(err, "%s %s", method, url)
+		}
+		body = bytes.NewReader(content)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return errors.Wrapf(err, "%s %s", method, url)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return errors.Wrapf(err, "%s %s", method, url)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrapf(err, "%s %s", method, url)
+	}
+	if resp.StatusCode/100 != 2 {
+		return errors.Newf("%s %s: %s: %s", method, url, resp.Status, answer)
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(answer, out), "%s %s", method, url)
+}
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,167 @@
+package engine_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/umberhill/umberhill/internal/harness"
+	"github.com/umberhill/umberhill/internal/standin/engine"
+)
+
+func TestEngine(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "engine stand-in")
+}
+
+var _ = Describe("Engine", func() {
+	var (
+		e      *engine.Engine
+		caller *harness.Caller
+		exits  atomic.Int32
+	)
+
+	start := func(opts engine.Options) {
+		opts.Models = []string{"m"}
+		opts.Exit = func(int) { exits.Add(1) }
+		e = engine.New(opts)
+		web := httptest.NewServer(e)
+		caller = harness.NewCaller(strings.TrimPrefix(web.URL, "http://"), "")
+		DeferCleanup(func() {
+			web.CloseClientConnections()
+			e.Close()
+			web.Close()
+		})
+	}
+	ask := func(prompt, attempt string) harness.Ask {
+		return harness.Ask{
+			Model: "m", Prompt: prompt, MaxTokens: 5, Stream: true,
+			Header: http.Header{"X-Request-Id": {attempt}},
+		}
+	}
+	complete := func(a harness.Ask) harness.Answer {
+		return caller.Complete(context.Background(), a)
+	}
+
+	BeforeEach(func() {
+		exits.Store(0)
+		start(engine.Options{TokensPerSecond: 2000, Concurrency: 2})
+	})
+
+	DescribeTable("answers the right text in whole", func(stream, chat bool) {
+		a := ask("one two three", "r1")
+		a.Stream, a.Chat = stream, chat
+		got := complete(a)
+		Expect(harness.Judge(a, got)).To(Equal(harness.Right))
+		Expect(got.Header.Get("X-Request-Id")).To(Equal("r1"))
+		Expect(got.Usage.CompletionTokens).To(Equal(5))
+	},
+		Entry("whole completion", false, false),
+		Entry("whole chat", false, true),
+		Entry("streamed completion", true, false),
+		Entry("streamed chat", true, true),
+	)
+
+	It("resumes a cut stream after any event", func() {
+		e.SetFaults(engine.Faults{CutEvery: 1, CutAfter: 2})
+		a := ask("p", "r1")
+		got := complete(a)
+		Expect(harness.Judge(a, got)).To(Equal(harness.Visible))
+		Expect(got.Events).To(Equal(2))
+		rest := caller.Do(context.Background(), http.MethodGet, "/v1/streams/r1", http.Header{"Last-Event-Id": {"2"}}, nil)
+		Expect(rest.Marked).To(BeTrue())
+		Expect(got.Text + rest.Text).To(Equal(a.Want()))
+		e.SetFaults(engine.Faults{Forget: true})
+		rest = caller.Do(context.Background(), http.MethodGet, "/v1/streams/r1", http.Header{"Last-Event-Id": {"2"}}, nil)
+		Expect(rest.Status).To(Equal(http.StatusNotFound))
+	})
+
+	It("cancels a running and a waiting request", func() {
+		for _, attempt := range []string{"r1", "r2", "r3"} {
+			go complete(ask(engine.LengthMarker(100000), attempt))
+		}
+		Eventually(func() int { return e.Stats().Waiting }).Should(Equal(1))
+		for _, attempt := range []string{"r1", "r2", "r3"} {
+			got := caller.Do(context.Background(), http.MethodDelete, "/v1/streams/"+attempt, nil, nil)
+			Expect(got.Status).To(Equal(http.StatusNoContent))
+		}
+		Eventually(func() int { return e.Stats().Running }).Should(Equal(0))
+		Expect(e.Stats().Cancelled).To(BeEquivalentTo(3))
+	})
+
+	It("goes on when the caller leaves", func() {
+		a := ask("p", "r1")
+		a.OnEvent = func(int, string) bool { return false }
+		complete(a)
+		Eventually(func() uint64 { return e.Stats().Completed }).Should(BeEquivalentTo(1))
+	})
+
+	DescribeTable("misbehaves on demand", func(faults engine.Faults, want harness.Verdict) {
+		e.SetFaults(faults)
+		complete(ask("other", "r1"))
+		for attempt, stream := range map[string]bool{"r2": true, "r3": false} {
+			a := ask(attempt, attempt)
+			a.Stream = stream
+			Expect(harness.Judge(a, complete(a))).To(Equal(want))
+		}
+	},
+		Entry("late", engine.Faults{LateEvery: 1, LateMS: 5}, harness.Right),
+		Entry("cut", engine.Faults{CutEvery: 1, CutAfter: 3}, harness.Visible),
+		Entry("crossed", engine.Faults{CrossEvery: 1}, harness.Wrong),
+		Entry("crossed body", engine.Faults{CrossEvery: 1, CrossBody: true}, harness.Wrong),
+		Entry("failed", engine.Faults{FailEvery: 1}, harness.Wrong),
+	)
+
+	It("ends early as if whole, in a stream only without its end marker", func() {
+		e.SetFaults(engine.Faults{EndEvery: 1, CutAfter: 2})
+		a := ask("p", "r1")
+		Expect(harness.Judge(a, complete(a))).To(Equal(harness.Visible))
+		a = ask("p", "r2")
+		a.Stream = false
+		Expect(harness.Judge(a, complete(a))).To(Equal(harness.Silent))
+	})
+
+	It("refuses before running", func() {
+		e.SetFaults(engine.Faults{RefuseEvery: 1})
+		Expect(complete(ask("p", "r1")).Status).To(Equal(http.StatusTooManyRequests))
+		Expect(e.Stats().Started).To(BeZero())
+	})
+
+	It("freezes and thaws", func() {
+		e.SetFaults(engine.Faults{Freeze: true})
+		done := make(chan harness.Answer, 1)
+		go func() { done <- complete(ask("p", "r1")) }()
+		Consistently(done, 30*time.Millisecond).ShouldNot(Receive())
+		e.SetFaults(engine.Faults{})
+		Eventually(done).Should(Receive(HaveField("Marked", true)))
+	})
+
+	It("dies of a marked request", func() {
+		complete(ask(engine.CrashMarker, "r1"))
+		Expect(exits.Load()).To(BeNumerically(">", 0))
+	})
+
+	It("counts units by tag and reads cached prompts faster", func() {
+		start(engine.Options{TokensPerSecond: 2000, PromptTokensPerSecond: 1000, CacheBlocks: 10})
+		prompt := engine.TagMarker("ws") + strings.Repeat(" w", 99)
+		first := complete(ask(prompt, "r1"))
+		second := complete(ask(prompt, "r2"))
+		Expect(second.FirstByte).To(BeNumerically("<", first.FirstByte))
+		Expect(e.Stats().Units).To(Equal(map[string]uint64{"ws": 210}))
+	})
+
+	It("reports its load with a lag", func() {
+		start(engine.Options{TokensPerSecond: 10, LoadLag: 20 * time.Millisecond})
+		go complete(ask("p", "r1"))
+		Eventually(func() string {
+			return string(caller.Do(context.Background(), http.MethodGet, "/load", nil, nil).Body)
+		}).Should(HavePrefix(`{"running":1,"waiting":0,"at_ms":`))
+	})
+})
--- /dev/null
+++ b/internal/standin/engine/http.go
@@ -0,0 +1,175 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/umberhill/umberhill/internal/standin"
+)
+
+const (
+	requestIDHeader   = "X-Request-Id"
+	lastEventIDHeader = "Last-Event-ID"
+)
+
+// request is the body of a completion or chat request.
+type request struct {
+	Model     string    `json:"model"`
+	Prompt    string    `json:"prompt"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+
+	attempt string
+	prompt  string
+	chat    bool
+}
+
+func (e *Engine) routes() {
+	e.router.POST("/v1/completions", e.complete(false))
+	e.router.POST("/v1/chat/completions", e.complete(true))
+	e.router.GET("/v1/streams/:attempt", e.resume)
+	e.router.DELETE("/v1/streams/:attempt", e.cancelRun)
+	e.router.GET("/load", e.loadReport)
+	e.router.GET("/stats", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		standin.WriteJSON(w, http.StatusOK, e.Stats())
+	})
+	e.router.POST("/faults", e.postFaults)
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/faults" && r.URL.Path != "/stats" {
+		e.faults.wait(r.Context())
+	}
+	e.router.ServeHTTP(w, r)
+}
+
+func (e *Engine) complete(chat bool) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		req := request{attempt: r.Header.Get(requestIDHeader), chat: chat}
+		if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+			standin.WriteError(w, http.StatusBadRequest, err.Error())
+			return
+		}
+		if !slices.Contains(e.opts.Models, req.Model) {
+			standin.WriteError(w, http.StatusNotFound, "model not loaded")
+			return
+		}
+		req.prompt = req.Prompt
+		if chat {
+			req.prompt = ChatPrompt(req.Messages)
+		}
+		e.serve(w, r, req)
+	}
+}
+
+func (e *Engine) serve(w http.ResponseWriter, r *http.Request, req request) {
+	p := e.faults.next()
+	if e.known(req.attempt) {
+		standin.WriteError(w, http.StatusConflict, "attempt exists")
+		return
+	}
+	if p.refuse {
+		e.refuse(w)
+		return
+	}
+	run := e.submit(req)
+	if run == nil {
+		e.refuse(w)
+		return
+	}
+	out := &writer{engine: e, run: run, other: e.other(run, p), plan: p, w: w, r: r}
+	if p.late {
+		time.Sleep(time.Duration(p.faults.LateMS) * time.Millisecond)
+	}
+	if req.Stream && !p.fail {
+		out.stream(0)
+		return
+	}
+	out.whole()
+}
+
+func (e *Engine) known(attempt string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, ok := e.streams[attempt]
+	return ok
+}
+
+// other returns the run whose answer is sent in place of r's: r itself but
+// where the answers are crossed.
+func (e *Engine) other(r *run, p plan) *run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	recent := e.recent
+	e.recent = r
+	if p.cross && recent != nil {
+		return recent
+	}
+	return r
+}
+
+func (e *Engine) refuse(w http.ResponseWriter) {
+	e.batch.count(func(s *Stats) { s.Refused++ })
+	w.Header().Set("Retry-After", "1")
+	standin.WriteError(w, http.StatusTooManyRequests, "full")
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	e.mu.Lock()
+	run := e.streams[p.ByName("attempt")]
+	e.mu.Unlock()
+	last, err := strconv.Atoi(r.Header.Get(lastEventIDHeader))
+	if run == nil || e.faults.get().Forget {
+		standin.WriteError(w, http.StatusNotFound, "no such stream")
+		return
+	}
+	if err != nil || last < 0 {
+		standin.WriteError(w, http.StatusBadRequest, "bad Last-Event-ID")
+		return
+	}
+	e.batch.count(func(s *Stats) { s.Resumed++ })
+	out := &writer{engine: e, run: run, other: run, w: w, r: r}
+	out.stream(last)
+}
+
+func (e *Engine) cancelRun(w http.ResponseWriter, _ *http.Request, p httprouter.Params) {
+	e.mu.Lock()
+	run := e.streams[p.ByName("attempt")]
+	delete(e.streams, p.ByName("attempt"))
+	e.mu.Unlock()
+	if run == nil {
+		standin.WriteError(w, http.StatusNotFound, "no such stream")
+		return
+	}
+	if e.batch.withdraw(run) {
+		run.advance(0, true)
+	}
+	run.cancel()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) loadReport(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	e.mu.Lock()
+	load := e.load
+	e.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, load)
+}
+
+func (e *Engine) postFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var faults Faults
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&faults); err != nil {
+		standin.WriteError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	e.SetFaults(faults)
+	standin.WriteJSON(w, http.StatusOK, faults)
+}
--- /dev/null
+++ b/internal/standin/service/service_test.go
@@ -0,0 +1,80 @@
+package service_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/umberhill/umberhill/internal/harness"
+	"github.com/umberhill/umberhill/internal/standin/service"
+)
+
+func TestService(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "service stand-in")
+}
+
+var _ = Describe("Service", func() {
+	var (
+		s      *service.Service
+		caller *harness.Caller
+		record string
+	)
+
+	start := func() {
+		var err error
+		s, err = service.New(service.Options{Name: "s", Record: record, Exit: func(int) { panic(http.ErrAbortHandler) }})
+		Expect(err).NotTo(HaveOccurred())
+		web := httptest.NewServer(s)
+		DeferCleanup(web.Close)
+		caller = harness.NewCaller(strings.TrimPrefix(web.URL, "http://"), "")
+	}
+	order := func(path, body string) harness.Answer {
+		header := http.Header{"Idempotency-Key": {"k"}, "X-Request-Id": {"r"}}
+		return caller.Do(context.Background(), http.MethodPost, path, header, []byte(body))
+	}
+
+	BeforeEach(func() {
+		record = filepath.Join(GinkgoT().TempDir(), "runs")
+		start()
+	})
+
+	It("records what it ran, over a restart", func() {
+		Expect(order("/orders?x=1", "ice").Status).To(Equal(200))
+		start()
+		Expect(order("/orders?x=1", "ice").Status).To(Equal(200))
+		runs := s.Runs()
+		Expect(runs).To(HaveLen(2))
+		Expect(runs[0].BodyHash).To(Equal(service.BodyHash([]byte("ice"))))
+		Expect(runs[1]).To(And(
+			HaveField("Order", 2), HaveField("Method", "POST"), HaveField("Path", "/orders?x=1"),
+			HaveField("IdempotencyKey", "k"), HaveField("RequestID", "r")))
+		Expect(service.ReadRecord(record)).To(Equal(runs))
+	})
+
+	DescribeTable("dies at a moment of a run", func(m service.Moment, ran int) {
+		Expect(order("/orders", service.Marker(m)).Err).To(HaveOccurred())
+		Expect(s.Runs()).To(HaveLen(ran))
+		s.SetFaults(service.Faults{Die: m, DieCall: 2})
+		Expect(order("/orders", "").Err).NotTo(HaveOccurred())
+		Expect(order("/orders", "").Err).To(HaveOccurred())
+		Expect(s.Runs()).To(HaveLen(2*ran + 1))
+	},
+		Entry("before", service.Before, 0),
+		Entry("during", service.During, 1),
+		Entry("after", service.After, 1),
+	)
+
+	It("loses an answer after the run", func() {
+		s.SetFaults(service.Faults{LoseNext: 1})
+		Expect(order("/orders", "").Err).To(HaveOccurred())
+		Expect(order("/orders", "").Err).NotTo(HaveOccurred())
+		Expect(s.Runs()).To(HaveLen(2))
+	})
+})
