--- a/cmd/umberhill-bench/main.go
+++ b/cmd/umberhill-bench/main.go
@@ -1,4 +1,23 @@
-// Command umberhill-bench is a placeholder until its package lands.
+// Command umberhill-bench demonstrates, measures and loads fleets of the
+// project's programs on loopback.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/umberhill/umberhill/internal/bench"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := bench.NewCommand(os.Stdout).Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/bench/hist.go
@@ -0,0 +1,48 @@
+package bench
+
+import (
+	"sync"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	histLowest  = int64(1)
+	histHighest = int64(10 * time.Minute / time.Microsecond)
+	histDigits  = 3
+)
+
+// times is a histogram of durations, safe for concurrent use.
+type times struct {
+	mu   sync.Mutex
+	hist *hdr.Histogram
+}
+
+func newTimes() *times {
+	return &times{hist: hdr.New(histLowest, histHighest, histDigits)}
+}
+
+func (t *times) add(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_ = t.hist.RecordValue(max(histLowest, min(d.Microseconds(), histHighest)))
+}
+
+// quantile returns the duration that a percentage of those added don't exceed.
+func (t *times) quantile(percent float64) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Duration(t.hist.ValueAtQuantile(percent)) * time.Microsecond
+}
+
+func (t *times) count() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hist.TotalCount()
+}
+
+// milliseconds returns a duration as a figure in ms.
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/internal/bench/latency.go
@@ -0,0 +1,119 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/harness"
+)
+
+// The bounds of the latency that a router adds to the first byte. Callers wait
+// 430 ms for the first token of an answer and 3 ms one way for the network; a
+// router must be lost beside both: at the median it adds less than the network
+// does, and one request in a hundred may wait a fortieth of a first token.
+const (
+	addedMedianMS = 2
+	addedTailMS   = 10
+)
+
+const (
+	latencyWarmup = time.Second
+	latencyWindow = 7 * time.Second
+	latencySlots  = 2048
+)
+
+// latencyCase is one number of requests in flight. The answer's length sets
+// the rate, so that neither the engine nor the machine is the limit.
+type latencyCase struct {
+	inFlight int
+	model    string
+	tokens   int
+	hold     time.Duration
+}
+
+// The models are those of two engines with different paces.
+const (
+	quickModel = "quick"
+	slowModel  = "slow"
+
+	quickTokensPerSecond = 40
+	slowTokensPerSecond  = 4
+)
+
+var latencyCases = []latencyCase{
+	{inFlight: 1, model: quickModel, tokens: 1, hold: time.Second / quickTokensPerSecond},
+	{inFlight: 64, model: quickModel, tokens: 8, hold: 8 * time.Second / quickTokensPerSecond},
+	{inFlight: 512, model: slowModel, tokens: 4, hold: 4 * time.Second / slowTokensPerSecond},
+}
+
+// measureLatency compares the first byte through a router with that of direct
+// calls to the same engine, made at the same time by as many other callers.
+func measureLatency(ctx context.Context, p Params) ([]Row, error) {
+	fleet, err := harness.Start(ctx, p.Binaries, harness.Spec{Domains: []harness.Domain{{
+		Name:    "a",
+		Routers: 1,
+		Engines: []harness.Engine{
+			{Models: []string{quickModel}, Concurrency: latencySlots, TokensPerSecond: quickTokensPerSecond},
+			{Models: []string{slowModel}, Concurrency: latencySlots, TokensPerSecond: slowTokensPerSecond},
+		},
+	}}})
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Close()
+	if err := fleet.Apply(ctx, harness.Contract("ws", 1)); err != nil {
+		return nil, err
+	}
+	var rows []Row
+	for _, c := range latencyCases {
+		rows = append(rows, c.run(ctx, fleet, p.Seed)...)
+	}
+	return rows, ctx.Err()
+}
+
+func (c latencyCase) run(ctx context.Context, fleet *harness.Fleet, seed uint64) []Row {
+	engine := fleet.Engines[0]
+	if c.model == slowModel {
+		engine = fleet.Engines[1]
+	}
+	flow := func(name string, caller *harness.Caller) Flow {
+		return Flow{
+			Workspace: name,
+			Entries:   []*harness.Caller{caller},
+			Model:     c.model,
+			Size:      Size{Prompt: 8, Tokens: c.tokens},
+			Stream:    true,
+			InFlight:  c.inFlight,
+			Spread:    c.hold,
+		}
+	}
+	direct := harness.NewCaller(engine.Address, "")
+	routed := fleet.Routers[0].Caller("ws")
+	defer direct.Close()
+	defer routed.Close()
+	load := StartLoad(ctx, seed, flow("direct", direct), flow("routed", routed))
+	pause(ctx, latencyWarmup+c.hold)
+	load.Reset()
+	pause(ctx, latencyWindow)
+	directTimes, _ := load.Tally("direct").times()
+	routedTimes, _ := load.Tally("routed").times()
+	load.Stop()
+	return c.rows(seed, directTimes, routedTimes, load.Tally("routed"))
+}
+
+func (c latencyCase) rows(seed uint64, direct, routed *times, tally *Tally) []Row {
+	name := func(figure string) string { return fmt.Sprintf("latency/%d/%s", c.inFlight, figure) }
+	added := func(percent float64) float64 {
+		return milliseconds(routed.quantile(percent) - direct.quantile(percent))
+	}
+	failed := tally.Refused.Load() + tally.Visible.Load() + tally.Silent.Load() + tally.Wrong.Load()
+	return []Row{
+		{Name: name("added-p50"), Value: added(50), Unit: "ms", Bound: AtMost(addedMedianMS), Seed: seed},
+		{Name: name("added-p99"), Value: added(99), Unit: "ms", Bound: AtMost(addedTailMS), Seed: seed},
+		{Name: name("direct-p50"), Value: milliseconds(direct.quantile(50)), Unit: "ms", Bound: Info(), Seed: seed},
+		{Name: name("direct-p99"), Value: milliseconds(direct.quantile(99)), Unit: "ms", Bound: Info(), Seed: seed},
+		{Name: name("answers"), Value: float64(routed.count()), Unit: "requests", Bound: Above(0), Seed: seed},
+		{Name: name("failed"), Value: float64(failed), Unit: "requests", Bound: Exactly(0), Seed: seed},
+	}
+}
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,262 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/umberhill/umberhill/internal/harness"
+	"github.com/umberhill/umberhill/internal/standin/engine"
+)
+
+const (
+	// refusedPause is the longest pause of a closed loop after a refusal.
+	refusedPause = 200 * time.Millisecond
+	// defaultMaxInFlight bounds the requests of an open loop.
+	defaultMaxInFlight = 2048
+)
+
+// Size of a request in tokens.
+type Size struct {
+	// Prompt tokens.
+	Prompt int
+	// Tokens of the answer.
+	Tokens int
+	// Hint is sent as max_tokens; 0 sends Tokens.
+	Hint int
+}
+
+// Units returns the service units of a request.
+func (s Size) Units() int { return s.Prompt + s.Tokens }
+
+// Flow is one workspace's load.
+type Flow struct {
+	Workspace string
+	// Entries are the callers used in turn.
+	Entries []*harness.Caller
+	Model   string
+	Size    Size
+	// Stream asks for streamed answers.
+	Stream bool
+	// InFlight is the number of requests that a closed loop keeps up.
+	InFlight int
+	// Rate in requests per second of an open loop with Poisson arrivals; it
+	// is used where InFlight is 0.
+	Rate float64
+	// MaxInFlight of an open loop, above which arrivals are dropped and
+	// counted. Default defaultMaxInFlight.
+	MaxInFlight int
+	// Spread staggers the start of a closed loop's requests over a time.
+	Spread time.Duration
+}
+
+// Tally is what a flow got. Its counters may be read while the flow runs.
+type Tally struct {
+	Right, Refused, Visible, Silent, Wrong, Dropped atomic.Int64
+
+	mu        sync.Mutex
+	firstByte *times
+	total     *times
+}
+
+func newTally() *Tally {
+	return &Tally{firstByte: newTimes(), total: newTimes()}
+}
+
+// reset forgets the times so far, at the start of a window.
+func (t *Tally) reset() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.firstByte, t.total = newTimes(), newTimes()
+}
+
+// times returns the histograms of right answers in the window.
+func (t *Tally) times() (firstByte, total *times) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.firstByte, t.total
+}
+
+func (t *Tally) add(verdict harness.Verdict, a harness.Answer) {
+	switch verdict {
+	case harness.Right:
+		t.Right.Add(1)
+		firstByte, total := t.times()
+		firstByte.add(a.FirstByte)
+		total.add(a.Total)
+	case harness.Refused:
+		t.Refused.Add(1)
+	case harness.Visible:
+		t.Visible.Add(1)
+	case harness.Silent:
+		t.Silent.Add(1)
+	case harness.Wrong:
+		t.Wrong.Add(1)
+	}
+}
+
+// Load is a set of running flows.
+type Load struct {
+	cancel  context.CancelFunc
+	wg      conc.WaitGroup
+	tallies map[string]*Tally
+}
+
+// StartLoad starts flows; their random numbers come from the seed.
+func StartLoad(ctx context.Context, seed uint64, flows ...Flow) *Load {
+	ctx, cancel := context.WithCancel(ctx)
+	l := &Load{cancel: cancel, tallies: map[string]*Tally{}}
+	for i, flow := range flows {
+		tally, ok := l.tallies[flow.Workspace]
+		if !ok {
+			tally = newTally()
+			l.tallies[flow.Workspace] = tally
+		}
+		r := &runner{flow: flow, tally: tally, seed: seed, stream: uint64(i)}
+		l.wg.Go(func() { r.run(ctx) })
+	}
+	return l
+}
+
+// Tally returns what a workspace got.
+func (l *Load) Tally(workspace string) *Tally { return l.tallies[workspace] }
+
+// Reset forgets the times of all workspaces so far.
+func (l *Load) Reset() {
+	for _, t := range l.tallies {
+		t.reset()
+	}
+}
+
+// Stop ends the flows and returns once no request is in flight.
+func (l *Load) Stop() {
+	l.cancel()
+	l.wg.Wait()
+}
+
+// runner runs one flow.
+type runner struct {
+	flow   Flow
+	tally  *Tally
+	seed   uint64
+	stream uint64
+	count  atomic.Uint64
+}
+
+func (r *runner) run(ctx context.Context) {
+	if r.flow.InFlight > 0 {
+		r.closed(ctx)
+		return
+	}
+	r.open(ctx)
+}
+
+// closed keeps a number of requests in flight.
+func (r *runner) closed(ctx context.Context) {
+	var wg conc.WaitGroup
+	rng := r.rng()
+	for i := range r.flow.InFlight {
+		entry := r.flow.Entries[i%len(r.flow.Entries)]
+		start := time.Duration(rng.Int64N(int64(r.flow.Spread) + 1))
+		wg.Go(func() {
+			pause(ctx, start)
+			for ctx.Err() == nil {
+				r.once(ctx, entry, true)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// open sends requests at a rate, whatever becomes of them.
+func (r *runner) open(ctx context.Context) {
+	var (
+		wg     conc.WaitGroup
+		flying atomic.Int64
+	)
+	rng := r.rng()
+	limit := int64(r.flow.MaxInFlight)
+	if limit == 0 {
+		limit = defaultMaxInFlight
+	}
+	next := time.Now()
+	for i := 0; ; i++ {
+		next = next.Add(time.Duration(rng.ExpFloat64() / r.flow.Rate * float64(time.Second)))
+		if !pause(ctx, time.Until(next)) {
+			break
+		}
+		if flying.Load() >= limit {
+			r.tally.Dropped.Add(1)
+			continue
+		}
+		entry := r.flow.Entries[i%len(r.flow.Entries)]
+		flying.Add(1)
+		wg.Go(func() {
+			defer flying.Add(-1)
+			r.once(ctx, entry, false)
+		})
+	}
+	wg.Wait()
+}
+
+func (r *runner) rng() *rand.Rand { return rand.New(rand.NewPCG(r.seed, r.stream)) }
+
+// once makes one request; backoff pauses after a refusal.
+func (r *runner) once(ctx context.Context, entry *harness.Caller, backoff bool) {
+	ask := r.ask()
+	answer := entry.Complete(ctx, ask)
+	if ctx.Err() != nil {
+		return
+	}
+	verdict := harness.Judge(ask, answer)
+	r.tally.add(verdict, answer)
+	if backoff && verdict != harness.Right {
+		pause(ctx, refusedPause)
+	}
+}
+
+// ask returns the next request; no two prompts are the same.
+func (r *runner) ask() harness.Ask {
+	n := r.count.Add(1)
+	words := []string{
+		engine.TagMarker(r.flow.Workspace),
+		engine.LengthMarker(r.flow.Size.Tokens),
+		fmt.Sprintf("%d-%d-%d", r.seed, r.stream, n),
+	}
+	for i := len(words); i < r.flow.Size.Prompt; i++ {
+		words = append(words, "w")
+	}
+	hint := r.flow.Size.Hint
+	if hint == 0 {
+		hint = r.flow.Size.Tokens
+	}
+	return harness.Ask{
+		Model:     r.flow.Model,
+		Prompt:    strings.Join(words, " "),
+		MaxTokens: hint,
+		Stream:    r.flow.Stream,
+		Header:    http.Header{},
+	}
+}
+
+// pause waits; false where ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -21,15 +21,20 @@
 type Caller struct {
 	// Address is the router's, or with Direct a target's.
 	Address string
-	// Workspace whose Key is sent.
-	Workspace string
+	// Key is the bearer key sent; none where empty.
+	Key string
 
 	client *http.Client
 }
 
-// NewCaller returns a caller with an HTTP client of its own.
+// NewCaller returns a caller for a workspace, or for none, with an HTTP client
+// of its own.
 func NewCaller(address, workspace string) *Caller {
-	return &Caller{Address: address, Workspace: workspace, client: NewClient()}
+	c := &Caller{Address: address, client: NewClient()}
+	if workspace != "" {
+		c.Key = Key(workspace)
+	}
+	return c
 }
 
 // Close drops the caller's idle connections.
@@ -176,8 +181,8 @@
 	if header != nil {
 		req.Header = header.Clone()
 	}
-	if c.Workspace != "" && req.Header.Get("Authorization") == "" {
-		req.Header.Set("Authorization", "Bearer "+Key(c.Workspace))
+	if c.Key != "" && req.Header.Get("Authorization") == "" {
+		req.Header.Set("Authorization", "Bearer "+c.Key)
 	}
 	start := time.Now()
 	resp, err := c.client.Do(req)
