--- /dev/null
+++ b/internal/core/account/book.go
@@ -0,0 +1,174 @@
+package account
+
+import (
+	"math"
+	"time"
+
+	schedv1 "github.com/umberhill/umberhill/api/sched/v1"
+	"github.com/umberhill/umberhill/internal/core/rendezvous"
+	"github.com/umberhill/umberhill/internal/ids"
+)
+
+const (
+	// EvictAfter is how long an idle account is kept.
+	EvictAfter = 60 * time.Second
+	// resyncAfter is the silence of a home after which the account's level is
+	// sent again; less than the time after which homes forget.
+	resyncAfter = 20 * time.Second
+	// liftReports is how many reports carry a lift before the home's word counts.
+	liftReports = 2
+)
+
+// Book holds a router's accounts.
+type Book struct {
+	accounts map[Key]*Account
+	// active accounts are reported, in the order in which they became so.
+	active  []*Account
+	routers *rendezvous.Set
+	version int
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{accounts: map[Key]*Account{}, routers: rendezvous.New(nil)}
+}
+
+// Len returns the number of accounts held.
+func (b *Book) Len() int { return len(b.accounts) }
+
+// SetRouters replaces the live routers, among which the homes are.
+func (b *Book) SetRouters(s *rendezvous.Set) {
+	b.routers = s
+	b.version++
+}
+
+// Get returns an account, a new one if needed.
+func (b *Book) Get(now time.Time, k Key, w ids.Workspace, weight float64) *Account {
+	a := b.accounts[k]
+	if a == nil {
+		a = &Account{Key: k, Workspace: w, Weight: weight}
+		b.accounts[k] = a
+	}
+	a.used = now
+	return a
+}
+
+// Touch marks an account for the next report.
+func (b *Book) Touch(now time.Time, a *Account) {
+	a.used = now
+	if a.active {
+		return
+	}
+	a.active = true
+	b.active = append(b.active, a)
+}
+
+// SetBacklogged tells whether requests of the account wait here.
+func (b *Book) SetBacklogged(now time.Time, a *Account, on bool) {
+	if a.backlogged == on {
+		return
+	}
+	a.backlogged = on
+	if !on {
+		a.lift = 0
+	}
+	b.Touch(now, a)
+}
+
+// homeOf returns the home of an account; a changed home must be synced anew.
+func (b *Book) homeOf(a *Account) ids.Instance {
+	if a.homeSet == b.version {
+		return a.home
+	}
+	a.homeSet = b.version
+	if h := b.routers.Pick(uint64(a.Key)); h != a.home {
+		a.home = h
+		a.isSynced = false
+	}
+	return a.home
+}
+
+// Reports returns the report for each home, active accounts only. The home of
+// each account is given by its router's name.
+func (b *Book) Reports(now time.Time) map[ids.Instance]*schedv1.Report {
+	out := map[ids.Instance]*schedv1.Report{}
+	keep := b.active[:0]
+	for _, a := range b.active {
+		h := b.homeOf(a)
+		r := out[h]
+		if r == nil {
+			r = &schedv1.Report{}
+			out[h] = r
+		}
+		a.report(now, r)
+		a.active = a.backlogged || !a.isSynced
+		if a.active {
+			keep = append(keep, a)
+		}
+	}
+	clear(b.active[len(keep):])
+	b.active = keep
+	return out
+}
+
+// report appends the account to a report.
+func (a *Account) report(now time.Time, r *schedv1.Report) {
+	if now.Sub(a.answered) > resyncAfter {
+		a.isSynced = false
+	}
+	state := schedv1.AccountState_IDLE
+	if a.backlogged {
+		state |= schedv1.AccountState_BACKLOGGED
+	}
+	units := a.reportUnits()
+	level := float64(units) + a.others
+	switch {
+	case !a.isSynced:
+		state |= schedv1.AccountState_SYNC
+		r.Levels = append(r.Levels, uint64(math.Round(level)))
+	case a.lift > 0:
+		a.liftSent++
+		state |= schedv1.AccountState_LIFT
+		r.Levels = append(r.Levels, uint64(math.Round(a.lift*a.Weight)))
+	}
+	r.Keys = append(r.Keys, uint64(a.Key))
+	r.Units = append(r.Units, units)
+	r.States = append(r.States, uint32(state))
+}
+
+// Answer takes in a home's totals and calls changed for each account whose
+// virtual service may have moved.
+func (b *Book) Answer(now time.Time, from ids.Instance, incarnation uint32, t *schedv1.Totals, changed func(*Account)) {
+	if len(t.GetKeys()) != len(t.GetOthers()) {
+		return
+	}
+	for i, k := range t.GetKeys() {
+		a := b.accounts[Key(k)]
+		if a == nil || b.homeOf(a) != from {
+			continue
+		}
+		a.answer(now, incarnation, float64(t.GetOthers()[i]))
+		changed(a)
+	}
+}
+
+// answer merges by maximum: a home that knows less than this router has not
+// been synced, and gets the level with the next report.
+func (a *Account) answer(now time.Time, incarnation uint32, others float64) {
+	a.answered = now
+	a.isSynced = others+1 >= a.others && (!a.isSynced || a.synced == incarnation)
+	a.synced = incarnation
+	a.others = math.Max(a.others, others)
+	if a.liftSent >= liftReports {
+		a.lift = 0
+	}
+}
+
+// Evict drops accounts that have been idle for EvictAfter.
+func (b *Book) Evict(now time.Time) {
+	for k, a := range b.accounts {
+		if !a.active && !a.backlogged && now.Sub(a.used) > EvictAfter {
+			delete(b.accounts, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/account/cost.go
@@ -0,0 +1,78 @@
+package account
+
+import "github.com/umberhill/umberhill/internal/api"
+
+// classes is the number of request classes.
+const classes = 3
+
+// DefaultCost is the estimate in service units where nothing is known.
+const DefaultCost = 64
+
+// priorWeight is how many requests the prior counts for against those seen.
+const priorWeight = 2
+
+// meanWindow is how many requests a running mean looks back over.
+const meanWindow = 32
+
+// mean is a running mean: plain over the first requests, then exponential.
+type mean struct {
+	value float64
+	n     int
+}
+
+// add takes in one value.
+func (m *mean) add(v float64) {
+	m.n = min(m.n+1, meanWindow)
+	m.value += (v - m.value) / float64(m.n)
+}
+
+// Costs are running means of a set of targets, the prior for new accounts.
+type Costs struct {
+	units   mean
+	seconds mean
+}
+
+// Add takes in the units and the seconds of a finished request.
+func (c *Costs) Add(units, seconds float64) {
+	c.units.add(units)
+	c.seconds.add(seconds)
+}
+
+// Units returns the mean units of a request.
+func (c *Costs) Units() float64 {
+	if c.units.n == 0 {
+		return DefaultCost
+	}
+	return c.units.value
+}
+
+// Seconds returns the mean time of a request at a target; zero if unknown.
+func (c *Costs) Seconds() float64 { return c.seconds.value }
+
+func classIndex(c api.Class) int {
+	switch c {
+	case api.ClassDeferrable:
+		return 1
+	case api.ClassOnceOnly:
+		return 2
+	default:
+		return 0
+	}
+}
+
+// Estimate returns the expected units of a request: the running mean of the
+// account and class, with the hint, or else the targets' mean, as weak prior.
+func (a *Account) Estimate(c api.Class, hint float64, all *Costs) float64 {
+	prior := hint
+	if prior <= 0 {
+		prior = all.Units()
+	}
+	m := a.costs[classIndex(c)]
+	n := float64(m.n)
+	return (prior*priorWeight + m.value*n) / (priorWeight + n)
+}
+
+// Observe takes in the units of a finished request.
+func (a *Account) Observe(c api.Class, units float64) {
+	a.costs[classIndex(c)].add(units)
+}
--- /dev/null
+++ b/internal/core/place/health.go
@@ -0,0 +1,54 @@
+package place
+
+import "time"
+
+const (
+	// ejectAfter failures in a row take a target out.
+	ejectAfter = 3
+	// firstEjection is how long the first ejection lasts; each one that
+	// follows without a success between lasts twice as long.
+	firstEjection = time.Second
+	// maxEjection bounds an ejection.
+	maxEjection = 30 * time.Second
+)
+
+// Health is a router's view of whether a target works. The zero value is a
+// healthy target.
+type Health struct {
+	failures int
+	until    time.Time
+	length   time.Duration
+	probing  bool
+}
+
+// Ejected tells whether the target gets no ordinary requests.
+func (h *Health) Ejected() bool { return h.length > 0 }
+
+// Usable tells whether a request may go to the target: it is not ejected, or
+// the ejection is over and no other probe is under way.
+func (h *Health) Usable(now time.Time) bool {
+	return h.length == 0 || (!h.probing && !now.Before(h.until))
+}
+
+// Start notes that a request goes to the target.
+func (h *Health) Start() { h.probing = h.length > 0 }
+
+// OK notes a success: the target is healthy.
+func (h *Health) OK() { *h = Health{} }
+
+// Abandon notes an end that says nothing about the target.
+func (h *Health) Abandon() { h.probing = false }
+
+// Fail notes a failure of the target.
+func (h *Health) Fail(now time.Time) {
+	h.failures++
+	h.probing = false
+	if h.failures < ejectAfter && h.length == 0 {
+		return
+	}
+	if h.length > 0 && now.Before(h.until) {
+		return
+	}
+	h.length = min(maxEjection, max(firstEjection, 2*h.length))
+	h.until = now.Add(h.length)
+}
--- a/internal/core/sched/api.go
+++ b/internal/core/sched/api.go
@@ -171,7 +171,31 @@
 	Tolerance float64
 	// Seed of the scheduler's random numbers.
 	Seed uint64
+	// Mode is how requests are ordered and targets shared. Default ModeFleet.
+	Mode Mode
 }
 
+// Mode selects between the fleet's fair shares and the baselines, which exist
+// for comparison only.
+type Mode string
+
+// The modes.
+const (
+	// ModeFleet shares targets over the whole fleet.
+	ModeFleet Mode = "fleet"
+	// ModeLocal has each router's own fair queue before an even share of each
+	// target, and no exchange.
+	ModeLocal Mode = "local"
+	// ModeFIFO sends requests in the order of arrival, up to the targets' whole
+	// concurrency from each router, and no exchange.
+	ModeFIFO Mode = "fifo"
+)
+
+// The defaults of Settings.
+const (
+	DefaultReportInterval = 500 * time.Millisecond
+	DefaultTolerance      = 256
+)
+
 // TickInterval is the longest time between two Tick events.
 const TickInterval = 20 * time.Millisecond
--- /dev/null
+++ b/internal/core/sched/sched_test.go
@@ -0,0 +1,204 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/api"
+	"github.com/umberhill/umberhill/internal/core/sched"
+	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/outcome"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func single(concurrency int, shares ...sched.Share) *sched.Scheduler {
+	s := sched.New(sched.Settings{Self: "r", Domain: "d"})
+	s.Step(t0, sched.SetRouters{Routers: []sched.Router{{Instance: "r", Domain: "d"}}})
+	s.Step(t0, sched.SetShares{Shares: shares})
+	s.Step(t0, sched.SetTargets{Targets: []sched.Target{target("t", concurrency)}})
+	return s
+}
+
+func target(id ids.Target, concurrency int) sched.Target {
+	return sched.Target{ID: id, Domain: "d", Pools: []ids.Pool{"p"}, Concurrency: concurrency}
+}
+
+func submit(s *sched.Scheduler, now time.Time, r sched.Request) []sched.Action {
+	if r.Pool == "" {
+		r.Pool = "p"
+	}
+	return s.Step(now, sched.Submit{Request: r})
+}
+
+func dispatched(as []sched.Action) []sched.RequestID {
+	var out []sched.RequestID
+	for _, a := range as {
+		if d, ok := a.(sched.Dispatch); ok {
+			out = append(out, d.ID)
+		}
+	}
+	return out
+}
+
+func refused(as []sched.Action) outcome.Code {
+	for _, a := range as {
+		if r, ok := a.(sched.Refuse); ok {
+			return r.Code
+		}
+	}
+	return ""
+}
+
+func TestDispatchAndFinish(t *testing.T) {
+	s := single(1)
+	if got := dispatched(submit(s, t0, sched.Request{ID: 1, Workspace: "a"})); len(got) != 1 {
+		t.Fatalf("dispatched %v", got)
+	}
+	if got := dispatched(submit(s, t0, sched.Request{ID: 2, Workspace: "a"})); len(got) != 0 {
+		t.Fatalf("above the concurrency: %v", got)
+	}
+	if got := dispatched(s.Step(t0.Add(time.Second), sched.Finish{ID: 1, Units: 50})); len(got) != 1 || got[0] != 2 {
+		t.Fatalf("dispatched %v", got)
+	}
+	v := s.View()
+	if len(v.Targets) != 1 || v.Targets[0].InFlight != 1 || v.Targets[0].Owner != "r" {
+		t.Errorf("view %+v", v.Targets)
+	}
+}
+
+func TestLeastServedGoesFirst(t *testing.T) {
+	s := single(1, sched.Share{Workspace: "a", Weight: 1}, sched.Share{Workspace: "b", Weight: 3})
+	id := sched.RequestID(0)
+	for range 40 {
+		for _, w := range []ids.Workspace{"a", "b"} {
+			id++
+			submit(s, t0, sched.Request{ID: id, Workspace: w})
+		}
+	}
+	run, now, n := sched.RequestID(1), t0, map[bool]int{}
+	for range 40 {
+		now = now.Add(time.Second)
+		got := dispatched(s.Step(now, sched.Finish{ID: run, Units: 100}))
+		if len(got) != 1 {
+			t.Fatalf("dispatched %v", got)
+		}
+		run = got[0]
+		n[run%2 == 1]++
+	}
+	if n[true] < 9 || n[true] > 11 {
+		t.Errorf("the workspace with a quarter of the weight got %d of 40", n[true])
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	s := single(1, sched.Share{Workspace: "a", Limits: api.Limits{QueueLength: 1}})
+	if got := refused(submit(s, t0, sched.Request{ID: 1, Workspace: "a", Pool: "x"})); got != outcome.CodeNoTarget {
+		t.Errorf("unknown pool: %q", got)
+	}
+	submit(s, t0, sched.Request{ID: 2, Workspace: "a"})
+	submit(s, t0, sched.Request{ID: 3, Workspace: "a", Deadline: t0.Add(time.Second)})
+	if got := refused(submit(s, t0, sched.Request{ID: 4, Workspace: "a"})); got != outcome.CodeQueueFull {
+		t.Errorf("full queue: %q", got)
+	}
+	if got := refused(submit(s, t0, sched.Request{ID: 5, Workspace: "b"})); got != "" {
+		t.Errorf("another's queue: %q", got)
+	}
+	if got := refused(s.Step(t0.Add(time.Second), sched.Tick{})); got != outcome.CodeDeadline {
+		t.Errorf("deadline passed: %q", got)
+	}
+	if got := refused(s.Step(t0.Add(time.Second), sched.Drain{})); got != outcome.CodeShuttingDown {
+		t.Errorf("drain: %q", got)
+	}
+	if got := refused(submit(s, t0.Add(time.Second), sched.Request{ID: 6, Workspace: "b"})); got != outcome.CodeShuttingDown {
+		t.Errorf("after the drain: %q", got)
+	}
+}
+
+func TestCancelAndExclude(t *testing.T) {
+	s := single(1)
+	as := submit(s, t0, sched.Request{ID: 1, Workspace: "a", Exclude: []ids.Target{"t"}})
+	if len(dispatched(as)) != 0 {
+		t.Fatal("sent to an excluded target")
+	}
+	if got := dispatched(submit(s, t0, sched.Request{ID: 2, Workspace: "a"})); len(got) != 1 {
+		t.Fatal("an excluded target holds up the line")
+	}
+	s.Step(t0, sched.Cancel{ID: 1})
+	if v := s.View(); v.Pools[0].Waiting != 0 {
+		t.Errorf("%d waiting after the cancel", v.Pools[0].Waiting)
+	}
+}
+
+func TestSoloIsAlone(t *testing.T) {
+	s := single(2)
+	submit(s, t0, sched.Request{ID: 1, Workspace: "a"})
+	if got := dispatched(submit(s, t0, sched.Request{ID: 2, Workspace: "a", Solo: true})); len(got) != 0 {
+		t.Fatal("not alone")
+	}
+	if got := dispatched(s.Step(t0, sched.Finish{ID: 1, Units: 1})); len(got) != 1 || got[0] != 2 {
+		t.Fatalf("dispatched %v", got)
+	}
+	if got := dispatched(submit(s, t0, sched.Request{ID: 3, Workspace: "a"})); len(got) != 0 {
+		t.Fatal("another joined it")
+	}
+	if got := dispatched(s.Step(t0, sched.Finish{ID: 2, Units: 1})); len(got) != 1 {
+		t.Fatalf("target not opened again: %v", got)
+	}
+}
+
+func TestLeavingTargetGetsNothingNew(t *testing.T) {
+	s := single(1)
+	submit(s, t0, sched.Request{ID: 1, Workspace: "a"})
+	leaving := target("t", 1)
+	leaving.Leaving = true
+	s.Step(t0, sched.SetTargets{Targets: []sched.Target{leaving, target("u", 1)}})
+	as := submit(s, t0, sched.Request{ID: 2, Workspace: "a"})
+	for now := t0; len(dispatched(as)) == 0; now = now.Add(sched.TickInterval) {
+		if now.Sub(t0) > 5*time.Second {
+			t.Fatal("not dispatched")
+		}
+		as = s.Step(now, sched.Tick{})
+	}
+	if d, ok := as[0].(sched.Dispatch); !ok || d.Target != "u" {
+		t.Errorf("%+v", as)
+	}
+}
+
+func TestContractConcurrencyHoldsUpItsOwnLineOnly(t *testing.T) {
+	s := single(4, sched.Share{Workspace: "a", Weight: 1, Limits: api.Limits{Concurrency: 1}})
+	submit(s, t0, sched.Request{ID: 1, Workspace: "a"})
+	if got := refused(submit(s, t0, sched.Request{ID: 2, Workspace: "a"})); got != outcome.CodeConcurrency {
+		t.Fatalf("above the limit: %q", got)
+	}
+	if got := dispatched(submit(s, t0, sched.Request{ID: 3, Workspace: "b"})); len(got) != 1 {
+		t.Fatal("another workspace was held up")
+	}
+	s.Step(t0, sched.Finish{ID: 1, Units: 1})
+	if got := dispatched(submit(s, t0, sched.Request{ID: 4, Workspace: "a"})); len(got) != 1 {
+		t.Fatal("limit not freed")
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	trace := func() []sched.Action {
+		s := single(3)
+		var all []sched.Action
+		for i := range 50 {
+			now := t0.Add(time.Duration(i) * 7 * time.Millisecond)
+			all = append(all, submit(s, now, sched.Request{ID: sched.RequestID(i + 1), Workspace: ids.Workspace(rune('a' + i%5))})...)
+			all = append(all, s.Step(now, sched.Finish{ID: sched.RequestID(i / 2), Units: float64(i)})...)
+			all = append(all, s.Step(now, sched.Tick{})...)
+		}
+		return all
+	}
+	a, b := trace(), trace()
+	if len(a) != len(b) {
+		t.Fatalf("%d and %d actions", len(a), len(b))
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			t.Fatalf("action %d: %v and %v", i, a[i], b[i])
+		}
+	}
+}
