--- /dev/null
+++ b/internal/bench/fairfleet.go
@@ -0,0 +1,193 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/api"
+	"github.com/umberhill/umberhill/internal/harness"
+	"github.com/umberhill/umberhill/internal/settings"
+)
+
+// The modes of fairness: the product's and the baselines.
+const (
+	modeFleet = "fleet"
+	modeLocal = "local"
+	modeFIFO  = "fifo"
+)
+
+// The pace of the engines: slow enough that the machine is not the limit.
+const (
+	fairModel    = "assistant"
+	fairSlots    = 4
+	fairPace     = 40
+	fairPrompt   = 8
+	fairTokens   = 16
+	fairEngines  = 9
+	fairAllSlots = fairEngines * fairSlots
+
+	utilisationBound = 0.97
+	fairWarmup       = 3 * time.Second
+	drainTimeout     = 20 * time.Second
+)
+
+// fairSize is the size of most requests.
+var fairSize = Size{Prompt: fairPrompt, Tokens: fairTokens}
+
+// runTime returns the time that a request runs at an engine.
+func (s Size) runTime() time.Duration {
+	return time.Duration(s.Tokens) * time.Second / fairPace
+}
+
+// rate returns the service units per second of a slot that runs such requests.
+func (s Size) rate() float64 { return float64(s.Units()) / s.runTime().Seconds() }
+
+// fairFleet describes 8 routers, 9 engines and 3 plain services in 3 failure
+// domains.
+func fairFleet(mode string, links bool) harness.Spec {
+	domain := func(name string, routers int) harness.Domain {
+		return harness.Domain{
+			Name:    name,
+			Routers: routers,
+			Engines: harness.Repeat(3, harness.Engine{
+				Models: []string{fairModel}, Concurrency: fairSlots, TokensPerSecond: fairPace,
+			}),
+			Services: []harness.Service{{Name: "orders"}},
+		}
+	}
+	return harness.Spec{
+		Domains:  []harness.Domain{domain("a", 3), domain("b", 3), domain("c", 2)},
+		Links:    links,
+		Settings: func(s *settings.Settings) { s.Fairness.Mode = mode },
+	}
+}
+
+// fairRun is a fleet with a probe.
+type fairRun struct {
+	fleet *harness.Fleet
+	probe *probe
+	seed  uint64
+	// report is the interval between reports of service.
+	report time.Duration
+	// callers by workspace and router.
+	callers map[string]*harness.Caller
+}
+
+func startFair(ctx context.Context, p Params, mode string, links bool, contracts []api.Contract) (*fairRun, error) {
+	fleet, err := harness.Start(ctx, p.Binaries, fairFleet(mode, links))
+	if err != nil {
+		return nil, err
+	}
+	if err := fleet.ApplyAll(ctx, contracts...); err != nil {
+		fleet.Close()
+		return nil, err
+	}
+	loaded, err := settings.Load(fleet.Routers[0].SettingsFile)
+	if err != nil {
+		fleet.Close()
+		return nil, err
+	}
+	return &fairRun{
+		fleet:   fleet,
+		probe:   startProbe(ctx, fleet),
+		seed:    p.Seed,
+		report:  time.Duration(loaded.Fairness.ReportMS) * time.Millisecond,
+		callers: map[string]*harness.Caller{},
+	}, nil
+}
+
+func (f *fairRun) close() {
+	f.probe.stop()
+	for _, c := range f.callers {
+		c.Close()
+	}
+	f.fleet.Close()
+}
+
+// entries returns a workspace's callers of some routers, by index.
+func (f *fairRun) entries(workspace string, routers ...int) []*harness.Caller {
+	var callers []*harness.Caller
+	for _, i := range routers {
+		key := fmt.Sprintf("%s %d", workspace, i)
+		if f.callers[key] == nil {
+			f.callers[key] = f.fleet.Routers[i].Caller(workspace)
+		}
+		callers = append(callers, f.callers[key])
+	}
+	return callers
+}
+
+// backlog returns a flow that keeps more work waiting than the pool can run.
+func (f *fairRun) backlog(workspace string, size Size, routers ...int) Flow {
+	return Flow{
+		Workspace: workspace,
+		Entries:   f.entries(workspace, routers...),
+		Model:     fairModel,
+		Size:      size,
+		Stream:    true,
+		InFlight:  2 * fairAllSlots,
+	}
+}
+
+// observe runs flows and returns what the engines did in a window after the
+// warm-up.
+func (f *fairRun) observe(ctx context.Context, length time.Duration, flows ...Flow) (window, *Load, error) {
+	load := StartLoad(ctx, f.seed, flows...)
+	pause(ctx, fairWarmup)
+	load.Reset()
+	from := time.Now()
+	pause(ctx, length)
+	seen := f.probe.since(from)
+	load.Stop()
+	return seen, load, f.drain(ctx)
+}
+
+// drain waits until nothing runs at the engines.
+func (f *fairRun) drain(ctx context.Context) error {
+	for deadline := time.Now().Add(drainTimeout); time.Now().Before(deadline); {
+		running := 0
+		for _, e := range f.fleet.Engines {
+			stats, err := e.EngineStats(ctx)
+			if err != nil {
+				return err
+			}
+			running += stats.Running + stats.Waiting
+		}
+		if running == 0 || !pause(ctx, probeInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// bound returns the largest gap allowed between backlogged workspaces that
+// share the pool by the given weights: 2 x (the work in flight in the pool +
+// one reporting interval x the pool's rate), divided by the least weight.
+func (f *fairRun) bound(sizes map[string]Size, weights map[string]float64) float64 {
+	all, least := 0.0, 0.0
+	for _, weight := range weights {
+		all += weight
+		if least == 0 || weight < least {
+			least = weight
+		}
+	}
+	inFlight, rate := 0.0, 0.0
+	for workspace, weight := range weights {
+		// Equal normalized service means slots by weight and inversely by the
+		// rate at which the workspace's requests use a slot.
+		slots := fairAllSlots * weight / all
+		inFlight += slots * float64(sizes[workspace].Units())
+		rate += slots * sizes[workspace].rate()
+	}
+	return 2 * (inFlight + f.report.Seconds()*rate) / least
+}
+
+// sameSize gives all workspaces requests of one size.
+func sameSize(size Size, weights map[string]float64) map[string]Size {
+	sizes := map[string]Size{}
+	for workspace := range weights {
+		sizes[workspace] = size
+	}
+	return sizes
+}
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -12,6 +12,12 @@
 // are the prefixes of their rows.
 var measures = []Scenario{
 	{Name: "latency/", Run: measureLatency},
+	{Name: "fair/flood/", Run: measureFlood},
+	{Name: "fair/skew/", Run: measureSkew},
+	{Name: "fair/cost/", Run: measureCost},
+	{Name: "fair/one-sided/", Run: measureOneSided},
+	{Name: "fair/cut/", Run: measureCut},
+	{Name: "fair/kill/", Run: measureKill},
 }
 
 // Measure runs the measurements that can give rows with a prefix and prints
--- /dev/null
+++ b/internal/bench/node.go
@@ -0,0 +1,110 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/umberhill/umberhill/internal/harness"
+)
+
+const (
+	// The bounds of what control may cost a router.
+	controlBytesPerSecond = 2000
+	controlCorePercent    = 1.1
+
+	// clockTick is the unit of the CPU times in /proc.
+	clockTick = 10 * time.Millisecond
+	// userField and systemField are the columns after the command's name.
+	userField   = 11
+	systemField = 12
+)
+
+// wireBytes are all bytes on the links between routers, by direction.
+var wireBytes = regexp.MustCompile(`(?m)^[a-z_]*peer_wire_bytes(?:_total)?(?:\{[^}]*\})? ([0-9.e+]+)$`)
+
+// nodeCost is what a router has spent since its start.
+type nodeCost struct {
+	at    time.Time
+	bytes float64
+	cpu   time.Duration
+}
+
+func readCost(ctx context.Context, r *harness.Router) (nodeCost, error) {
+	text, err := r.Metrics(ctx)
+	if err != nil {
+		return nodeCost{}, err
+	}
+	cost := nodeCost{at: time.Now()}
+	found := wireBytes.FindAllStringSubmatch(text, -1)
+	if found == nil {
+		return cost, errors.Newf("metrics of %s lack the bytes of the peer links", r.ID)
+	}
+	for _, match := range found {
+		bytes, err := strconv.ParseFloat(match[1], 64)
+		if err != nil {
+			return cost, errors.Wrapf(err, "metrics of %s", r.ID)
+		}
+		cost.bytes += bytes
+	}
+	cost.cpu, err = processCPU(r.PID())
+	return cost, err
+}
+
+// processCPU returns the CPU time of a process in user and system mode.
+func processCPU(pid int) (time.Duration, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "read CPU time")
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	ticks := 0
+	for _, i := range []int{userField, systemField} {
+		n, err := strconv.Atoi(fields[i])
+		if err != nil {
+			return 0, errors.Wrap(err, "read CPU time")
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * clockTick, nil
+}
+
+// costs are those of all routers of a fleet.
+type costs []nodeCost
+
+func readCosts(ctx context.Context, fleet *harness.Fleet) (costs, error) {
+	all := make(costs, len(fleet.Routers))
+	for i, r := range fleet.Routers {
+		var err error
+		if all[i], err = readCost(ctx, r); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+// traffic returns the bytes per second on the links of the router with the
+// most, sent and received together, between two readings.
+func (c costs) traffic(earlier costs) float64 {
+	most := 0.0
+	for i := range c {
+		most = max(most, (c[i].bytes-earlier[i].bytes)/c[i].at.Sub(earlier[i].at).Seconds())
+	}
+	return most
+}
+
+// core returns the largest share of a core of any router, in percent.
+func (c costs) core(earlier costs) float64 {
+	most := 0.0
+	for i := range c {
+		share := float64(c[i].cpu-earlier[i].cpu) / float64(c[i].at.Sub(earlier[i].at))
+		most = max(most, 100*share)
+	}
+	return most
+}
