--- a/internal/bench/command.go
+++ b/internal/bench/command.go
@@ -60,7 +60,7 @@
 				return err
 			}
 			p := Params{Binaries: binaries, Seed: cmd.Uint64("seed")}
-			return Measure(ctx, p, cmd.String("only"), out)
+			return RunMeasure(ctx, p, cmd.String("only"), out)
 		},
 	}
 }
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -20,9 +20,9 @@
 	{Name: "fair/kill/", Run: measureKill},
 }
 
-// Measure runs the measurements that can give rows with a prefix and prints
+// RunMeasure runs the measurements that can give rows with a prefix and prints
 // those rows. A row short of its bound is no failure of the run.
-func Measure(ctx context.Context, p Params, only string, out io.Writer) error {
+func RunMeasure(ctx context.Context, p Params, only string, out io.Writer) error {
 	chosen := matching(measures, only, func(s Scenario) string { return s.Name })
 	if len(chosen) == 0 {
 		return errors.Newf("measure: no figure %q", only)
