--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -30,6 +30,7 @@
 	readyPoll    = 20 * time.Millisecond
 	callTimeout  = 10 * time.Second
 	stopWait     = 5 * time.Second
+	stopLeadMS   = 50
 	fileMode     = 0o600
 )
 
@@ -197,6 +198,8 @@
 		Admin:    settings.Admin{Address: r.Admin, Token: AdminToken},
 		Peer:     settings.Peer{Address: r.Peer},
 		Platform: settings.Platform{URL: "http://" + platform, Token: r.ID},
+		// No balancer has to see the readiness of these routers.
+		StopLeadMS: stopLeadMS,
 	}
 	for _, other := range f.Routers {
 		if other == r {
