--- a/internal/ledger/bucket.go
+++ b/internal/ledger/bucket.go
@@ -225,10 +225,21 @@
 	}
 }
 
-// markDown makes claims be refused at once for a moment.
+// markDown makes claims be refused at once for a moment, from the second
+// failure in a row on.
 func (l *Ledger) markDown() {
 	d := downTime/2 + rand.N(downTime/2)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.downUntil = l.opts.Now().Add(d)
+	l.failures++
+	if l.failures > 1 {
+		l.downUntil = l.opts.Now().Add(d)
+	}
+}
+
+// markUp notes that the store answers.
+func (l *Ledger) markUp() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures = 0
 }
--- a/internal/ledger/deliver.go
+++ b/internal/ledger/deliver.go
@@ -11,6 +11,7 @@
 
 // deliver answers the operations of a batch that stands in the store.
 func (l *Ledger) deliver(b *bucket, at *attempt) {
+	l.markUp()
 	late := l.opts.Now().Sub(at.began) > maxHold
 	for i, o := range at.ops {
 		if !o.urgent {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -148,8 +148,10 @@
 	// ending counts the queued operations that end claims.
 	ending int
 	// stopping refuses new claims, stopped all operations.
-	stopping  bool
-	stopped   bool
+	stopping bool
+	stopped  bool
+	// failures of the store in a row, of all buckets.
+	failures  int
 	downUntil time.Time
 }
 
