--- /dev/null
+++ b/internal/bench/orders_faults.go
@@ -0,0 +1,267 @@
+package bench
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/umberhill/umberhill/internal/faultlink"
+	"github.com/umberhill/umberhill/internal/harness"
+	"github.com/umberhill/umberhill/internal/standin/platform"
+	"github.com/umberhill/umberhill/internal/standin/service"
+)
+
+// The times of faults.
+const (
+	faultMin = 300 * time.Millisecond
+	faultMax = 1500 * time.Millisecond
+	// freezeMax outlasts every timeout of OrdersSettings.
+	freezeMax = 4 * time.Second
+	// calmMax bounds the time between two faults of a kind.
+	calmMax = 1500 * time.Millisecond
+	// quietTime without a new run ends a run of orders.
+	quietTime = 2 * time.Second
+	quietMax  = 30 * time.Second
+)
+
+// between returns a time from lo to hi.
+func between(rng *rand.Rand, lo, hi time.Duration) time.Duration {
+	return lo + time.Duration(rng.Int64N(int64(hi-lo)))
+}
+
+// OrderFaults injects faults into routers, platform, links and services by seed
+// until ctx ends, and leaves everything running without faults.
+func OrderFaults(ctx context.Context, fleet *harness.Fleet, seed uint64) error {
+	p := pool.New().WithErrors()
+	for i, f := range []func(context.Context, *harness.Fleet, *rand.Rand) error{
+		routerFault, routerFault, platformFault, linkFault, serviceFault,
+	} {
+		rng := rand.New(rand.NewPCG(seed, 1<<32+uint64(i)))
+		// Each of two loops has its own half of the routers.
+		part := part(fleet, i)
+		p.Go(func() error {
+			for pause(ctx, between(rng, 0, calmMax)) {
+				if err := f(ctx, part, rng); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	err := p.Wait()
+	return errors.CombineErrors(err, Heal(context.WithoutCancel(ctx), fleet))
+}
+
+// part returns the fleet with the routers that a loop of faults may stop.
+func part(fleet *harness.Fleet, loop int) *harness.Fleet {
+	if loop > 1 {
+		return fleet
+	}
+	half := *fleet
+	half.Routers = nil
+	for i, r := range fleet.Routers {
+		if i%2 == loop {
+			half.Routers = append(half.Routers, r)
+		}
+	}
+	return &half
+}
+
+// Heal lifts all faults and starts what is dead.
+func Heal(ctx context.Context, fleet *harness.Fleet) error {
+	if err := fleet.Platform.SetFaults(ctx, platform.Faults{}); err != nil {
+		return err
+	}
+	fleet.Links.Clear()
+	for _, s := range fleet.Services {
+		s.Resume()
+		if err := revive(ctx, s); err != nil {
+			return err
+		}
+	}
+	for _, r := range fleet.Routers {
+		r.Resume()
+		if r.Running() {
+			continue
+		}
+		if err := r.Restart(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// revive starts a service that is dead and lifts its faults. One that dies of a
+// fault meanwhile is started again.
+func revive(ctx context.Context, s *harness.Target) error {
+	for {
+		if !s.Running() {
+			if err := s.Restart(ctx); err != nil {
+				return err
+			}
+		}
+		err := s.SetFaults(ctx, service.Faults{})
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		if !pause(ctx, faultMin/10) {
+			return ctx.Err()
+		}
+	}
+}
+
+// routerFault kills or freezes a router. A killed one is started again; it need
+// not be ready before the next fault.
+func routerFault(ctx context.Context, fleet *harness.Fleet, rng *rand.Rand) error {
+	r := fleet.Routers[rng.IntN(len(fleet.Routers))]
+	if rng.IntN(2) == 0 {
+		r.Freeze()
+		pause(ctx, between(rng, faultMin, freezeMax))
+		r.Resume()
+		return nil
+	}
+	if err := r.Kill(); err != nil {
+		return err
+	}
+	pause(ctx, between(rng, 0, faultMax))
+	return r.Start()
+}
+
+// platformFault makes the platform fail in one of its ways for a while.
+func platformFault(ctx context.Context, fleet *harness.Fleet, rng *rand.Rand) error {
+	ways := []platform.Faults{
+		{Down: platform.DownClose},
+		{Down: platform.DownRefuse},
+		{DelayMS: 20 + rng.IntN(300)},
+		{DelayMS: 400 + rng.IntN(300)},
+		{LoseEvery: 1 + rng.IntN(4)},
+		{LoseEvery: 1 + rng.IntN(4), DelayMS: rng.IntN(100)},
+		{WritesPerSecond: 20 + rng.IntN(100)},
+		{Stale: true},
+	}
+	calls := context.WithoutCancel(ctx)
+	if err := fleet.Platform.SetFaults(calls, ways[rng.IntN(len(ways))]); err != nil {
+		return err
+	}
+	pause(ctx, between(rng, faultMin, faultMax))
+	return fleet.Platform.SetFaults(calls, platform.Faults{})
+}
+
+// linkFault holds up or resets what a router sends to the platform or a target;
+// what was held up arrives late.
+func linkFault(ctx context.Context, fleet *harness.Fleet, rng *rand.Rand) error {
+	r := fleet.Routers[rng.IntN(len(fleet.Routers))]
+	rules := []faultlink.Rule{
+		{Reset: true},
+		{Forward: faultlink.Way{Hold: true}},
+		{Back: faultlink.Way{Hold: true}},
+		faultlink.Cut(),
+	}
+	rule := rules[rng.IntN(len(rules))]
+	if rng.IntN(2) == 0 {
+		fleet.Links.Platform(r, rule)
+		pause(ctx, between(rng, faultMin, freezeMax))
+		fleet.Links.Platform(r, faultlink.Rule{})
+		return nil
+	}
+	t := fleet.Services[rng.IntN(len(fleet.Services))]
+	fleet.Links.Target(r, t, rule)
+	pause(ctx, between(rng, faultMin, freezeMax))
+	fleet.Links.Target(r, t, faultlink.Rule{})
+	return nil
+}
+
+// serviceFault kills a service's process at a moment of a call, freezes it, or
+// makes it lose answers.
+func serviceFault(ctx context.Context, fleet *harness.Fleet, rng *rand.Rand) error {
+	s := fleet.Services[rng.IntN(len(fleet.Services))]
+	calls := context.WithoutCancel(ctx)
+	switch rng.IntN(6) {
+	case 0:
+		if err := s.Kill(); err != nil {
+			return err
+		}
+	case 1:
+		s.Freeze()
+		pause(ctx, between(rng, faultMin, freezeMax))
+		s.Resume()
+		return nil
+	case 2:
+		if err := s.SetFaults(calls, service.Faults{LoseEvery: 1 + rng.IntN(3)}); err != nil {
+			return err
+		}
+	default:
+		moments := []service.Moment{service.Before, service.During, service.After}
+		f := service.Faults{Die: moments[rng.IntN(len(moments))], DieCall: 1 + rng.IntN(10)}
+		if err := s.SetFaults(calls, f); err != nil {
+			return err
+		}
+	}
+	pause(ctx, between(rng, faultMin, faultMax))
+	return revive(calls, s)
+}
+
+// Quiet waits until the services have run nothing new for a time, and returns
+// their runs.
+func Quiet(ctx context.Context, fleet *harness.Fleet) (int, error) {
+	last, since := -1, time.Now()
+	for deadline := time.Now().Add(quietMax); ; {
+		runs, err := RunsOf(fleet)
+		if err != nil {
+			return 0, err
+		}
+		if len(runs) != last {
+			last, since = len(runs), time.Now()
+		}
+		if time.Since(since) > quietTime || time.Now().After(deadline) {
+			return last, nil
+		}
+		if !pause(ctx, faultMin) {
+			return last, ctx.Err()
+		}
+	}
+}
+
+// Orders places orders at all routers of a fleet under faults and judges them.
+func Orders(ctx context.Context, fleet *harness.Fleet, seed uint64, orders int, duration time.Duration) (OrdersResult, error) {
+	if err := fleet.Apply(ctx, harness.Contract(OrdersWorkspace, 1)); err != nil {
+		return OrdersResult{}, err
+	}
+	faultCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	faults := pool.New().WithErrors()
+	faults.Go(func() error { return OrderFaults(faultCtx, fleet, seed) })
+	placed := OrdersRun{
+		Seed: seed, Orders: orders, Until: time.Now().Add(duration),
+		Entries: len(fleet.Routers),
+		Entry:   func(n int) *harness.Caller { return fleet.Routers[n].Caller(OrdersWorkspace) },
+	}.Do(ctx)
+	stop()
+	if err := faults.Wait(); err != nil {
+		return OrdersResult{}, err
+	}
+	if _, err := Quiet(ctx, fleet); err != nil {
+		return OrdersResult{}, err
+	}
+	runs, err := RunsOf(fleet)
+	return JudgeOrders(placed, runs), err
+}
+
+// soakOrders is the long run of Orders.
+func soakOrders(ctx context.Context, p Params) ([]Row, error) {
+	fleet, err := harness.Start(ctx, p.Binaries, OrdersFleet())
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Close()
+	result, err := Orders(ctx, fleet, p.Seed, ordersSoak, p.Duration)
+	if err != nil {
+		return nil, err
+	}
+	rows := result.Rows("orders/", p.Seed)
+	rows[0].Bound = AtLeast(ordersSoak)
+	return rows, nil
+}
--- /dev/null
+++ b/internal/bench/orders_judge.go
@@ -0,0 +1,126 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/umberhill/umberhill/internal/harness"
+	"github.com/umberhill/umberhill/internal/outcome"
+	"github.com/umberhill/umberhill/internal/standin/service"
+)
+
+// OrdersResult compares what callers were told with what the services ran.
+type OrdersResult struct {
+	Orders int
+	Sends  int
+	// Doubled orders ran more than once.
+	Doubled int
+	// FalseNotRun orders ran although each send was told "not run".
+	FalseNotRun int
+	// FalseDone orders did not run although a send was told "done".
+	FalseDone int
+	// WrongAnswer orders got the answer of another one.
+	WrongAnswer int
+	// Done, NotRun and Unknown are the orders by what their callers know.
+	Done, NotRun, Unknown int
+	// UnknownRun of the unknown orders did run.
+	UnknownRun int
+	// NoAnswer are the sends whose connection broke.
+	NoAnswer int
+	// Codes counts the refusals.
+	Codes map[outcome.Code]int
+	// Examples describe the first faulty orders.
+	Examples []string
+}
+
+// maxExamples bounds the faulty orders that are described.
+const maxExamples = 5
+
+// JudgeOrders compares orders with the services' runs.
+func JudgeOrders(orders []*Order, runs []service.Run) OrdersResult {
+	ran := map[string]int{}
+	for _, run := range runs {
+		ran[run.BodyHash]++
+	}
+	r := OrdersResult{Orders: len(orders), Codes: map[outcome.Code]int{}}
+	for _, o := range orders {
+		r.add(o, ran[service.BodyHash(o.Body)])
+	}
+	return r
+}
+
+func (r *OrdersResult) add(o *Order, ran int) {
+	said := map[Said]int{}
+	for _, s := range o.Said {
+		said[s]++
+	}
+	r.Sends += len(o.Said)
+	r.NoAnswer += said[NoAnswer]
+	for _, code := range o.Codes {
+		r.Codes[code]++
+	}
+	notRun := said[SaidNotRun] == len(o.Said)
+	switch {
+	case said[SaidDone] > 0:
+		r.Done++
+	case notRun:
+		r.NotRun++
+	default:
+		r.Unknown++
+		r.UnknownRun += min(ran, 1)
+	}
+	r.fault(&r.Doubled, ran > 1, "doubled", o, ran)
+	r.fault(&r.FalseNotRun, notRun && ran > 0, "false not-run", o, ran)
+	r.fault(&r.FalseDone, said[SaidDone] > 0 && ran == 0, "false done", o, ran)
+	r.fault(&r.WrongAnswer, o.Wrong, "wrong answer", o, ran)
+}
+
+func (r *OrdersResult) fault(count *int, is bool, what string, o *Order, ran int) {
+	if !is {
+		return
+	}
+	*count++
+	if len(r.Examples) < maxExamples {
+		r.Examples = append(r.Examples,
+			fmt.Sprintf("%s: key %q body %s ran %d said %v codes %v", what, o.Key, o.Body, ran, o.Said, o.Codes))
+	}
+}
+
+// Rows returns the figures.
+func (r OrdersResult) Rows(prefix string, seed uint64) []Row {
+	row := func(name string, value int, bound Bound) Row {
+		return Row{Name: prefix + name, Value: float64(value), Unit: "orders", Bound: bound, Seed: seed}
+	}
+	return []Row{
+		row("orders", r.Orders, Info()),
+		row("doubled", r.Doubled, Exactly(0)),
+		row("false-not-run", r.FalseNotRun, Exactly(0)),
+		row("false-done", r.FalseDone, Exactly(0)),
+		row("wrong-answer", r.WrongAnswer, Exactly(0)),
+		row("done", r.Done, Info()),
+		row("not-run", r.NotRun, Info()),
+		row("unknown", r.Unknown, Info()),
+		row("unknown-that-ran", r.UnknownRun, Info()),
+		{Name: prefix + "sends", Value: float64(r.Sends), Unit: "requests", Bound: Info(), Seed: seed},
+		{Name: prefix + "no-answer", Value: float64(r.NoAnswer), Unit: "requests", Bound: Info(), Seed: seed},
+	}
+}
+
+func parseRun(body []byte) (service.Run, error) {
+	var run service.Run
+	err := json.Unmarshal(body, &run)
+	return run, err
+}
+
+// RunsOf returns the runs of all services of a fleet.
+func RunsOf(fleet *harness.Fleet) ([]service.Run, error) {
+	var all []service.Run
+	for _, s := range fleet.Services {
+		runs, err := s.Runs()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, runs...)
+	}
+	return all, nil
+}
--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -28,6 +28,7 @@
 // scenarios are the soaks in the order in which they run.
 var scenarios = []Scenario{
 	{Name: "answers", Run: soakAnswers},
+	{Name: "orders", Run: soakOrders},
 }
 
 // Soak runs all scenarios whose names start with a prefix, each for its part
