Filter chain, relay, dispatcher, callers' edge

Cause: the request path is needed before anything can be proved on it. Ruled out: one shared transport for all targets: on a dead kept-alive connection net/http replays a request that has an Idempotency-Key and an empty body (relay test: 3 runs for 2 requests); once-only requests get a connection of their own (2 runs for 2 requests). Change: filters account, hold, authenticate, validate, classify, claim, retry, quarantine, queue, attempt; relay for engines and plain services; dispatcher around the scheduler; load poller; record of recent requests; callers' HTTP.

--- /dev/null
+++ b/internal/callers/callers.go
@@ -0,0 +1,190 @@
+// Package callers is the HTTP edge towards callers: it turns HTTP requests into
+// exchanges, runs the filter chain, and writes refusals.
+package callers
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/julienschmidt/httprouter"
+	"github.com/sirupsen/logrus"
+
+	"github.com/umberhill/umberhill/internal/filter"
+	"github.com/umberhill/umberhill/internal/outcome"
+)
+
+// ServicePrefix is the path under which plain services are reached by name.
+const ServicePrefix = "/services/"
+
+const (
+	maxNameBytes = 128
+	paramName    = "name"
+	paramPath    = "path"
+)
+
+// Edge serves callers.
+type Edge struct {
+	chain  filter.Handler
+	logger *logrus.Entry
+}
+
+// New returns the HTTP handler of the callers' listener.
+func New(chain filter.Handler, logger *logrus.Entry) http.Handler {
+	e := &Edge{chain: chain, logger: logger}
+	r := httprouter.New()
+	r.HandleMethodNotAllowed = true
+	r.RedirectTrailingSlash = false
+	r.RedirectFixedPath = false
+	r.POST("/v1/completions", e.model)
+	r.POST("/v1/chat/completions", e.model)
+	for _, method := range serviceMethods {
+		r.Handle(method, ServicePrefix+":"+paramName+"/*"+paramPath, e.service)
+	}
+	r.NotFound = http.HandlerFunc(notFound)
+	r.MethodNotAllowed = http.HandlerFunc(methodNotAllowed)
+	r.PanicHandler = nil
+	return r
+}
+
+var serviceMethods = []string{
+	http.MethodGet,
+	http.MethodHead,
+	http.MethodPost,
+	http.MethodPut,
+	http.MethodPatch,
+	http.MethodDelete,
+	http.MethodOptions,
+}
+
+func (e *Edge) model(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	x := newExchange(w, r)
+	x.Path = r.URL.Path
+	e.serve(w, x)
+}
+
+func (e *Edge) service(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	x := newExchange(w, r)
+	x.Service = p.ByName(paramName)
+	x.Path = servicePath(r)
+	if len(x.Service) > maxNameBytes {
+		writeError(w, badRequest("the service's name is too long"))
+		return
+	}
+	e.serve(w, x)
+}
+
+// servicePath returns the path and query after the service's name, escaped as
+// the caller sent it.
+func servicePath(r *http.Request) string {
+	rest := strings.TrimPrefix(r.URL.EscapedPath(), ServicePrefix)
+	_, path, _ := strings.Cut(rest, "/")
+	path = "/" + path
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+func newExchange(w http.ResponseWriter, r *http.Request) *filter.Exchange {
+	x := &filter.Exchange{
+		ID:      uuid.NewString(),
+		In:      r,
+		Out:     filter.NewAnswer(w),
+		Arrived: time.Now(),
+	}
+	w.Header().Set(outcome.RequestIDHeader, x.ID)
+	return x
+}
+
+func (e *Edge) serve(w http.ResponseWriter, x *filter.Exchange) {
+	err := e.chain(x)
+	if err == nil {
+		return
+	}
+	var failure *outcome.Error
+	if errors.As(err, &failure) && !x.Out.Committed() {
+		writeError(w, failure)
+		return
+	}
+	if !x.Out.Committed() {
+		e.logger.WithError(err).WithField("request", x.ID).Error("request failed inside the router")
+		writeError(w, internalError(x))
+		return
+	}
+	breakOff(x)
+}
+
+// breakOff ends an answer that can't be completed so that the caller sees it:
+// a stream gets an error event, and the connection is closed in mid-answer.
+func breakOff(x *filter.Exchange) {
+	if x.Stream {
+		e := &outcome.Error{
+			Code:    outcome.CodeTargetFailed,
+			Message: "the answer is not complete",
+			Outcome: outcome.Unknown,
+			Step:    "relay",
+		}
+		body, _ := json.Marshal(errorBody{Error: e})
+		_, _ = x.Out.Write([]byte("event: error\ndata: " + string(body) + "\n\n"))
+		_ = x.Out.Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+type errorBody struct {
+	Error *outcome.Error `json:"error"`
+}
+
+func writeError(w http.ResponseWriter, failure *outcome.Error) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(outcome.Header, string(failure.Outcome))
+	if failure.RetryAfter > 0 {
+		seconds := math.Ceil(failure.RetryAfter.Seconds())
+		h.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	w.WriteHeader(failure.Status)
+	_ = json.NewEncoder(w).Encode(errorBody{Error: failure})
+}
+
+func internalError(x *filter.Exchange) *outcome.Error {
+	what := outcome.NotRun
+	if x.Attempts > 0 {
+		what = outcome.Unknown
+	}
+	return &outcome.Error{
+		Code:    outcome.CodeInternal,
+		Message: "the router failed",
+		Outcome: what,
+		Status:  http.StatusInternalServerError,
+		Step:    "callers",
+	}
+}
+
+func badRequest(message string) *outcome.Error {
+	return &outcome.Error{
+		Code:    outcome.CodeBadRequest,
+		Message: message,
+		Outcome: outcome.NotRun,
+		Status:  http.StatusBadRequest,
+		Step:    "callers",
+	}
+}
+
+func notFound(w http.ResponseWriter, _ *http.Request) {
+	e := badRequest("no such path")
+	e.Status = http.StatusNotFound
+	writeError(w, e)
+}
+
+func methodNotAllowed(w http.ResponseWriter, _ *http.Request) {
+	e := badRequest("no such method here")
+	e.Status = http.StatusMethodNotAllowed
+	writeError(w, e)
+}
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,88 @@
+// Package explain remembers what became of recent requests, so that operators
+// can ask why one waits or was refused. It keeps no content.
+package explain
+
+import (
+	"sync"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/outcome"
+)
+
+// Entry is what is known of one request.
+type Entry struct {
+	ID        string          `json:"id"`
+	Workspace ids.Workspace   `json:"workspace"`
+	Pool      ids.Pool        `json:"pool"`
+	Class     string          `json:"class"`
+	Step      string          `json:"step"`
+	Code      outcome.Code    `json:"code,omitempty"`
+	Outcome   outcome.Outcome `json:"outcome,omitempty"`
+	Target    ids.Target      `json:"target,omitempty"`
+	Attempts  int             `json:"attempts"`
+	Arrived   time.Time       `json:"arrived"`
+	// QueuedMS is the wait before the last dispatch in ms.
+	QueuedMS int64 `json:"queued_ms"`
+	// TotalMS is the whole time at the router in ms, zero while it runs.
+	TotalMS int64 `json:"total_ms"`
+	// Units of service used.
+	Units float64 `json:"units"`
+}
+
+// Recent keeps the last entries. It is safe for use by several goroutines.
+type Recent struct {
+	mu    sync.Mutex
+	ring  []string
+	next  int
+	byID  map[string]Entry
+	limit int
+}
+
+// New returns a Recent that keeps at most limit entries.
+func New(limit int) *Recent {
+	return &Recent{
+		ring:  make([]string, limit),
+		byID:  make(map[string]Entry, limit),
+		limit: limit,
+	}
+}
+
+// Put adds or replaces an entry.
+func (r *Recent) Put(e Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.byID[e.ID]; !ok {
+		delete(r.byID, r.ring[r.next])
+		r.ring[r.next] = e.ID
+		r.next = (r.next + 1) % r.limit
+	}
+	r.byID[e.ID] = e
+}
+
+// Get returns the entry of a request.
+func (r *Recent) Get(id string) (Entry, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.byID[id]
+	return e, ok
+}
+
+// OfWorkspace returns up to limit entries of a workspace, newest first.
+func (r *Recent) OfWorkspace(ws ids.Workspace, limit int) []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []Entry
+	for i := range r.limit {
+		id := r.ring[(r.next-1-i+2*r.limit)%r.limit]
+		e, ok := r.byID[id]
+		if !ok || e.Workspace != ws {
+			continue
+		}
+		found = append(found, e)
+		if len(found) == limit {
+			break
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/filter/classify/classify.go
@@ -0,0 +1,58 @@
+// Package classify decides what may be done with a request: retry it, let it
+// wait, or run it at most once.
+package classify
+
+import (
+	"net/http"
+
+	"github.com/umberhill/umberhill/internal/api"
+	"github.com/umberhill/umberhill/internal/filter"
+	"github.com/umberhill/umberhill/internal/outcome"
+)
+
+// KeyHeader carries the caller's idempotency key.
+const KeyHeader = "Idempotency-Key"
+
+// MaxKeyBytes bounds the length of an idempotency key.
+const MaxKeyBytes = 255
+
+// Rule gives the class that a contract assigns to a request.
+type Rule func(c *api.Contract, service, model, method, path string) api.Class
+
+// Filter assigns classes by a rule.
+type Filter struct {
+	rule Rule
+}
+
+// New returns a filter that assigns classes by the rule.
+func New(rule Rule) *Filter { return &Filter{rule: rule} }
+
+// Name implements filter.Filter.
+func (f *Filter) Name() string { return "classify" }
+
+// Serve implements filter.Filter.
+func (f *Filter) Serve(x *filter.Exchange, next filter.Handler) error {
+	x.Class = f.rule(x.Contract, x.Service, x.Model, x.In.Method, x.Path)
+	keys := x.In.Header.Values(KeyHeader)
+	if len(keys) > 1 {
+		return f.refuse("more than one idempotency key")
+	}
+	if len(keys) == 0 {
+		return next(x)
+	}
+	x.Key = keys[0]
+	if x.Key == "" || len(x.Key) > MaxKeyBytes {
+		return f.refuse("an idempotency key has 1 to 255 bytes")
+	}
+	return next(x)
+}
+
+func (f *Filter) refuse(message string) error {
+	return &outcome.Error{
+		Code:    outcome.CodeBadRequest,
+		Message: message,
+		Outcome: outcome.NotRun,
+		Status:  http.StatusBadRequest,
+		Step:    f.Name(),
+	}
+}
--- /dev/null
+++ b/internal/filter/quarantine/quarantine.go
@@ -0,0 +1,65 @@
+// Package quarantine keeps requests that crash targets away from them. The
+// decisions are those of the quarantine controller.
+package quarantine
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/umberhill/umberhill/internal/filter"
+	"github.com/umberhill/umberhill/internal/outcome"
+	"github.com/umberhill/umberhill/internal/quarantine"
+)
+
+// Controller knows suspects and quarantined requests.
+type Controller interface {
+	// AdmitWait decides on a request; a suspect waits for its trial.
+	AdmitWait(ctx context.Context, fingerprint uint64) quarantine.Verdict
+	// Withdraw ends the trial of a suspect that was not dispatched.
+	Withdraw(fingerprint uint64)
+}
+
+// Filter asks the controller about each attempt.
+type Filter struct {
+	controller Controller
+}
+
+// New returns a filter that asks the controller.
+func New(c Controller) *Filter { return &Filter{controller: c} }
+
+// Name implements filter.Filter.
+func (f *Filter) Name() string { return "quarantine" }
+
+// Serve implements filter.Filter.
+func (f *Filter) Serve(x *filter.Exchange, next filter.Handler) error {
+	verdict := f.admit(x)
+	if verdict.Refuse {
+		return f.refuse(verdict)
+	}
+	x.Solo = verdict.Solo
+	if x.Solo {
+		defer f.controller.Withdraw(x.Fingerprint)
+	}
+	return next(x)
+}
+
+func (f *Filter) admit(x *filter.Exchange) quarantine.Verdict {
+	ctx, stop := context.WithDeadline(x.Context(), x.Deadline)
+	defer stop()
+	return f.controller.AdmitWait(ctx, x.Fingerprint)
+}
+
+func (f *Filter) refuse(verdict quarantine.Verdict) error {
+	e := &outcome.Error{
+		Code:       outcome.CodeQuarantined,
+		Message:    "this request is suspected of crashing the targets that run it",
+		Outcome:    outcome.NotRun,
+		RetryAfter: verdict.RetryAfter,
+		Status:     http.StatusServiceUnavailable,
+		Step:       f.Name(),
+	}
+	if verdict.Quarantined {
+		e.Message = "this request has crashed the targets that ran it"
+	}
+	return e
+}
--- /dev/null
+++ b/internal/relay/sse.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxLine bounds one line of a stream in bytes.
+const maxLine = 1 << 20
+
+// event is one server-sent event.
+type event struct {
+	id   uint64
+	data []byte
+}
+
+// eventReader reads server-sent events.
+type eventReader struct {
+	lines *bufio.Scanner
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, 4<<10), maxLine)
+	return &eventReader{lines: lines}
+}
+
+// next returns the next event that has data. An end of the stream within an
+// event or between two is io.ErrUnexpectedEOF: only the end marker ends one.
+func (e *eventReader) next() (event, error) {
+	var ev event
+	for e.lines.Scan() {
+		line := e.lines.Bytes()
+		if len(line) == 0 {
+			if ev.data == nil {
+				continue
+			}
+			return ev, nil
+		}
+		if err := ev.field(line); err != nil {
+			return event{}, err
+		}
+	}
+	if err := e.lines.Err(); err != nil {
+		return event{}, errors.Wrap(err, "read the stream")
+	}
+	return event{}, io.ErrUnexpectedEOF
+}
+
+func (ev *event) field(line []byte) error {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		id, err := strconv.ParseUint(string(value), 10, 64)
+		if err != nil {
+			return errors.Wrap(err, "event id")
+		}
+		ev.id = id
+	case "data":
+		if ev.data != nil {
+			ev.data = append(ev.data, '\n')
+		}
+		ev.data = append(ev.data, value...)
+	}
+	return nil
+}
