--- a/internal/api/objects.go
+++ b/internal/api/objects.go
@@ -13,7 +13,7 @@
 	KindTarget Kind = "targets"
 	// KindRouter objects are Routers, written by the platform.
 	KindRouter Kind = "routers"
-	// KindDrain objects are Drains, named by target or instance.
+	// KindDrain objects are Drains, named "target." or "instance." and the id.
 	KindDrain Kind = "drains"
 	// KindClaims objects are buckets of once-only claims.
 	KindClaims Kind = "claims"
