--- /dev/null
+++ b/examples/doc.go
@@ -0,0 +1,2 @@
+// Package examples holds example files; its tests keep them true.
+package examples
--- a/internal/configsync/controller.go
+++ b/internal/configsync/controller.go
@@ -182,6 +182,7 @@
 	c.reconcileWatch(ctx, wg, peers, now)
 	c.reconcilePull(peers, now)
 	c.reconcileNames(peers, now)
+	c.reconcileRevision(peers)
 	c.reconcileHealth(peers)
 }
 
--- a/internal/configsync/reconcile.go
+++ b/internal/configsync/reconcile.go
@@ -124,6 +124,18 @@
 	}
 }
 
+// reconcileRevision levels the revision with those that peers announce and that
+// are in force here.
+func (c *Controller) reconcileRevision(peers []Member) {
+	rose := false
+	for _, m := range peers {
+		rose = c.set.Witness(c.announcedBy(m.Instance)) || rose
+	}
+	if rose {
+		c.publish(nil)
+	}
+}
+
 // reconcileHealth publishes whether the platform is up.
 func (c *Controller) reconcileHealth(peers []Member) {
 	up := slices.ContainsFunc(peers, func(m Member) bool { return m.Watcher })
--- a/internal/core/config/set.go
+++ b/internal/core/config/set.go
@@ -212,6 +212,18 @@
 	})
 }
 
+// Witness takes in that a configuration write has this revision, and tells
+// whether the set's own revision rose: where the set is complete up to it, the
+// write is in force here, though the set may know it by another version. (A
+// deletion that only a list told of has a later version than the true one.)
+func (s *Set) Witness(revision uint64) bool {
+	if !s.known || revision > s.complete || revision <= s.revision {
+		return false
+	}
+	s.revision = revision
+	return true
+}
+
 // Trim drops the oldest tombstones until at most keep are left. A peer that may
 // need one of them gets a full set from then on.
 func (s *Set) Trim(keep int) {
--- a/internal/core/config/set_test.go
+++ b/internal/core/config/set_test.go
@@ -154,6 +154,19 @@
 	g.Expect(s.Revision()).To(Equal(uint64(3)))
 }
 
+// A deletion that one router watched and another found by a list has two
+// versions; both routers come to announce the same revision.
+func TestWitnessLevelsRevisions(t *testing.T) {
+	g := NewWithT(t)
+	watched := holding(9, write(2, "x"), deletion(3))
+	listed := holding(2, write(2, "x"))
+	listed.ApplyList(list(7))
+	g.Expect(listed.Revision()).To(Equal(uint64(7)))
+	g.Expect(watched.Witness(listed.Revision())).To(BeTrue())
+	g.Expect(watched.Revision()).To(Equal(uint64(7)))
+	g.Expect(watched.Witness(10)).To(BeFalse())
+}
+
 func TestSpans(t *testing.T) {
 	g := NewWithT(t)
 	var s spans
