Ready: adminapi: contracts and drains by conditional writes

The loser of a race gets 409 with the expected version and the object as it stands. A write whose answer is lost is settled by reading the object back.

--- /dev/null
+++ b/internal/adminapi/write.go
@@ -0,0 +1,118 @@
+package adminapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/umberhill/umberhill/internal/api"
+	"github.com/umberhill/umberhill/internal/platform"
+)
+
+// condition reads the call's condition.
+func condition(r *http.Request) (platform.Condition, error) {
+	match, none := r.Header.Get("If-Match"), r.Header.Get("If-None-Match")
+	switch {
+	case match != "" && none != "":
+		return platform.Condition{}, badRequest("If-Match and If-None-Match exclude each other")
+	case none == "*":
+		return platform.Condition{Absent: true}, nil
+	case none != "":
+		return platform.Condition{}, badRequest(`If-None-Match must be *`)
+	case match == "":
+		return platform.Condition{}, nil
+	}
+	version, err := strconv.ParseUint(strings.Trim(match, `"`), 10, 64)
+	if err != nil || version == 0 {
+		return platform.Condition{}, badRequest(`If-Match must be a version in quotes, such as "7"`)
+	}
+	return platform.Condition{Version: version}, nil
+}
+
+func badRequest(message string) error {
+	return &Error{Status: http.StatusBadRequest, Code: CodeBadRequest, Message: message}
+}
+
+// readBody returns the body without superfluous space.
+func readBody(r *http.Request) (json.RawMessage, error) {
+	data, err := io.ReadAll(r.Body)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, &Error{Status: http.StatusRequestEntityTooLarge, Code: CodeBadRequest, Message: "the body is too large"}
+	}
+	return data, errors.Wrap(err, "read body")
+}
+
+// put writes an object, and settles a write whose answer is lost.
+func (h *handler) put(ctx context.Context, kind api.Kind, name string, value json.RawMessage, cond platform.Condition) (platform.Object, error) {
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, value); err != nil {
+		return platform.Object{}, errors.Wrap(err, "compact")
+	}
+	value = compact.Bytes()
+	obj, err := h.deps.Platform.Put(ctx, kind, name, value, cond)
+	var unsure *platform.UnsureError
+	if errors.As(err, &unsure) {
+		return h.settlePut(ctx, kind, name, value, cond, err)
+	}
+	return obj, conflict(err, cond)
+}
+
+// settlePut reads an object back. Where it has the value, the write took
+// effect, or another one that is equal. Where it is still what the write was
+// conditional on, nothing was applied yet, but the write may still be under
+// way, so that the operator is told to look again.
+func (h *handler) settlePut(ctx context.Context, kind api.Kind, name string, value json.RawMessage, cond platform.Condition, cause error) (platform.Object, error) {
+	obj, err := h.deps.Platform.Get(ctx, kind, name)
+	if err != nil {
+		return platform.Object{}, cause
+	}
+	if bytes.Equal(obj.Value, value) && obj.Version > cond.Version {
+		return obj, nil
+	}
+	return platform.Object{}, &Error{
+		Status: http.StatusBadGateway, Code: CodeUnsure, RetryAfter: retryAfter,
+		Message: cause.Error(), Expected: cond.Version, Current: &obj,
+	}
+}
+
+// remove deletes an object, and settles a deletion whose answer is lost.
+func (h *handler) remove(ctx context.Context, kind api.Kind, name string, cond platform.Condition) (Deletion, error) {
+	version, err := h.deps.Platform.Delete(ctx, kind, name, cond)
+	var unsure *platform.UnsureError
+	if errors.As(err, &unsure) {
+		if _, readErr := h.deps.Platform.Get(ctx, kind, name); errors.Is(readErr, platform.ErrNotFound) {
+			return Deletion{}, nil
+		}
+	}
+	return Deletion{Version: version}, conflict(err, cond)
+}
+
+// conflict shows both versions to the loser of a race.
+func conflict(err error, cond platform.Condition) error {
+	var c *platform.ConflictError
+	if !errors.As(err, &c) {
+		return err
+	}
+	return &Error{
+		Status: http.StatusConflict, Code: CodeConflict, Message: conflictMessage(c.Current, cond),
+		Expected: cond.Version, Current: c.Current,
+	}
+}
+
+func conflictMessage(current *platform.Object, cond platform.Condition) string {
+	switch {
+	case current == nil:
+		return "the object was deleted; version " + strconv.FormatUint(cond.Version, 10) + " was expected"
+	case cond.Absent:
+		return "the object exists already, at version " + strconv.FormatUint(current.Version, 10)
+	}
+	return "the object is at version " + strconv.FormatUint(current.Version, 10) +
+		"; version " + strconv.FormatUint(cond.Version, 10) + " was expected"
+}
