--- a/cmd/umberhill/main.go
+++ b/cmd/umberhill/main.go
@@ -1,4 +1,10 @@
-// Command umberhill is a placeholder until its package lands.
+// Command umberhill is the operators' tool.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/umberhill/umberhill/internal/cli"
+)
+
+func main() { os.Exit(cli.Main(os.Args, os.Stdin, os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/cli/report.go
@@ -0,0 +1,110 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/umberhill/umberhill/internal/explain"
+)
+
+const (
+	burnPath    = "/admin/v1/burn"
+	explainPath = "/admin/v1/explain"
+	reportMode  = 0o600
+)
+
+func reportCommand() *cli.Command {
+	return &cli.Command{
+		Name: "report", Usage: "reports on the service",
+		Commands: []*cli.Command{{
+			Name: "burn", Usage: "burn of the error budgets by workspace",
+			Description: "Examples:\n  umberhill report burn\n  umberhill report burn --html burn.html",
+			Flags:       []cli.Flag{&cli.StringFlag{Name: "html", Usage: "write a page with plots to `FILE`"}},
+			Action:      reportBurn,
+		}},
+	}
+}
+
+// writePage saves the report as a page.
+func writePage(ctx context.Context, c *cli.Command, cl *client, path string) error {
+	page, err := cl.raw(ctx, http.MethodGet, burnPath+"?format=html", nil, nil)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(path, page, reportMode); err != nil {
+		return errors.Wrap(err, "write report")
+	}
+	note(c, "wrote %s", path)
+	return nil
+}
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "say why a request waits or was refused", ArgsUsage: "REQUEST-ID|WORKSPACE",
+		Description: "Example:\n  umberhill explain 01J9ZK3M",
+		Action:      explainRequest,
+	}
+}
+
+// explanation is the answer of the explain call.
+type explanation struct {
+	Requests []explain.Entry `json:"requests"`
+	Silent   []string        `json:"silent,omitempty"`
+}
+
+func explainRequest(ctx context.Context, c *cli.Command) error {
+	id, err := oneArg(c, "request or workspace")
+	if err != nil {
+		return err
+	}
+	cl, err := clientOf(c)
+	if err != nil {
+		return err
+	}
+	var ex explanation
+	if err := cl.call(ctx, http.MethodGet, explainPath+"/"+url.PathEscape(id), nil, nil, &ex); err != nil {
+		return err
+	}
+	return show(c, ex, func(w io.Writer) error { return explainTable(w, ex) })
+}
+
+func explainTable(w io.Writer, ex explanation) error {
+	t := newTable(w, "REQUEST", "WORKSPACE", "POOL", "CLASS", "STEP", "CODE", "OUTCOME", "TARGET", "TRIES", "QUEUED", "TOTAL", "ARRIVED")
+	for _, e := range ex.Requests {
+		t.row(e.ID, string(e.Workspace), string(e.Pool), e.Class, e.Step, string(e.Code), string(e.Outcome), string(e.Target),
+			fmt.Sprint(e.Attempts), millis(e.QueuedMS), millis(e.TotalMS), e.Arrived.Format(time.TimeOnly))
+	}
+	for _, s := range ex.Silent {
+		t.row(s, "did not answer")
+	}
+	return t.flush()
+}
+
+func millis(ms int64) string { return (time.Duration(ms) * time.Millisecond).String() }
+
+func reportBurn(ctx context.Context, c *cli.Command) error {
+	if err := noArgs(c); err != nil {
+		return err
+	}
+	cl, err := clientOf(c)
+	if err != nil {
+		return err
+	}
+	if path := c.String("html"); path != "" {
+		return writePage(ctx, c, cl, path)
+	}
+	var rep json.RawMessage
+	if err := cl.call(ctx, http.MethodGet, burnPath, nil, nil, &rep); err != nil {
+		return err
+	}
+	return writeJSON(c.Root().Writer, rep)
+}
