configsync: no router without memory goes back by a platform with an older state

A starting router is ready once it has heard from all peers that it reaches and holds the newest revision among them, and lists from the platform only where no peer has a configuration.

--- a/internal/configsync/controller.go
+++ b/internal/configsync/controller.go
@@ -81,6 +81,8 @@
 	names  namePulls
 	health health
 	stale  bool
+	// caughtUp is set once the start is over.
+	caughtUp bool
 }
 
 // incoming is a message from a peer.
@@ -182,6 +184,7 @@
 	c.reconcileWatch(ctx, wg, peers, now)
 	c.reconcilePull(peers, now)
 	c.reconcileNames(peers, now)
+	c.reconcileStart(peers, now)
 	c.reconcileRevision(peers)
 	c.reconcileHealth(peers)
 }
@@ -267,6 +270,7 @@
 func (c *Controller) publish(changed []config.Key) {
 	last := c.Snapshot()
 	next := c.build.build(last, changed)
+	next.Known = next.Known && c.caughtUp
 	next.PlatformUp = c.health.up
 	if c.stale {
 		next.Problems = append(next.Problems, Problem{Message: "the platform answers with an older state than the one in force; it is ignored"})
--- a/internal/configsync/controller_test.go
+++ b/internal/configsync/controller_test.go
@@ -39,6 +39,9 @@
 	url    string
 	client *platform.Client
 
+	// beatEvery is the interval of heartbeats; the first one comes at its end.
+	beatEvery time.Duration
+
 	mu    sync.Mutex
 	nodes map[ids.Instance]*node
 	// drop loses the messages for which it is true.
@@ -59,7 +62,7 @@
 	n := &network{
 		g: NewWithT(t), store: store, url: srv.URL,
 		client: platform.New(platform.Options{URL: srv.URL, Token: "test"}),
-		nodes:  map[ids.Instance]*node{},
+		nodes:  map[ids.Instance]*node{}, beatEvery: 100 * time.Millisecond,
 		drop:   func(ids.Instance, ids.Instance, *configv1.Message) bool { return false },
 	}
 	t.Cleanup(func() {
@@ -105,13 +108,12 @@
 
 // beat stands for the heartbeats of the peer links.
 func (n *network) beat(ctx context.Context, x *node) {
-	for ctx.Err() == nil {
+	for sleep(ctx, n.beatEvery); ctx.Err() == nil; sleep(ctx, n.beatEvery) {
 		for _, m := range n.members(x.opts.Self) {
 			if peer := n.node(m.Instance); peer != nil {
 				peer.PeerRevision(x.opts.Self, x.Snapshot().Revision)
 			}
 		}
-		sleep(ctx, 100*time.Millisecond)
 	}
 }
 
@@ -351,3 +353,33 @@
 		g.Expect(n).To(Equal(1), string(id))
 	}
 }
+
+// A router without memory does not go back where the platform answers with an
+// older state: it is not ready before it has caught up with its peers.
+func TestRestartWithStaleStore(t *testing.T) {
+	n := newNetwork(t)
+	n.beatEvery = time.Second
+	n.put(api.KindContract, "acme", contractJSON("acme", 1))
+	n.start("a0", "a", "a")
+	n.start("a1", "a", "a")
+	n.everywhere(1)
+	n.everywhere(n.put(api.KindContract, "acme", contractJSON("acme", 2)))
+	replica := standin.New(standin.Options{})
+	srv := httptest.NewServer(replica)
+	t.Cleanup(func() {
+		n.stop("a1")
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	n.url = srv.URL
+	stale := platform.New(platform.Options{URL: srv.URL})
+	_, err := stale.Put(context.Background(), api.KindContract, "acme", contractJSON("acme", 1), platform.Condition{})
+	n.g.Expect(err).NotTo(HaveOccurred())
+	n.stop("a1")
+	restarted := n.start("a1", "a", "a")
+	n.g.Eventually(func() bool {
+		s := restarted.Snapshot()
+		n.g.Expect(s.Known && s.Revision < 2).To(BeFalse())
+		return s.Known
+	}, soon, often).Should(BeTrue())
+}
--- a/internal/configsync/reconcile.go
+++ b/internal/configsync/reconcile.go
@@ -15,10 +15,13 @@
 const (
 	// startPeers is how long a starting router waits for peers to appear before
 	// it lists from the platform.
-	startPeers = 300 * time.Millisecond
+	startPeers = time.Second
 	// startTransfer is how long it waits for the configuration of a peer that
-	// has one.
-	startTransfer = 2 * time.Second
+	// has one, or that has not said.
+	startTransfer = 3 * time.Second
+	// startMost is how long it waits to catch up with its peers before it is
+	// ready.
+	startMost = 15 * time.Second
 	// substituteAfter is how long the chosen watchers of a failure domain may
 	// fail before as many others watch too.
 	substituteAfter = 6 * time.Second
@@ -74,12 +77,39 @@
 		return true
 	}
 	age := now.Sub(c.started) - c.startWait
+	if len(peers) > 0 && !c.noneAhead(peers) {
+		return age >= startTransfer
+	}
+	return age >= startPeers
+}
+
+// noneAhead tells whether all peers said what they hold, and hold no more than
+// this router.
+func (c *Controller) noneAhead(peers []Member) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, m := range peers {
-		if c.announcedBy(m.Instance) > 0 {
-			return age >= startTransfer
+		revision, heard := c.announced[m.Instance]
+		if !heard || revision > c.set.Complete() {
+			return false
 		}
 	}
-	return age >= startPeers
+	return true
+}
+
+// reconcileStart ends the start: the router has a configuration, and none of the
+// peers that it reaches has a newer one. Without this, a platform that answers
+// with an older state would take a router without memory back.
+func (c *Controller) reconcileStart(peers []Member, now time.Time) {
+	if c.caughtUp || !c.set.Known() {
+		return
+	}
+	age := now.Sub(c.started) - c.startWait
+	if age < startMost && (age < startPeers && len(peers) == 0 || !c.noneAhead(peers)) {
+		return
+	}
+	c.caughtUp = true
+	c.publish(nil)
 }
 
 func (c *Controller) startWatch(ctx context.Context, wg *conc.WaitGroup) {
