--- a/internal/configsync/controller_test.go
+++ b/internal/configsync/controller_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,7 +64,7 @@
 		g: NewWithT(t), store: store, url: srv.URL,
 		client: platform.New(platform.Options{URL: srv.URL, Token: "test"}),
 		nodes:  map[ids.Instance]*node{}, beatEvery: 100 * time.Millisecond,
-		drop:   func(ids.Instance, ids.Instance, *configv1.Message) bool { return false },
+		drop: func(ids.Instance, ids.Instance, *configv1.Message) bool { return false },
 	}
 	t.Cleanup(func() {
 		for id := range n.nodes {
@@ -376,6 +377,8 @@
 	_, err := stale.Put(context.Background(), api.KindContract, "acme", contractJSON("acme", 1), platform.Condition{})
 	n.g.Expect(err).NotTo(HaveOccurred())
 	n.stop("a1")
+	var lost atomic.Int32
+	n.drop = func(_, _ ids.Instance, msg *configv1.Message) bool { return msg.GetPage() != nil && lost.Add(1) == 1 }
 	restarted := n.start("a1", "a", "a")
 	n.g.Eventually(func() bool {
 		s := restarted.Snapshot()
