--- /dev/null
+++ b/internal/proctest/proctest.go
@@ -0,0 +1,144 @@
+// Package proctest holds what the tests with real processes share.
+package proctest
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2" //nolint:revive,staticcheck // the matchers' own language
+	. "github.com/onsi/gomega"    //nolint:revive,staticcheck // the matchers' own language
+
+	"github.com/umberhill/umberhill/internal/api"
+	"github.com/umberhill/umberhill/internal/harness"
+	"github.com/umberhill/umberhill/internal/outcome"
+	"github.com/umberhill/umberhill/internal/status"
+)
+
+const (
+	// Patience is a generous limit for what must happen at all.
+	Patience = 20 * time.Second
+	// Often is the interval of looking.
+	Often = 50 * time.Millisecond
+	// InForceWithin is how soon an accepted change must be in force.
+	InForceWithin = 6 * time.Second
+	// NoNewWorkAfter is how soon a leaving target must get no new request.
+	NoNewWorkAfter = 3 * time.Second
+)
+
+// Start starts a fleet that ends with the spec; its logs are shown where the
+// spec failed.
+func Start(ctx context.Context, spec harness.Spec) *harness.Fleet {
+	GinkgoHelper()
+	binaries, err := harness.Build(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	fleet, err := harness.Start(ctx, binaries, spec)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() {
+		if CurrentSpecReport().Failed() {
+			GinkgoWriter.Println(fleet.Logs())
+		}
+		fleet.Close()
+	})
+	return fleet
+}
+
+// Local returns what a router says of itself.
+func Local(ctx context.Context, r *harness.Router) (status.Router, error) {
+	var out status.Router
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Admin+"/admin/v1/status?local=1", nil)
+	if err != nil {
+		return out, err
+	}
+	req.Header.Set("Authorization", "Bearer "+harness.AdminToken)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return out, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return out, err
+	}
+	return out, json.Unmarshal(data, &out)
+}
+
+// Behind returns the routers at which a revision is not in force.
+func Behind(ctx context.Context, routers []*harness.Router, revision uint64) []string {
+	var out []string
+	for _, r := range routers {
+		if s, err := Local(ctx, r); err != nil || s.Revision < revision {
+			out = append(out, r.ID)
+		}
+	}
+	return out
+}
+
+// InForce waits until a revision is in force, for as long as is promised.
+func InForce(ctx context.Context, routers []*harness.Router, revision uint64) {
+	GinkgoHelper()
+	Eventually(func() []string { return Behind(ctx, routers, revision) }, InForceWithin, Often).Should(BeEmpty())
+}
+
+// Version returns the version of an object at the platform.
+func Version(ctx context.Context, f *harness.Fleet, kind api.Kind, name string) uint64 {
+	GinkgoHelper()
+	list, err := f.Platform.List(ctx, kind)
+	Expect(err).NotTo(HaveOccurred())
+	for _, o := range list.Objects {
+		if o.Name == name {
+			return o.Version
+		}
+	}
+	return 0
+}
+
+// VersionKey is the only bearer key of the nth version of a workspace's
+// contract: which of them a router takes tells which version is in force.
+func VersionKey(workspace string, n int) string { return fmt.Sprintf("%s-key-%d", workspace, n) }
+
+// VersionContract is the nth version of a workspace's contract.
+func VersionContract(workspace string, n int) api.Contract {
+	sum := sha256.Sum256([]byte(VersionKey(workspace, n)))
+	return api.Contract{
+		Workspace: workspace, Weight: 1,
+		Keys: []api.KeyHash{{ID: fmt.Sprint(n), SHA256: hex.EncodeToString(sum[:])}},
+	}
+}
+
+// Takes tells whether a router takes a bearer key. The request is for a model
+// that does not exist.
+func Takes(ctx context.Context, caller *harness.Caller, key string) (bool, error) {
+	header := http.Header{"Authorization": {"Bearer " + key}, "Content-Type": {"application/json"}}
+	a := caller.Do(ctx, http.MethodPost, "/v1/completions", header, []byte(`{"model":"none","prompt":"x"}`))
+	if a.Err != nil {
+		return false, a.Err
+	}
+	if a.Refusal == nil {
+		return false, fmt.Errorf("no refusal: %d %s", a.Status, a.Body)
+	}
+	return a.Refusal.Code != outcome.CodeUnauthorized, nil
+}
+
+// PutContract writes a contract over a version by way of a router and returns
+// the status.
+func PutContract(ctx context.Context, r *harness.Router, c api.Contract, version uint64) int {
+	GinkgoHelper()
+	body, err := json.Marshal(c)
+	Expect(err).NotTo(HaveOccurred())
+	url := "http://" + r.Admin + "/admin/v1/contracts/" + c.Workspace
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+harness.AdminToken)
+	req.Header.Set("If-Match", fmt.Sprintf(`"%d"`, version))
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
