--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -34,8 +34,11 @@
 	LoseEvery int `json:"lose_every,omitempty"`
 	// LoseNext drops the answers of the next n writes after they were applied.
 	LoseNext int `json:"lose_next,omitempty"`
-	// Stale serves reads and watches from the content at the time it was set.
+	// Stale serves reads and watches from the content at the time it was set, or
+	// from the marked content.
 	Stale bool `json:"stale,omitempty"`
+	// Mark keeps the content of now for Stale to serve later.
+	Mark bool `json:"mark,omitempty"`
 	// Cut drops the connections of the clients with these tokens.
 	Cut []string `json:"cut,omitempty"`
 	// ReadsPerSecond above which reads are refused with 429; 0 is unlimited.
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -115,6 +115,9 @@
 // SetFaults replaces the faults in force.
 func (s *Server) SetFaults(faults Faults) {
 	s.faults.set(faults)
+	if faults.Mark {
+		s.store.setMark()
+	}
 	s.store.setStale(faults.Stale)
 	s.store.wake()
 }
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -51,6 +51,8 @@
 	compacted uint64
 	// stale is served to reads in place of state where set.
 	stale *state
+	// mark is an earlier content that stale reads see in place of today's.
+	mark *state
 	// changed is closed and replaced on each change.
 	changed chan struct{}
 }
@@ -187,7 +189,22 @@
 		s.stale = nil
 		return
 	}
+	if s.stale != nil {
+		return
+	}
+	s.stale = s.mark
 	if s.stale == nil {
-		s.stale = &state{revision: s.state.revision, objects: maps.Clone(s.state.objects)}
+		s.stale = s.copyState()
 	}
 }
+
+// setMark keeps the content of now for setStale.
+func (s *store) setMark() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mark = s.copyState()
+}
+
+func (s *store) copyState() *state {
+	return &state{revision: s.state.revision, objects: maps.Clone(s.state.objects)}
+}
--- a/test/config/revert_test.go
+++ b/test/config/revert_test.go
@@ -96,6 +96,10 @@
 	return 0, true
 }
 
+// watchEnds is longer than the platform holds a watch: all watchers have got an
+// answer by then.
+const watchEnds = 6 * time.Second
+
 var _ = Describe("A configuration in force", func() {
 	It("never goes back, over restarts without memory, a platform that answers with an older state, outages and racing operators", func(ctx context.Context) {
 		f := proctest.Start(ctx, twoDomains())
@@ -124,15 +128,17 @@
 		rng := rand.New(rand.NewPCG(1, 1))
 		for round := range 4 {
 			By(fmt.Sprintf("round %d", round))
+			Expect(f.Platform.SetFaults(ctx, platform.Faults{Mark: true})).To(Succeed())
 			write()
 			write()
 			settle(f.Routers)
+			By("answering with the state before the last two writes")
 			Expect(f.Platform.SetFaults(ctx, platform.Faults{Stale: true})).To(Succeed())
-			write()
-			Expect(f.Platform.SetFaults(ctx, platform.Faults{})).To(Succeed())
-			settle(f.Routers)
+			if round == 0 {
+				time.Sleep(watchEnds)
+			}
 			victims := rng.Perm(len(f.Routers))[:3]
-			faults := []platform.Faults{{Stale: true}, {Down: platform.DownClose}, {Down: platform.DownRefuse}, {}}
+			faults := []platform.Faults{{Stale: true}, {Down: platform.DownClose}, {Stale: true}, {Down: platform.DownRefuse}}
 			Expect(f.Platform.SetFaults(ctx, faults[round])).To(Succeed())
 			for _, i := range victims {
 				Expect(f.Routers[i].Kill()).To(Succeed())
