ledger: while the store is down one claim at a time tries it

A store that accepts calls and does not answer held each claim for up to 5 s. Now one claim finds out and the others are refused at once.

quarantine: a late withdrawal does not end a trial that has started.

--- a/internal/core/quarantine/trial.go
+++ b/internal/core/quarantine/trial.go
@@ -51,6 +51,8 @@
 	since   time.Time
 	used    time.Time
 	running bool
+	// started is set once the request has been dispatched.
+	started bool
 }
 
 type otherTrial struct {
@@ -109,6 +111,23 @@
 	return ok
 }
 
+// Start notes that the request of a trial is dispatched.
+func (t *Trials) Start(fp uint64) {
+	if own := t.own[fp]; own != nil {
+		own.started = true
+	}
+}
+
+// Withdraw gives back a right that was granted and not used. A trial that is
+// still asked for, by a later request, stays.
+func (t *Trials) Withdraw(fp uint64) bool {
+	own := t.own[fp]
+	if own == nil || !own.running || own.started {
+		return false
+	}
+	return t.End(fp)
+}
+
 // Hear learns of another router's trial.
 func (t *Trials) Hear(fp uint64, o Owner, running, ended bool, now time.Time) {
 	if o == t.self {
--- a/internal/ledger/bucket.go
+++ b/internal/ledger/bucket.go
@@ -225,16 +225,14 @@
 	}
 }
 
-// markDown makes claims be refused at once for a moment, from the second
-// failure in a row on.
+// markDown notes that the store failed. From the second failure in a row on,
+// claims are refused at once until one has found it back.
 func (l *Ledger) markDown() {
 	d := downTime/2 + rand.N(downTime/2)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.failures++
-	if l.failures > 1 {
-		l.downUntil = l.opts.Now().Add(d)
-	}
+	l.downUntil = l.opts.Now().Add(d)
 }
 
 // markUp notes that the store answers.
--- a/internal/ledger/layout.go
+++ b/internal/ledger/layout.go
@@ -35,12 +35,17 @@
 		return n, nil
 	}
 	ch := l.layout.DoChan(layoutName, func() (any, error) {
-		return l.readLayout(context.WithoutCancel(ctx))
+		n, err := l.readLayout(context.WithoutCancel(ctx))
+		if err != nil {
+			l.markDown()
+		} else {
+			l.markUp()
+		}
+		return n, err
 	})
 	select {
 	case r := <-ch:
 		if r.Err != nil {
-			l.markDown()
 			return 0, r.Err
 		}
 		return r.Val.(int), nil
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -276,13 +276,27 @@
 	case len(l.open) >= maxOpen:
 		l.scope.Counter("refused_open").Inc(1)
 		return &Error{Step: "claim", Err: ErrBusy, RetryAfter: retryLater}
-	case l.opts.Now().Before(l.downUntil):
+	case !l.mayTry():
 		l.scope.Counter("refused_down").Inc(1)
 		return &Error{Step: "claim", Err: ErrUnavailable, RetryAfter: retryLater}
 	}
 	return nil
 }
 
+// mayTry tells whether a claim may go to the store. While the store is down,
+// one claim at a time finds out whether it is back.
+func (l *Ledger) mayTry() bool {
+	if l.failures < 2 {
+		return true
+	}
+	now := l.opts.Now()
+	if now.Before(l.downUntil) {
+		return false
+	}
+	l.downUntil = now.Add(2 * l.commitTimeout)
+	return true
+}
+
 // await waits for the operation's reply. Where the caller leaves first, a claim
 // granted later is released.
 func (l *Ledger) await(ctx context.Context, o *op) (Result, error) {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -337,3 +337,36 @@
 	}
 	mustClaim(t, start(t, options(store, "r2", 1)), "k", Finished)
 }
+
+// While the store does not answer, only one claim at a time waits for it.
+func TestStoreThatHangs(t *testing.T) {
+	store := newFakeStore()
+	l := start(t, options(store, "r1", 1))
+	mustClaim(t, l, "before", Granted)
+	store.faults(always(refused), always(refused))
+	for range 3 {
+		claimState(l, "k")
+	}
+	eventually(t, func() bool { // the next claim is the one that finds out
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return !l.opts.Now().Before(l.downUntil)
+	})
+	store.mu.Lock()
+	var wg conc.WaitGroup
+	wg.Go(func() { claimState(l, "probe") })
+	eventually(t, func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.opts.Now().Before(l.downUntil)
+	})
+	for i := range 50 { // would hang if it went to the store
+		if s := claimState(l, fmt.Sprint(i)); s != 0 {
+			t.Errorf("state %d", s)
+		}
+	}
+	store.mu.Unlock()
+	wg.Wait()
+	store.faults(always(none), always(none))
+	eventually(t, func() bool { return claimState(l, "k") == Granted })
+}
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -286,10 +286,11 @@
 	}
 }
 
-// Withdraw ends a solo admission whose request was not dispatched.
+// Withdraw ends a solo admission whose request was not dispatched; it does
+// nothing where it was.
 func (c *Controller) Withdraw(fp uint64) {
 	c.mu.Lock()
-	ended := c.trials.End(fp)
+	ended := c.trials.Withdraw(fp)
 	c.mu.Unlock()
 	if ended {
 		c.send(&quarantinev1.Message{Trials: []*quarantinev1.Trial{c.trial(fp, false, true)}})
@@ -305,6 +306,9 @@
 		c.scope.Counter("stopped").Inc(1)
 		return false
 	}
+	if solo {
+		c.trials.Start(fp)
+	}
 	if len(c.running) < maxRunning {
 		c.running[id] = attempt{fp: fp, target: target, solo: solo}
 	}
--- a/internal/quarantine/controller_test.go
+++ b/internal/quarantine/controller_test.go
@@ -231,6 +231,12 @@
 	if v := f.admit(1, 1); !v.Solo {
 		t.Fatalf("%+v after the trial was withdrawn", v)
 	}
+	// A late withdrawal does not end a trial that has started.
+	f.routers[1].Started(7, 1, "t2", true)
+	f.routers[1].Withdraw(1)
+	if v := f.admit(0, 1); v.Run {
+		t.Fatal("two trials at once")
+	}
 }
 
 func TestHostileMessages(t *testing.T) {
