--- a/internal/core/claim/bucket.go
+++ b/internal/core/claim/bucket.go
@@ -50,6 +50,17 @@
 // Len returns the number of entries.
 func (b *Bucket) Len() int { return len(b.entries) }
 
+// Count returns the number of entries in a state.
+func (b *Bucket) Count(s State) int {
+	n := 0
+	for _, e := range b.entries {
+		if e.State == s {
+			n++
+		}
+	}
+	return n
+}
+
 // Size returns an upper bound of the encoded size in bytes.
 func (b *Bucket) Size() int { return b.size + b.bodies }
 
--- /dev/null
+++ b/test/once/crash_test.go
@@ -0,0 +1,104 @@
+package once
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/umberhill/umberhill/internal/bench"
+	"github.com/umberhill/umberhill/internal/harness"
+	"github.com/umberhill/umberhill/internal/outcome"
+	"github.com/umberhill/umberhill/internal/standin/engine"
+)
+
+// nurse starts engines that die and counts their deaths, until ctx ends.
+func nurse(ctx context.Context, deaths *atomic.Int64) {
+	for ctx.Err() == nil {
+		for _, e := range fleet.Engines {
+			if !e.Running() {
+				deaths.Add(1)
+				Expect(e.Restart(context.WithoutCancel(ctx))).To(Succeed())
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+var _ = Describe("A request that crashes targets", Ordered, func() {
+	var deaths atomic.Int64
+
+	BeforeAll(startFleet)
+	BeforeEach(func() {
+		deaths.Store(0)
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg conc.WaitGroup
+		wg.Go(func() {
+			defer GinkgoRecover()
+			nurse(ctx, &deaths)
+		})
+		DeferCleanup(func() {
+			cancel()
+			wg.Wait()
+		})
+	})
+
+	complete := func(ctx context.Context, router int, ask harness.Ask) (harness.Verdict, harness.Answer) {
+		caller := fleet.Routers[router%len(fleet.Routers)].Caller(bench.OrdersWorkspace)
+		defer caller.Close()
+		a := caller.Complete(ctx, ask)
+		return harness.Judge(ask, a), a
+	}
+
+	It("crashes two of them at most, however often it is sent", func(ctx context.Context) {
+		poison := harness.Ask{Model: model, Prompt: "poison " + engine.CrashMarker, MaxTokens: 4}
+		refusals := 0
+		for i := range 32 {
+			_, a := complete(ctx, i, poison)
+			Expect(a.Status).NotTo(Equal(http.StatusOK))
+			if a.Refusal != nil && a.Refusal.Code == outcome.CodeQuarantined {
+				refusals++
+				Expect(a.Header.Get("Retry-After")).NotTo(BeEmpty())
+			}
+			other := harness.Ask{Model: model, Prompt: "stock of flake ice", MaxTokens: 4}
+			Eventually(func() harness.Verdict {
+				verdict, _ := complete(ctx, i+1, other)
+				return verdict
+			}, soon).Should(Equal(harness.Right))
+		}
+		Expect(deaths.Load()).To(BeNumerically("<=", 2))
+		Expect(deaths.Load()).To(BeNumerically(">=", 1))
+		Expect(refusals).To(BeNumerically(">", 0))
+	})
+
+	It("does not take down for good what runs beside it", func(ctx context.Context) {
+		const beside = 12
+		p := pool.New()
+		for i := range beside {
+			ask := harness.Ask{Model: poisoned, Prompt: engine.LengthMarker(60), MaxTokens: 60}
+			ask.Prompt += string(rune('a' + i))
+			p.Go(func() {
+				defer GinkgoRecover()
+				Eventually(func() harness.Verdict {
+					verdict, _ := complete(ctx, i, ask)
+					return verdict
+				}, 3*soon, time.Second).Should(Equal(harness.Right))
+			})
+		}
+		Eventually(func(g Gomega) {
+			stats, err := fleet.Engines[0].EngineStats(ctx)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(stats.Running).To(Equal(beside))
+		}, soon).Should(Succeed())
+		poison := harness.Ask{Model: poisoned, Prompt: "poison beside " + engine.CrashMarker, MaxTokens: 4}
+		complete(ctx, 5, poison)
+		p.Wait()
+		Expect(deaths.Load()).To(BeNumerically("<=", 2))
+		Expect(deaths.Load()).To(BeNumerically(">=", 1))
+	})
+})
--- /dev/null
+++ b/test/once/once_suite_test.go
@@ -0,0 +1,144 @@
+// Package once proves with real processes that once-only work runs at most
+// once, that "not run" is true, and that a request that crashes targets is
+// isolated.
+package once
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/umberhill/umberhill/internal/api"
+	"github.com/umberhill/umberhill/internal/bench"
+	"github.com/umberhill/umberhill/internal/core/claim"
+	"github.com/umberhill/umberhill/internal/harness"
+	"github.com/umberhill/umberhill/internal/standin/service"
+)
+
+func TestOnce(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "once-only work")
+}
+
+var _ = AfterSuite(func() {
+	if fleet != nil {
+		fleet.Close()
+	}
+	Expect(harness.Clean()).To(Succeed())
+})
+
+const (
+	// single is a plain service of one process that runs one call at a time.
+	single = "single"
+	// poisoned is a model that only one engine has.
+	poisoned = "poisoned"
+	model    = "assistant"
+)
+
+// fleet is started once for all specs of this package that need routers.
+var fleet *harness.Fleet
+
+var bodies atomic.Int64
+
+func startFleet(ctx context.Context) {
+	if fleet != nil {
+		return
+	}
+	binaries, err := harness.Build(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	spec := bench.OrdersFleet()
+	spec.Domains[0].Services = append(spec.Domains[0].Services, harness.Service{Name: single, Concurrency: 1})
+	spec.Domains[0].Engines = []harness.Engine{{Models: []string{poisoned}, Concurrency: 16, TokensPerSecond: 100}}
+	for i := range spec.Domains {
+		engine := harness.Engine{Models: []string{model}, Concurrency: 8, TokensPerSecond: 400}
+		spec.Domains[i].Engines = append(spec.Domains[i].Engines, harness.Repeat(3, engine)...)
+	}
+	fleet, err = harness.Start(ctx, binaries, spec)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(fleet.Apply(ctx, harness.Contract(bench.OrdersWorkspace, 1))).To(Succeed())
+}
+
+// heal lifts all faults and waits for the routers.
+func heal(ctx context.Context) {
+	Expect(bench.Heal(ctx, fleet)).To(Succeed())
+	for _, r := range fleet.Routers {
+		Expect(r.WaitReady(ctx, readyTimeout)).To(Succeed())
+	}
+}
+
+// newOrder returns an order with a content and key of its own.
+func newOrder() *bench.Order {
+	n := bodies.Add(1)
+	return &bench.Order{Key: fmt.Sprint("key-", n), Body: fmt.Appendf(nil, "order %d", n)}
+}
+
+// again returns a repeat of an order, with nothing said yet.
+func again(o *bench.Order) *bench.Order {
+	return &bench.Order{Key: o.Key, Body: o.Body, Service: o.Service}
+}
+
+// send places an order at a router and returns what was said.
+func send(ctx context.Context, o *bench.Order, router int, path string) bench.Said {
+	caller := fleet.Routers[router].Caller(bench.OrdersWorkspace)
+	defer caller.Close()
+	said, _ := o.Send(ctx, caller, path)
+	return said
+}
+
+// sendLater places an order in the background.
+func sendLater(ctx context.Context, o *bench.Order, router int, path string) chan bench.Said {
+	done := make(chan bench.Said, 1)
+	go func() {
+		defer GinkgoRecover()
+		done <- send(ctx, o, router, path)
+	}()
+	return done
+}
+
+// runs returns how often an order ran.
+func runs(o *bench.Order) int {
+	all, err := bench.RunsOf(fleet)
+	Expect(err).NotTo(HaveOccurred())
+	n := 0
+	for _, run := range all {
+		if run.BodyHash == service.BodyHash(o.Body) {
+			n++
+		}
+	}
+	return n
+}
+
+// granted returns how many claims stand that have not ended.
+func granted(ctx context.Context) int {
+	list, err := fleet.Platform.List(ctx, api.KindClaims)
+	Expect(err).NotTo(HaveOccurred())
+	n := 0
+	for _, obj := range list.Objects {
+		bucket, err := claim.Decode(obj.Value)
+		if err != nil {
+			continue // the layout
+		}
+		n += bucket.Count(claim.Granted)
+	}
+	return n
+}
+
+// everywhere repeats an order at all routers and returns what was said.
+func everywhere(ctx context.Context, o *bench.Order) []bench.Said {
+	var said []bench.Said
+	for i := range fleet.Routers {
+		said = append(said, send(ctx, again(o), i, "/"))
+	}
+	return said
+}
+
+// direct returns a caller of a target itself.
+func direct(address string) *harness.Caller {
+	caller := harness.NewCaller(address, "")
+	DeferCleanup(caller.Close)
+	return caller
+}
