--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -127,6 +127,7 @@
 
 // write puts the applied bucket on the condition that it stands as read.
 func (l *Ledger) write(ctx context.Context, b *bucket, at *attempt) (done bool, err error) {
+	l.shareWrites()
 	if err := l.limiter.Wait(ctx); err != nil {
 		b.cached = nil
 		return false, err
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -42,6 +42,9 @@
 	DefaultWriteRate = 60
 )
 
+// fleetWriteRate bounds the writes per second of all routers together.
+const fleetWriteRate = 400
+
 // maxBuckets bounds the number of buckets.
 const maxBuckets = 4096
 
@@ -65,6 +68,9 @@
 	// WriteRate bounds this router's writes per second; batches grow when it
 	// is reached. Default DefaultWriteRate.
 	WriteRate float64
+	// Routers is the number of live routers, this one among them, which share
+	// the fleet's writes. Default one.
+	Routers func() int
 	// Live tells the incarnation in which an instance is live. A claim of
 	// another router counts as in progress where Live is nil.
 	Live func(ids.Instance) (ids.Incarnation, bool)
@@ -183,6 +189,9 @@
 	if o.WriteRate <= 0 {
 		o.WriteRate = DefaultWriteRate
 	}
+	if o.Routers == nil {
+		o.Routers = func() int { return 1 }
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -195,6 +204,19 @@
 	return o
 }
 
+// writeRate is this router's part of the fleet's writes per second.
+func (l *Ledger) writeRate() rate.Limit {
+	share := fleetWriteRate / float64(max(l.opts.Routers(), 1))
+	return rate.Limit(min(l.opts.WriteRate, share))
+}
+
+// shareWrites adapts the limiter to the number of routers.
+func (l *Ledger) shareWrites() {
+	r := l.writeRate()
+	l.limiter.SetLimit(r)
+	l.limiter.SetBurst(int(r) + 1)
+}
+
 // stopGrace bounds the time that Run takes to record the ends of claims after
 // its context is done.
 const stopGrace = 5 * time.Second
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -370,3 +370,15 @@
 	store.faults(always(none), always(none))
 	eventually(t, func() bool { return claimState(l, "k") == Granted })
 }
+
+func TestWriteRateIsShared(t *testing.T) {
+	for _, tc := range []struct {
+		routers int
+		want    float64
+	}{{0, DefaultWriteRate}, {1, DefaultWriteRate}, {8, 50}, {1200, 1.0 / 3}} {
+		l := New(Options{Store: newFakeStore(), Routers: func() int { return tc.routers }})
+		if got := float64(l.writeRate()); got != tc.want {
+			t.Errorf("%d routers: %v writes per second each", tc.routers, got)
+		}
+	}
+}
