harness: no address is handed out twice

Seen once: two routers of a fleet got 127.65.77.85:33285 and the second did not start. The kernel may offer a port again once its listener is closed.

--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -56,7 +56,7 @@
 	f := &Fleet{
 		Spec:     spec,
 		Binaries: binaries,
-		ports:    ports{ip: loopbackIP()},
+		ports:    ports{ip: loopbackIP(), taken: map[string]bool{}},
 		client:   &http.Client{Timeout: callTimeout},
 	}
 	if err := f.start(ctx); err != nil {
--- a/internal/harness/ports.go
+++ b/internal/harness/ports.go
@@ -24,19 +24,28 @@
 // ports hands out addresses with ports from the kernel.
 type ports struct {
 	ip string
+	// taken addresses were handed out before; the kernel may offer them again
+	// while nobody listens on them.
+	taken map[string]bool
 }
 
 // reserve returns n distinct addresses that are free.
 func (p ports) reserve(n int) ([]string, error) {
 	addresses := make([]string, n)
-	for i := range addresses {
+	for i := 0; i < n; {
 		listener, err := net.Listen("tcp", net.JoinHostPort(p.ip, "0"))
 		if err != nil {
 			return nil, errors.Wrap(err, "harness: reserve a port")
 		}
 		// All are held until the last is known, so that none comes twice.
 		defer func() { _ = listener.Close() }()
-		addresses[i] = listener.Addr().String()
+		address := listener.Addr().String()
+		if p.taken[address] {
+			continue
+		}
+		p.taken[address] = true
+		addresses[i] = address
+		i++
 	}
 	return addresses, nil
 }
