--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -21,6 +21,10 @@
 	maxConflictDelay = 128 * time.Millisecond
 )
 
+// maxBlind is how many reads may fail before a batch whose write is unsure is
+// given up. Its claims are refused, and settled in the background.
+const maxBlind = 2
+
 // attempt is the state of one batch on its way into the store.
 type attempt struct {
 	ops []*op
@@ -28,6 +32,8 @@
 	fresh bool
 	// unsure is set once a write of this batch may have been applied.
 	unsure bool
+	// blind counts the failed reads since.
+	blind int
 	// began is the wall clock of the first Apply.
 	began   time.Time
 	results []claim.Result
@@ -64,7 +70,8 @@
 	at.tries++
 	if b.cached == nil {
 		if err := l.load(ctx, b); err != nil {
-			if at.unsure && l.pause(ctx, at) {
+			at.blind++
+			if at.unsure && at.blind < maxBlind && l.pause(ctx, at) {
 				return false, nil
 			}
 			return false, err
