--- a/internal/bench/orders.go
+++ b/internal/bench/orders.go
@@ -89,7 +89,9 @@
 	Body []byte
 	// Service that runs it; OrdersService where empty.
 	Service string
-	Said    []Said
+	// Path at the service, with its query.
+	Path string
+	Said []Said
 	// Wrong is set where an answer was that of another order.
 	Wrong bool
 	// Codes of the refusals.
@@ -109,10 +111,10 @@
 }
 
 // Send sends an order once and notes what was said.
-func (o *Order) Send(ctx context.Context, c *harness.Caller, path string) (Said, time.Duration) {
+func (o *Order) Send(ctx context.Context, c *harness.Caller) (Said, time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, ordersTimeout)
 	defer cancel()
-	a := c.Call(ctx, http.MethodPost, cmp.Or(o.Service, OrdersService), path, o.Key, o.Body)
+	a := c.Call(ctx, http.MethodPost, cmp.Or(o.Service, OrdersService), cmp.Or(o.Path, "/"), o.Key, o.Body)
 	said := o.judge(a)
 	o.Said = append(o.Said, said)
 	var after time.Duration
@@ -204,10 +206,10 @@
 
 // place sends an order until it is done, repeating what may be repeated.
 func (r OrdersRun) place(ctx context.Context, o *Order, entries []*harness.Caller, rng *rand.Rand) {
-	path := fmt.Sprintf("/orders?run_ms=%d", rng.IntN(ordersMaxRun))
+	o.Path = fmt.Sprintf("/orders?run_ms=%d", rng.IntN(ordersMaxRun))
 	unsure := 0
 	for range ordersSends {
-		said, after := o.Send(ctx, entries[rng.IntN(len(entries))], path)
+		said, after := o.Send(ctx, entries[rng.IntN(len(entries))])
 		switch {
 		case o.Key == "":
 			return
