--- a/Makefile
+++ b/Makefile
@@ -58,5 +58,9 @@
 soak: build
 	@$(BIN)/umberhill-bench soak --seconds $(SECONDS) --seed $(SEED)
 
+# fuzz drives the schedulers through random faults with new seeds.
+fuzz:
+	$(GO) test -count=1 ./test/fairfuzz -run TestFuzz -timeout 0 -args -fairfuzz.seconds=$(SECONDS) -rapid.seed=$(SEED)
+
 clean:
 	rm -rf $(BIN)
--- a/internal/core/account/account.go
+++ b/internal/core/account/account.go
@@ -47,7 +47,11 @@
 	liftSent int
 
 	backlogged bool
+	since      time.Time // of the backlog, but for brief breaks
+	ended      time.Time
+	told       bool // backlogged in the last report
 	active     bool
+	sent       time.Time
 
 	home     ids.Instance
 	homeSet  int
@@ -73,6 +77,9 @@
 // Backlogged tells whether requests of the account wait here.
 func (a *Account) Backlogged() bool { return a.backlogged }
 
+// BackloggedSince returns since when requests of the account have waited here.
+func (a *Account) BackloggedSince() (since time.Time, on bool) { return a.since, a.backlogged }
+
 // Lift raises the virtual service to a level until the home has decided.
 func (a *Account) Lift(vs float64) {
 	if vs <= a.VS() {
--- a/internal/core/account/book.go
+++ b/internal/core/account/book.go
@@ -15,6 +15,12 @@
 	// resyncAfter is the silence of a home after which the account's level is
 	// sent again; less than the time after which homes forget.
 	resyncAfter = 20 * time.Second
+	// QuietFor is how long the use of an account that is not backlogged may
+	// stay unreported, unless it exceeds quietUnits by weight.
+	QuietFor   = 2 * time.Second
+	quietUnits = 128
+	// briefly is how long a backlog may break off and still count as one.
+	briefly = 100 * time.Millisecond
 	// liftReports is how many reports carry a lift before the home's word counts.
 	liftReports = 2
 )
@@ -69,6 +75,12 @@
 		return
 	}
 	a.backlogged = on
+	switch {
+	case !on:
+		a.ended = now
+	case now.Sub(a.ended) > briefly:
+		a.since = now
+	}
 	if !on {
 		a.lift = 0
 	}
@@ -95,6 +107,10 @@
 	keep := b.active[:0]
 	for _, a := range b.active {
 		h := b.homeOf(a)
+		if !a.due(now) {
+			keep = append(keep, a)
+			continue
+		}
 		r := out[h]
 		if r == nil {
 			r = &schedv1.Report{}
@@ -111,11 +127,21 @@
 	return out
 }
 
+// due tells whether the account must be in the next report: its ordering is
+// in use, its backlog has changed, or much was charged.
+func (a *Account) due(now time.Time) bool {
+	if a.backlogged || a.told || !a.isSynced {
+		return true
+	}
+	return a.own-float64(a.reported) >= quietUnits*a.Weight || now.Sub(a.sent) >= QuietFor
+}
+
 // report appends the account to a report.
 func (a *Account) report(now time.Time, r *schedv1.Report) {
 	if now.Sub(a.answered) > resyncAfter {
 		a.isSynced = false
 	}
+	a.sent, a.told = now, a.backlogged
 	state := schedv1.AccountState_IDLE
 	if a.backlogged {
 		state |= schedv1.AccountState_BACKLOGGED
--- a/internal/core/account/home.go
+++ b/internal/core/account/home.go
@@ -127,7 +127,9 @@
 	}
 	p.backlogged = state&schedv1.AccountState_BACKLOGGED != 0
 	p.heard = now
-	h.ask(from, k, p)
+	if state != schedv1.AccountState_IDLE {
+		h.ask(from, k, p)
+	}
 }
 
 // backloggedElsewhere tells whether another router has requests waiting; then
--- a/internal/core/permit/holder.go
+++ b/internal/core/permit/holder.go
@@ -43,6 +43,9 @@
 	Urgent int
 	// VS is the least virtual service that waits, or NoVS.
 	VS float64
+	// Base is the least virtual service that has waited for an interval or
+	// longer, or NoVS. It moves permits; VS only orders the asks.
+	Base float64
 	// Step is what one more request adds to it.
 	Step float64
 	// Solo is set while a request needs a target alone.
@@ -185,6 +188,9 @@
 		Used: uint32(used), Want: uint32(n.Want), Urgent: uint32(n.Urgent),
 		Vs: encodeVS(n.VS), Avoid: n.Avoid, Solo: n.Solo,
 	}
+	if n.VS != NoVS && n.Base != NoVS {
+		m.Lag = encodeVS(math.Max(0, n.Base-n.VS))
+	}
 	if n.Want > 0 {
 		m.Step = uint64(math.Round(n.Step))
 	}
--- a/internal/core/permit/owner.go
+++ b/internal/core/permit/owner.go
@@ -66,6 +66,7 @@
 	want   int
 	urgent int
 	vs     float64
+	base   float64
 	step   float64
 	avoid  uint64
 	solo   bool
@@ -191,7 +192,7 @@
 // adopt starts a session from what the holder says it has.
 func (o *Owner) adopt(from ids.Instance, incarnation uint32, m *schedv1.Hold) *holder {
 	n := len(o.group.Members)
-	h := &holder{name: from, incarnation: incarnation, session: m.GetSession(), vs: NoVS}
+	h := &holder{name: from, incarnation: incarnation, session: m.GetSession(), vs: NoVS, base: NoVS}
 	h.granted, h.returned, h.refused = make([]uint32, n), make([]uint32, n), make([]uint32, n)
 	copy(h.refused, m.GetRefused())
 	o.holders[from] = h
@@ -250,6 +251,10 @@
 	h.want = max(0, int(m.GetWant())-pending)
 	h.urgent = max(0, min(h.want, int(m.GetUrgent())-pending))
 	h.vs, h.step = decodeVS(m.GetVs()), float64(m.GetStep())
+	h.base = NoVS
+	if h.vs != NoVS && m.GetLag() > 0 {
+		h.base = h.vs + decodeVS(m.GetLag())
+	}
 	if h.vs != NoVS {
 		h.vs += float64(pending) * h.step
 	}
--- a/internal/core/permit/serve.go
+++ b/internal/core/permit/serve.go
@@ -210,14 +210,25 @@
 // recallAhead moves permits in proportion to how far a holder is ahead of the
 // floor, and none while that is shrinking by itself: the permits govern the
 // rate at which virtual service grows, so moving them by the difference alone
-// would swing for ever.
+// would swing for ever. Only work that has waited for an interval counts; what
+// waits for less is served by urgent asks or by what falls free at its router.
 func (o *Owner) recallAhead() {
-	floor := o.Floor()
-	room := o.want
-	for _, h := range o.sorted() {
+	holders := o.sorted()
+	floor, room := float64(NoVS), 0
+	for _, h := range holders {
+		if h.want > 0 && h.base != NoVS && (floor == NoVS || h.base < floor) {
+			floor = h.base
+		}
+	}
+	for _, h := range holders {
+		if h.want > 0 && h.base != NoVS && h.base <= floor+o.cfg.Tolerance {
+			room += h.want
+		}
+	}
+	for _, h := range holders {
 		n := 0
-		if floor != NoVS && h.vs != NoVS {
-			n = min(room, h.excess(h.vs-floor, o.cfg.Tolerance))
+		if h.base != NoVS && floor != NoVS {
+			n = min(room, h.excess(h.base-floor, o.cfg.Tolerance))
 		}
 		room -= n
 		o.change(h, func() { h.recall = n })
--- a/internal/core/place/health.go
+++ b/internal/core/place/health.go
@@ -9,7 +9,7 @@
 	// follows without a success between lasts twice as long.
 	firstEjection = time.Second
 	// maxEjection bounds an ejection.
-	maxEjection = 30 * time.Second
+	maxEjection = 4 * time.Second
 )
 
 // Health is a router's view of whether a target works. The zero value is a
@@ -33,6 +33,14 @@
 // Start notes that a request goes to the target.
 func (h *Health) Start() { h.probing = h.length > 0 }
 
+// Retry ends an ejection early: there is reason to think that the target can
+// be reached again.
+func (h *Health) Retry(now time.Time) {
+	if h.length > 0 {
+		h.until = now
+	}
+}
+
 // OK notes a success: the target is healthy.
 func (h *Health) OK() { *h = Health{} }
 
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -50,6 +50,7 @@
 	// parked lines have reached a limit of their contract and are passed over.
 	parked  bool
 	vs      float64
+	since   time.Time
 	entries *btree.BTreeG[*Entry]
 }
 
@@ -59,6 +60,9 @@
 // Parked tells whether the line is passed over.
 func (l *Line) Parked() bool { return l.parked }
 
+// Since returns since when the line has waited without being served here.
+func (l *Line) Since() time.Time { return l.since }
+
 // VS returns the virtual service by which the line is ordered.
 func (l *Line) VS() float64 { return l.vs }
 
@@ -73,16 +77,30 @@
 
 // Queue holds the lines of a pool.
 //
-// Invariant: ordered has exactly the lines that are neither empty nor parked.
+// Invariant: ordered and unserved have exactly the lines that are neither empty
+// nor parked.
 type Queue struct {
 	lines   map[account.Key]*Line
 	ordered *btree.BTreeG[*Line]
-	waiting int
+	// unserved has the line that has waited longest without being served first.
+	unserved *btree.BTreeG[*Line]
+	waiting  int
 }
 
 // New returns an empty queue.
 func New() *Queue {
-	return &Queue{lines: map[account.Key]*Line{}, ordered: btree.NewG(degree, lineLess)}
+	return &Queue{
+		lines:    map[account.Key]*Line{},
+		ordered:  btree.NewG(degree, lineLess),
+		unserved: btree.NewG(degree, sinceLess),
+	}
+}
+
+func sinceLess(a, b *Line) bool {
+	if !a.since.Equal(b.since) {
+		return a.since.Before(b.since)
+	}
+	return a.Account.Key < b.Account.Key
 }
 
 func lineLess(a, b *Line) bool {
@@ -117,17 +135,49 @@
 		q.lines[a.Key] = l
 	}
 	e.line = l
-	if l.Len() == 0 && !l.parked {
-		l.vs = a.VS()
-		l.entries.ReplaceOrInsert(e)
-		q.ordered.ReplaceOrInsert(l)
-	} else {
-		l.entries.ReplaceOrInsert(e)
+	empty := l.Len() == 0
+	l.entries.ReplaceOrInsert(e)
+	if empty {
+		l.since = e.Arrived
+		if !l.parked {
+			q.enter(l)
+		}
 	}
 	q.waiting++
 	return l
 }
 
+func (q *Queue) enter(l *Line) {
+	l.vs = l.Account.VS()
+	q.ordered.ReplaceOrInsert(l)
+	q.unserved.ReplaceOrInsert(l)
+}
+
+func (q *Queue) leave(l *Line) {
+	q.ordered.Delete(l)
+	q.unserved.Delete(l)
+}
+
+// Served notes that the line of an account is being served now.
+func (q *Queue) Served(now time.Time, k account.Key) {
+	l := q.lines[k]
+	if l == nil {
+		return
+	}
+	_, in := q.unserved.Delete(l)
+	l.since = now
+	if in {
+		q.unserved.ReplaceOrInsert(l)
+	}
+}
+
+// Longest returns the line that has waited longest without being served, nil
+// if none waits.
+func (q *Queue) Longest() *Line {
+	l, _ := q.unserved.Min()
+	return l
+}
+
 // Remove takes a waiting request out and returns its line.
 func (q *Queue) Remove(e *Entry) *Line {
 	l := e.line
@@ -136,7 +186,7 @@
 	}
 	q.waiting--
 	if l.Len() == 0 {
-		q.ordered.Delete(l)
+		q.leave(l)
 		if !l.parked {
 			delete(q.lines, l.Account.Key)
 		}
@@ -168,10 +218,9 @@
 	l.parked = on
 	switch {
 	case on:
-		q.ordered.Delete(l)
+		q.leave(l)
 	case l.Len() > 0:
-		l.vs = l.Account.VS()
-		q.ordered.ReplaceOrInsert(l)
+		q.enter(l)
 	default:
 		delete(q.lines, k)
 	}
--- a/internal/core/queue/queue_test.go
+++ b/internal/core/queue/queue_test.go
@@ -52,6 +52,22 @@
 	}
 }
 
+func TestLongestIsTheOneNotServed(t *testing.T) {
+	q := queue.New()
+	a, b := acct(1, 0), acct(2, 100)
+	for i := range uint64(2) {
+		q.Push(a, &queue.Entry{ID: 1 + i, Arrived: t0})
+		q.Push(b, &queue.Entry{ID: 3 + i, Arrived: t0.Add(time.Second)})
+	}
+	if q.Longest().Account != a {
+		t.Fatal("order of arrival")
+	}
+	q.Served(t0.Add(2*time.Second), 1)
+	if q.Longest().Account != b {
+		t.Error("a line that was served counts as waiting longest")
+	}
+}
+
 func TestParkedLinesArePassedOver(t *testing.T) {
 	q := queue.New()
 	a := acct(1, 0)
--- a/internal/core/sched/dispatch.go
+++ b/internal/core/sched/dispatch.go
@@ -45,6 +45,9 @@
 	if !s.anyFree(p) {
 		return false
 	}
+	if s.dispatchStarved(p) {
+		return true
+	}
 	var found *request
 	var at *member
 	lines := 0
@@ -68,6 +71,25 @@
 	return true
 }
 
+// dispatchStarved gives a turn to a line that has waited unserved for too long:
+// its workspace is ahead by what other routers serve of it. Turns are rare, and
+// charged like any other, so that shares over the fleet stay as they are.
+func (s *Scheduler) dispatchStarved(p *pool) bool {
+	patience := p.capacity.patience()
+	l := p.queue.Longest()
+	if s.cfg.Mode == ModeFIFO || s.now.Sub(l.Since()) < patience || s.now.Sub(p.starved) < patience {
+		return false
+	}
+	r := l.Oldest().Value.(*request)
+	m := s.choose(r, 0)
+	if m == nil {
+		return false
+	}
+	p.starved = s.now
+	s.start(r, m)
+	return true
+}
+
 func (s *Scheduler) anyFree(p *pool) bool {
 	if p.queue.Backlogged() == 0 {
 		return false
@@ -160,6 +182,7 @@
 // start dispatches a request and charges its estimate.
 func (s *Scheduler) start(r *request, m *member) {
 	s.remove(r)
+	r.pool.queue.Served(s.now, r.line.Key)
 	r.member, r.started = m, s.now
 	m.group.holder.Use(s.now, m.index)
 	m.health.Start()
--- a/internal/core/sched/exchange.go
+++ b/internal/core/sched/exchange.go
@@ -9,6 +9,7 @@
 	schedv1 "github.com/umberhill/umberhill/api/sched/v1"
 	"github.com/umberhill/umberhill/internal/core/account"
 	"github.com/umberhill/umberhill/internal/core/permit"
+	"github.com/umberhill/umberhill/internal/core/queue"
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
@@ -17,10 +18,10 @@
 	graceIntervals = 2
 	// lapseIntervals of silence free a holder's permits; half of them if the
 	// holder is no longer live.
-	lapseIntervals = 6
+	lapseIntervals = 4
 	// validIntervals of an owner's silence stop the use of its permits; less
 	// than lapseIntervals, so that a holder stops first.
-	validIntervals = 4
+	validIntervals = 3
 	// freshIntervals is how long a told floor counts.
 	freshIntervals = 3
 	// headroom in tolerances that a lift leaves below the floor, so that a
@@ -28,6 +29,10 @@
 	headroom = 2
 	// toleranceRequests is the least tolerance, in mean requests.
 	toleranceRequests = 2
+	// minStarved and starvedRequests, in mean request times, are the patience
+	// with which a line waits unserved at a router.
+	minStarved      = 2 * time.Second
+	starvedRequests = 8
 	// linger is how long an unused permit is kept while nobody waits for it.
 	linger = 2 * time.Second
 	// spillAfter is how long requests wait for permits of the nearest groups
@@ -150,7 +155,7 @@
 
 // need returns what the router would use of a group now.
 func (s *Scheduler) need(g *group) permit.Need {
-	n := permit.Need{VS: permit.NoVS, Solo: s.needsSolo(g) && g.near || s.soloFar(g)}
+	n := permit.Need{VS: permit.NoVS, Base: permit.NoVS, Solo: s.needsSolo(g) && g.near || s.soloFar(g)}
 	for i, m := range g.member {
 		if !s.open(m) {
 			n.Avoid |= 1 << i
@@ -172,10 +177,51 @@
 			n.VS = vs
 			n.Step = p.capacity.costs.Units() / l.Account.Weight
 		}
+		if s.starved(p) {
+			n.Want, n.Urgent, n.VS, n.Base, n.Step = 1, 1, 0, permit.NoVS, 0
+			break
+		}
+		if base := s.lasting(p); base != permit.NoVS && (n.Base == permit.NoVS || base < n.Base) {
+			n.Base = base
+		}
 	}
 	return n
 }
 
+// starved tells whether the first request has waited for long at a router
+// without permits. Its workspace may be served well elsewhere, so that virtual
+// service alone would never bring a permit here.
+func (s *Scheduler) starved(p *pool) bool {
+	for _, g := range p.groups {
+		if g.working(s.now) > 0 {
+			return false
+		}
+	}
+	return s.now.Sub(p.queue.Longest().Since()) >= p.capacity.patience()
+}
+
+// patience returns how long a line may wait unserved at a router, while its
+// workspace may be served at others, before it gets a turn whatever its virtual
+// service.
+func (c *capacity) patience() time.Duration {
+	requests := starvedRequests * time.Duration(c.costs.Seconds()*float64(time.Second))
+	return max(minStarved, requests)
+}
+
+// lasting returns the least virtual service that has waited for an interval or
+// longer, or NoVS.
+func (s *Scheduler) lasting(p *pool) float64 {
+	vs, n := float64(permit.NoVS), 0
+	p.queue.Ascend(func(l *queue.Line) bool {
+		n++
+		if since, on := l.Account.BackloggedSince(); on && s.now.Sub(since) >= s.cfg.ReportInterval {
+			vs = l.VS()
+		}
+		return vs == permit.NoVS && n < scanLines
+	})
+	return vs
+}
+
 // soloFar tells whether a request that needs a target alone may look for it in
 // a group of another failure domain: there is none in its own.
 func (s *Scheduler) soloFar(g *group) bool {
@@ -197,7 +243,7 @@
 	left = max(left, 1)
 	spill := s.now.Sub(p.hungry) >= spillAfter
 	for _, x := range p.groups {
-		room := x.room()
+		room := x.room(s.now)
 		if x == g {
 			return min(left, room)
 		}
@@ -209,10 +255,10 @@
 }
 
 // room returns how many more permits of the group there can be for this router.
-func (g *group) room() int {
+func (g *group) room(now time.Time) int {
 	n := 0
 	for i, m := range g.Members {
-		if !m.Leaving && !g.member[i].health.Ejected() {
+		if !m.Leaving && g.member[i].health.Usable(now) {
 			n += max(0, m.Concurrency-g.holder.Held(i))
 		}
 	}
@@ -220,10 +266,10 @@
 }
 
 // working returns the permits held for targets that take requests.
-func (g *group) working() int {
+func (g *group) working(now time.Time) int {
 	n := 0
 	for i, m := range g.Members {
-		if !m.Leaving && !g.member[i].health.Ejected() {
+		if !m.Leaving && g.member[i].health.Usable(now) {
 			n += g.holder.Held(i)
 		}
 	}
@@ -236,8 +282,8 @@
 func (s *Scheduler) urgent(p *pool, g *group) int {
 	held, first := 0, (*group)(nil)
 	for _, x := range p.groups {
-		held += x.working()
-		if first == nil && x.room() > 0 {
+		held += x.working(s.now)
+		if first == nil && x.room(s.now) > 0 {
 			first = x
 		}
 	}
--- a/internal/core/sched/topology.go
+++ b/internal/core/sched/topology.go
@@ -30,6 +30,8 @@
 	// hungry is since when requests have waited without a break.
 	hungry  time.Time
 	started pace
+	// starved is when a line last got a turn for having waited long.
+	starved time.Time
 }
 
 // capacity is a set of pools that share targets, and so accounts: service in
@@ -248,6 +250,7 @@
 }
 
 func (s *Scheduler) setRouters(rs []Router) {
+	before := s.routers
 	s.routers = map[ids.Instance]Router{}
 	s.names = nil
 	for _, r := range rs {
@@ -266,9 +269,27 @@
 	for _, w := range s.gateNames() {
 		s.gates[w].SetRouters(len(s.names))
 	}
+	s.retryDomains(before)
 	s.assignOwners()
 }
 
+// retryDomains tries ejected targets again whose failure domain has come back.
+func (s *Scheduler) retryDomains(before map[ids.Instance]Router) {
+	had := map[ids.Domain]bool{}
+	for _, r := range before {
+		had[r.Domain] = true
+	}
+	has := map[ids.Domain]bool{}
+	for _, r := range s.routers {
+		has[r.Domain] = true
+	}
+	for _, m := range s.members {
+		if has[m.domain] && !had[m.domain] {
+			m.health.Retry(s.now)
+		}
+	}
+}
+
 // assignOwners picks the owner of each group: a live router of its failure
 // domain, any if none is.
 func (s *Scheduler) assignOwners() {
@@ -309,7 +330,7 @@
 		s.session++
 		g.holder.SetOwner(s.now, owner, s.session)
 		held, _ := g.holder.Totals()
-		g.told, g.returned = permit.Need{VS: permit.NoVS}, g.used || held > 0
+		g.told, g.returned = permit.Need{VS: permit.NoVS, Base: permit.NoVS}, g.used || held > 0
 		s.markGroup(g)
 	}
 	switch {
--- /dev/null
+++ b/test/fairfuzz/world_test.go
@@ -0,0 +1,566 @@
+// Package fairfuzz_test joins a handful of schedulers by a list of messages
+// that delays, drops, repeats and reorders, and holds what they decide against
+// an oracle that knows the true service.
+package fairfuzz_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	schedv1 "github.com/umberhill/umberhill/api/sched/v1"
+	"github.com/umberhill/umberhill/internal/core/sched"
+	"github.com/umberhill/umberhill/internal/ids"
+)
+
+const (
+	pace        = 50.0 // units a second of one slot
+	progressGap = 100 * time.Millisecond
+	frame       = 18 // bytes of a message on a link besides its own
+	loadGap     = time.Second
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+type timed struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type agenda []timed
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	if !a[i].at.Equal(a[j].at) {
+		return a[i].at.Before(a[j].at)
+	}
+	return a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(timed)) }
+func (a *agenda) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return x
+}
+
+// node is a router.
+type node struct {
+	name   ids.Instance
+	domain ids.Domain
+	s      *sched.Scheduler
+	inc    ids.Incarnation
+	alive  bool
+	bytes  int
+	refuse map[string]int
+}
+
+// engine is a target: it runs up to its concurrency and keeps the rest in line.
+type engine struct {
+	sched.Target
+	running, line []*job
+	peak          int
+	busy          float64 // slot seconds
+	busyAt        time.Time
+}
+
+type job struct {
+	id        sched.RequestID
+	ws        ids.Workspace
+	node      *node
+	inc       ids.Incarnation
+	cost      float64
+	src       *source
+	submitted time.Time
+	at        *engine
+	began     time.Time
+	done      bool
+}
+
+// source keeps a number of a workspace's requests waiting at a router, or
+// submits at random intervals.
+type source struct {
+	ws     ids.Workspace
+	node   *node
+	pool   ids.Pool
+	depth  int
+	gap    float64 // mean seconds between arrivals, for open sources
+	cost   func() float64
+	hint   func(cost float64) float64
+	held   int
+	wait   []time.Duration
+	on     bool
+	served int
+}
+
+type world struct {
+	now     time.Time
+	seq     int
+	agenda  agenda
+	rng     *rand.Rand
+	nodes   []*node
+	engines map[ids.Target]*engine
+	order   []ids.Target
+	shares  []sched.Share
+	jobs    map[sched.RequestID]*job
+	nextID  sched.RequestID
+	sources []*source
+	cut     map[ids.Domain]bool
+	mode    sched.Mode
+	tune    func(*sched.Settings)
+	delay   time.Duration
+	loss    float64
+	repeat  float64
+	reorder float64
+
+	served   map[ids.Workspace]float64 // of finished jobs
+	inflight float64                   // units of the requests that run at engines
+	flightUp float64                   // the greatest so far
+}
+
+func newWorld(seed uint64, mode sched.Mode) *world {
+	return &world{
+		now: epoch, rng: rand.New(rand.NewPCG(seed, 7)), engines: map[ids.Target]*engine{},
+		jobs: map[sched.RequestID]*job{}, cut: map[ids.Domain]bool{}, mode: mode,
+		delay: 500 * time.Microsecond, served: map[ids.Workspace]float64{},
+	}
+}
+
+func (w *world) at(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.agenda, timed{at: w.now.Add(d), seq: w.seq, do: do})
+}
+
+// run lets time pass.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.agenda) > 0 && !w.agenda[0].at.After(end) {
+		t := heap.Pop(&w.agenda).(timed)
+		w.now = t.at
+		t.do()
+	}
+	w.now = end
+}
+
+func (w *world) addNodes(n int, domains ...ids.Domain) {
+	for i := range n {
+		w.nodes = append(w.nodes, &node{
+			name: ids.Instance(fmt.Sprintf("r%d", len(w.nodes)+1)), domain: domains[i%len(domains)],
+			refuse: map[string]int{},
+		})
+	}
+}
+
+func (w *world) addEngines(n, concurrency int, pool ids.Pool, domains ...ids.Domain) {
+	for i := range n {
+		id := ids.Target(fmt.Sprintf("%s-%d", pool, i+1))
+		w.engines[id] = &engine{busyAt: w.now, Target: sched.Target{
+			ID: id, Domain: domains[i%len(domains)], Pools: []ids.Pool{pool}, Concurrency: concurrency,
+		}}
+		w.order = append(w.order, id)
+	}
+}
+
+// start starts all routers.
+func (w *world) start() {
+	for _, n := range w.nodes {
+		w.boot(n)
+	}
+	w.members()
+}
+
+func (w *world) boot(n *node) {
+	n.inc++
+	n.alive = true
+	cfg := sched.Settings{
+		Self: n.name, Domain: n.domain, Incarnation: n.inc<<8 + ids.Incarnation(len(n.name)), Seed: 1, Mode: w.mode,
+	}
+	if w.tune != nil {
+		w.tune(&cfg)
+	}
+	n.s = sched.New(cfg)
+	w.step(n, sched.SetShares{Shares: w.shares})
+	w.step(n, sched.SetTargets{Targets: w.targets()})
+	inc := n.inc
+	w.at(time.Duration(w.rng.Int64N(int64(sched.TickInterval))), func() { w.tick(n, inc) })
+	w.at(time.Duration(w.rng.Int64N(int64(loadGap))), func() { w.load(n, inc) })
+}
+
+func (w *world) targets() []sched.Target {
+	var out []sched.Target
+	for _, id := range w.order {
+		out = append(out, w.engines[id].Target)
+	}
+	return out
+}
+
+func (w *world) tick(n *node, inc ids.Incarnation) {
+	if !n.alive || n.inc != inc {
+		return
+	}
+	w.step(n, sched.Tick{})
+	w.at(sched.TickInterval, func() { w.tick(n, inc) })
+}
+
+func (w *world) load(n *node, inc ids.Incarnation) {
+	if !n.alive || n.inc != inc {
+		return
+	}
+	for _, t := range n.s.Owned() {
+		if e := w.engines[t]; e != nil && w.reaches(n, e) {
+			w.step(n, sched.Load{Target: t, Running: len(e.running), Waiting: len(e.line)})
+		}
+	}
+	w.at(loadGap, func() { w.load(n, inc) })
+}
+
+// members tells each router the live ones that it can reach.
+func (w *world) members() {
+	for _, n := range w.nodes {
+		if !n.alive {
+			continue
+		}
+		var rs []sched.Router
+		for _, m := range w.nodes {
+			if m.alive && w.connected(n, m) {
+				rs = append(rs, sched.Router{Instance: m.name, Domain: m.domain})
+			}
+		}
+		w.step(n, sched.SetRouters{Routers: rs})
+	}
+}
+
+func (w *world) connected(a, b *node) bool {
+	return a.domain == b.domain || (!w.cut[a.domain] && !w.cut[b.domain])
+}
+
+func (w *world) reaches(n *node, e *engine) bool {
+	return n.domain == e.Domain || (!w.cut[n.domain] && !w.cut[e.Domain])
+}
+
+// kill ends a router without notice; its requests go on at the engines.
+func (w *world) kill(n *node) {
+	n.alive = false
+	for _, src := range w.sources {
+		if src.node == n {
+			src.held = 0
+		}
+	}
+	w.at(3*time.Second, w.members)
+}
+
+func (w *world) restart(n *node) {
+	w.boot(n)
+	w.members()
+	w.fill(n)
+}
+
+// setCut cuts a failure domain off, or joins it again; the routers notice
+// after the link timeout.
+func (w *world) setCut(d ids.Domain, on bool) {
+	w.cut[d] = on
+	lag := 100 * time.Millisecond
+	if on {
+		lag = 3 * time.Second
+	}
+	w.at(lag, w.members)
+}
+
+func (w *world) step(n *node, ev sched.Event) {
+	for _, a := range n.s.Step(w.now, ev) {
+		switch x := a.(type) {
+		case sched.Dispatch:
+			w.dispatch(n, x)
+		case sched.Refuse:
+			w.refused(n, x)
+		case sched.Send:
+			w.send(n, x)
+		}
+	}
+}
+
+func (w *world) send(n *node, x sched.Send) {
+	b, err := proto.Marshal(x.Msg)
+	if err != nil {
+		panic(err)
+	}
+	n.bytes += len(b) + frame
+	copies := 1
+	if w.rng.Float64() < w.loss {
+		copies = 0
+	} else if w.rng.Float64() < w.repeat {
+		copies = 2
+	}
+	for range copies {
+		d := w.delay
+		if w.rng.Float64() < w.reorder {
+			d += time.Duration(w.rng.Int64N(int64(time.Second)))
+		}
+		w.at(d, func() { w.deliver(n, x.To, b) })
+	}
+}
+
+func (w *world) deliver(from *node, to ids.Instance, b []byte) {
+	for _, n := range w.nodes {
+		if n.name != to || !n.alive || !w.connected(from, n) {
+			continue
+		}
+		m := &schedv1.Message{}
+		if err := proto.Unmarshal(b, m); err != nil {
+			panic(err)
+		}
+		w.step(n, sched.Receive{From: from.name, Msg: m})
+	}
+}
+
+func (w *world) refused(n *node, x sched.Refuse) {
+	n.refuse[string(x.Code)]++
+	if j := w.jobs[x.ID]; j != nil {
+		delete(w.jobs, x.ID)
+		j.src.held--
+	}
+}
+
+func (w *world) dispatch(n *node, x sched.Dispatch) {
+	j := w.jobs[x.ID]
+	e := w.engines[x.Target]
+	j.src.held--
+	j.src.wait = append(j.src.wait, w.now.Sub(j.submitted))
+	j.at = e
+	if !w.reaches(n, e) {
+		w.at(time.Second, func() { w.leave(j, true) })
+	} else {
+		e.line = append(e.line, j)
+		w.admit(e)
+	}
+	w.at(0, func() { w.fill(n) })
+}
+
+func (w *world) admit(e *engine) {
+	w.account(e)
+	for len(e.line) > 0 && len(e.running) < e.Concurrency {
+		j := e.line[0]
+		e.line = e.line[1:]
+		e.running = append(e.running, j)
+		j.began = w.now
+		if e.Pools[0] == model {
+			w.inflight += j.cost
+			w.flightUp = math.Max(w.flightUp, w.inflight)
+		}
+		w.at(time.Duration(j.cost/pace*float64(time.Second)), func() { w.end(e, j) })
+		w.at(progressGap, func() { w.progress(j) })
+	}
+	e.peak = max(e.peak, len(e.running)+len(e.line))
+}
+
+// account adds up the slot seconds in use.
+func (w *world) account(e *engine) {
+	e.busy += w.now.Sub(e.busyAt).Seconds() * float64(len(e.running))
+	e.busyAt = w.now
+}
+
+func (w *world) progress(j *job) {
+	if j.done {
+		return
+	}
+	if j.node.alive && j.node.inc == j.inc {
+		w.step(j.node, sched.Progress{ID: j.id, Units: w.now.Sub(j.began).Seconds() * pace})
+	}
+	w.at(progressGap, func() { w.progress(j) })
+}
+
+func (w *world) end(e *engine, j *job) {
+	w.account(e)
+	for i, x := range e.running {
+		if x == j {
+			e.running = append(e.running[:i:i], e.running[i+1:]...)
+		}
+	}
+	w.served[j.ws] += j.cost
+	if e.Pools[0] == model {
+		w.inflight -= j.cost
+	}
+	j.src.served++
+	w.leave(j, false)
+	w.admit(e)
+}
+
+func (w *world) leave(j *job, failed bool) {
+	j.done = true
+	delete(w.jobs, j.id)
+	if j.node.alive && j.node.inc == j.inc {
+		units := j.cost
+		if failed {
+			units = 0
+		}
+		w.step(j.node, sched.Finish{ID: j.id, Units: units, Failed: failed})
+	}
+}
+
+// fill tops up the closed sources of a router.
+func (w *world) fill(n *node) {
+	for _, src := range w.sources {
+		for src.node == n && src.on && src.gap == 0 && src.held < src.depth && n.alive {
+			w.submit(src)
+		}
+	}
+}
+
+func (w *world) submit(src *source) {
+	w.nextID++
+	j := &job{
+		id: w.nextID, ws: src.ws, node: src.node, inc: src.node.inc, cost: src.cost(), src: src, submitted: w.now,
+	}
+	w.jobs[j.id] = j
+	src.held++
+	r := sched.Request{ID: j.id, Workspace: src.ws, Pool: src.pool}
+	if src.hint != nil {
+		r.Hint = src.hint(j.cost)
+	}
+	w.step(src.node, sched.Submit{Request: r})
+}
+
+// add starts a source.
+func (w *world) add(src *source) *source {
+	src.on = true
+	w.sources = append(w.sources, src)
+	if src.gap > 0 {
+		w.arrive(src)
+	} else {
+		w.fill(src.node)
+	}
+	return src
+}
+
+func (w *world) arrive(src *source) {
+	w.at(time.Duration(w.rng.ExpFloat64()*src.gap*float64(time.Second)), func() {
+		if src.node.alive && src.on {
+			w.submit(src)
+		}
+		w.arrive(src)
+	})
+}
+
+// trueService returns the units that a workspace has really received.
+func (w *world) trueService(ws ids.Workspace) float64 {
+	sum := w.served[ws]
+	for _, id := range w.order {
+		for _, j := range w.engines[id].running {
+			if j.ws == ws {
+				sum += w.now.Sub(j.began).Seconds() * pace
+			}
+		}
+	}
+	return sum
+}
+
+func (w *world) slots(p ids.Pool) int {
+	n := 0
+	for _, e := range w.engines {
+		if e.Pools[0] == p {
+			n += e.Concurrency
+		}
+	}
+	return n
+}
+
+// busySeconds returns the slot seconds used so far.
+func (w *world) busySeconds(p ids.Pool) float64 {
+	sum := 0.0
+	for _, id := range w.order {
+		if e := w.engines[id]; e.Pools[0] == p {
+			w.account(e)
+			sum += e.busy
+		}
+	}
+	return sum
+}
+
+// bound returns the stated bound: twice the work in flight and that of one
+// reporting interval.
+func (w *world) bound() float64 {
+	return 2 * (w.flightUp + w.interval().Seconds()*float64(w.slots(model))*pace)
+}
+
+func (w *world) interval() time.Duration {
+	cfg := sched.Settings{ReportInterval: sched.DefaultReportInterval}
+	if w.tune != nil {
+		w.tune(&cfg)
+	}
+	return cfg.ReportInterval
+}
+
+// gapMeter follows the differences in normalized service of backlogged
+// workspaces; the gap is over any span of time since it was made.
+type gapMeter struct {
+	ws      []ids.Workspace
+	weights map[ids.Workspace]float64
+	lo, hi  map[[2]int]float64
+	stopped bool
+}
+
+func (w *world) meter(ws ...ids.Workspace) *gapMeter {
+	g := &gapMeter{ws: ws, weights: map[ids.Workspace]float64{}, lo: map[[2]int]float64{}, hi: map[[2]int]float64{}}
+	for _, x := range ws {
+		g.weights[x] = 1
+	}
+	for _, s := range w.shares {
+		if s.Weight > 0 {
+			g.weights[s.Workspace] = s.Weight
+		}
+	}
+	w.sample(g)
+	return g
+}
+
+func (w *world) sample(g *gapMeter) {
+	if g.stopped {
+		return
+	}
+	s := make([]float64, len(g.ws))
+	for i, ws := range g.ws {
+		s[i] = w.trueService(ws) / g.weights[ws]
+	}
+	for i := range s {
+		for j := range i {
+			k, d := [2]int{i, j}, s[i]-s[j]
+			if _, ok := g.lo[k]; !ok {
+				g.lo[k], g.hi[k] = d, d
+			}
+			g.lo[k], g.hi[k] = math.Min(g.lo[k], d), math.Max(g.hi[k], d)
+		}
+	}
+	w.at(50*time.Millisecond, func() { w.sample(g) })
+}
+
+func (g *gapMeter) gap() float64 {
+	worst := 0.0
+	for k := range g.lo {
+		worst = math.Max(worst, g.hi[k]-g.lo[k])
+	}
+	return worst
+}
+
+// around returns costs spread evenly from half to one and a half of a mean.
+func (w *world) around(mean float64) func() float64 {
+	return func() float64 { return mean * (0.5 + w.rng.Float64()) }
+}
+
+func p95(ds []time.Duration) time.Duration {
+	if len(ds) == 0 {
+		return 0
+	}
+	s := append([]time.Duration(nil), ds...)
+	for i := 1; i < len(s); i++ {
+		for j := i; j > 0 && s[j] < s[j-1]; j-- {
+			s[j], s[j-1] = s[j-1], s[j]
+		}
+	}
+	return s[len(s)*95/100]
+}
