--- a/internal/core/sched/exchange.go
+++ b/internal/core/sched/exchange.go
@@ -43,15 +43,16 @@
 const (
 	// edgeBytesPerSecond bounds the messages sent between two rounds, over all
 	// peers; what exceeds it waits and travels together.
-	edgeBytesPerSecond = 900
+	edgeBytesPerSecond = 700
 	// edgeBurst in bytes.
-	edgeBurst = 4096
+	edgeBurst = 2048
 	// frameBytes that a message needs on a link besides its own.
 	frameBytes = 18
 )
 
 // peer is what is known of another router, and what is to be sent to it.
 type peer struct {
+	name        ids.Instance
 	incarnation uint32
 	seen        uint32
 	sent        uint32
@@ -63,9 +64,8 @@
 func (s *Scheduler) peer(name ids.Instance) *peer {
 	p := s.peers[name]
 	if p == nil {
-		p = &peer{}
+		p = &peer{name: name}
 		s.peers[name] = p
-		s.peerNames = append(s.peerNames, name)
 	}
 	return p
 }
@@ -75,6 +75,7 @@
 	p := s.peer(to)
 	if p.out == nil {
 		p.out = &schedv1.Message{Incarnation: fold(s.cfg.Incarnation)}
+		s.pending = append(s.pending, p)
 	}
 	return p.out
 }
@@ -422,23 +423,29 @@
 // the budget lasts.
 func (s *Scheduler) send() {
 	s.budget.refill(s.now)
-	for _, name := range s.peerNames {
-		p := s.peers[name]
-		if p.out == nil || (!p.round && !s.budget.open()) {
-			continue
-		}
-		if !s.isLive(name) {
+	keep := s.pending[:0]
+	for _, p := range s.pending {
+		switch {
+		case !s.isLive(p.name):
 			p.out, p.round = nil, false
-			continue
+		case p.round || s.budget.open():
+			s.sendTo(p)
+		default:
+			keep = append(keep, p)
 		}
-		p.sent++
-		p.out.Sequence = p.sent
-		if !p.round {
-			s.budget.take(proto.Size(p.out) + frameBytes)
-		}
-		s.emit(Send{To: name, Msg: p.out})
-		p.out, p.round = nil, false
 	}
+	clear(s.pending[len(keep):])
+	s.pending = keep
+}
+
+func (s *Scheduler) sendTo(p *peer) {
+	p.sent++
+	p.out.Sequence = p.sent
+	if !p.round {
+		s.budget.take(proto.Size(p.out) + frameBytes)
+	}
+	s.emit(Send{To: p.name, Msg: p.out})
+	p.out, p.round = nil, false
 }
 
 // budget is a token bucket of bytes that may go below zero once.
--- a/internal/core/sched/limits.go
+++ b/internal/core/sched/limits.go
@@ -166,7 +166,11 @@
 		})
 		appendQuota(out, k, s.quota.Answer(s.now, from, k, l.Limits, len(s.names)))
 	}
-	s.peer(from).quota = out
+	p := s.peer(from)
+	if p.quota == nil {
+		s.quotas = append(s.quotas, p)
+	}
+	p.quota = out
 }
 
 func appendQuota(m *schedv1.Quota, key uint64, q limit.Quota) {
--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -19,11 +19,8 @@
 // tick does what time alone brings about.
 func (s *Scheduler) tick() {
 	s.expire()
-	for _, id := range s.groupIDs {
-		g := s.groups[id]
-		if g.used || g.owner != nil {
-			s.tickGroup(g)
-		}
+	for _, g := range s.ours {
+		s.tickGroup(g)
 	}
 	s.unparkAll()
 	for _, n := range s.poolNames {
@@ -62,12 +59,12 @@
 		s.roundPermits()
 	}
 	s.evict()
-	for _, name := range s.peerNames {
-		p := s.peers[name]
-		if p.quota != nil {
-			s.message(name).Quota, p.quota = p.quota, nil
-		}
-		p.round = p.out != nil
+	for _, p := range s.quotas {
+		s.message(p.name).Quota, p.quota = p.quota, nil
+	}
+	s.quotas = s.quotas[:0]
+	for _, p := range s.pending {
+		p.round = true
 	}
 }
 
@@ -122,8 +119,7 @@
 // roundPermits tells owners what is held, and lets this router's owners move
 // permits and tell their holders.
 func (s *Scheduler) roundPermits() {
-	for _, id := range s.groupIDs {
-		g := s.groups[id]
+	for _, g := range s.ours {
 		n := s.need(g)
 		held, used := g.holder.Totals()
 		if held > 0 || used > 0 || n.Want > 0 || g.told.Want > 0 || g.returned {
@@ -135,15 +131,7 @@
 		}
 		s.markGroup(g)
 	}
-	s.flushOwners(s.groupList())
-}
-
-func (s *Scheduler) groupList() []*group {
-	out := make([]*group, 0, len(s.groupIDs))
-	for _, id := range s.groupIDs {
-		out = append(out, s.groups[id])
-	}
-	return out
+	s.flushOwners(s.ours)
 }
 
 func (s *Scheduler) isLive(name ids.Instance) bool {
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -46,6 +46,7 @@
 	capacities map[string]*capacity
 	groups     map[uint32]*group
 	groupIDs   []uint32
+	ours       []*group // used or owned by this router
 	members    map[ids.Target]*member
 	session    uint32
 
@@ -54,7 +55,8 @@
 	fifo      *account.Account
 
 	peers     map[ids.Instance]*peer
-	peerNames []ids.Instance
+	pending   []*peer // with a message put together
+	quotas    []*peer // with a quota for the next round
 	budget    budget
 	nextRound time.Time
 	nextEvict time.Time
--- a/internal/core/sched/topology.go
+++ b/internal/core/sched/topology.go
@@ -306,6 +306,19 @@
 		}
 		s.setOwner(g, set.Pick(uint64(g.ID)))
 	}
+	s.chooseOurs()
+}
+
+// chooseOurs lists the groups that this router has to do with.
+func (s *Scheduler) chooseOurs() {
+	s.ours = s.ours[:0]
+	for _, id := range s.groupIDs {
+		g := s.groups[id]
+		held, used := g.holder.Totals()
+		if g.used || g.owner != nil || held > 0 || used > 0 {
+			s.ours = append(s.ours, g)
+		}
+	}
 }
 
 func (s *Scheduler) routersOf(d ids.Domain) *rendezvous.Set {
