--- a/internal/core/permit/holder.go
+++ b/internal/core/permit/holder.go
@@ -50,6 +50,8 @@
 	Step float64
 	// Solo is set while a request needs a target alone.
 	Solo bool
+	// SoloAvoid has a bit for each target that won't do for it.
+	SoloAvoid uint64
 	// Avoid has a bit for each target that can't be used.
 	Avoid uint64
 }
@@ -186,7 +188,7 @@
 	m := &schedv1.Hold{
 		Group: h.Group.ID, Session: h.session, Granted: clone(h.granted), Returned: clone(h.returned),
 		Used: uint32(used), Want: uint32(n.Want), Urgent: uint32(n.Urgent),
-		Vs: encodeVS(n.VS), Avoid: n.Avoid, Solo: n.Solo,
+		Vs: encodeVS(n.VS), Avoid: n.Avoid, Solo: n.Solo, SoloAvoid: n.SoloAvoid,
 	}
 	if n.VS != NoVS && n.Base != NoVS {
 		m.Lag = encodeVS(math.Max(0, n.Base-n.VS))
--- a/internal/core/permit/owner.go
+++ b/internal/core/permit/owner.go
@@ -70,6 +70,8 @@
 	step   float64
 	avoid  uint64
 	solo   bool
+	// soloAvoid has a bit for each target that won't do for a solo request.
+	soloAvoid uint64
 
 	heard      time.Time
 	recall     int
@@ -258,7 +260,7 @@
 	if h.vs != NoVS {
 		h.vs += float64(pending) * h.step
 	}
-	h.avoid = m.GetAvoid()
+	h.avoid, h.soloAvoid = m.GetAvoid(), m.GetSoloAvoid()
 	o.setSolo(h, m.GetSolo())
 	for i, r := range m.GetRefused() {
 		if i < len(h.refused) && r > h.refused[i] {
--- a/internal/core/permit/serve.go
+++ b/internal/core/permit/serve.go
@@ -300,7 +300,7 @@
 	best, least := -1, 0
 	for i := range o.handed {
 		others := o.handed[i] - h.outOf(i)
-		if o.Limit(i) == 0 || h.avoid&(1<<i) != 0 {
+		if o.Limit(i) == 0 || (h.avoid|h.soloAvoid)&(1<<i) != 0 {
 			continue
 		}
 		if best < 0 || others < least {
--- a/internal/core/sched/exchange.go
+++ b/internal/core/sched/exchange.go
@@ -28,7 +28,9 @@
 	// workspace that was idle is served at once.
 	headroom = 2
 	// toleranceRequests is the least tolerance, in mean requests.
-	toleranceRequests = 2
+	toleranceRequests = 1
+	// toleranceShare of a small pool's bound is the greatest tolerance.
+	toleranceShare = 0.125
 	// minStarved and starvedRequests, in mean request times, are the patience
 	// with which a line waits unserved at a router.
 	minStarved      = 2 * time.Second
@@ -94,7 +96,11 @@
 }
 
 func (s *Scheduler) capacityTolerance(c *capacity) float64 {
-	return math.Max(s.cfg.Tolerance, toleranceRequests*c.costs.Units())
+	t := s.cfg.Tolerance
+	if b := c.bound(s.cfg.ReportInterval.Seconds()); b > 0 {
+		t = math.Min(t, b*toleranceShare)
+	}
+	return math.Max(t, toleranceRequests*c.costs.Units())
 }
 
 // exchangeDirty returns permits, asks for more, and lets owners of this router
@@ -156,14 +162,13 @@
 
 // need returns what the router would use of a group now.
 func (s *Scheduler) need(g *group) permit.Need {
-	n := permit.Need{VS: permit.NoVS, Base: permit.NoVS, Solo: s.needsSolo(g) && g.near || s.soloFar(g)}
+	n := permit.Need{VS: permit.NoVS, Base: permit.NoVS, Solo: s.keepsSolo(g), SoloAvoid: s.soloAvoid(g)}
 	for i, m := range g.member {
 		if !s.open(m) {
 			n.Avoid |= 1 << i
 		}
 	}
 	if s.draining || !g.used {
-		n.Solo = false
 		return n
 	}
 	for _, p := range g.pools {
@@ -223,17 +228,52 @@
 	return vs
 }
 
-// soloFar tells whether a request that needs a target alone may look for it in
-// a group of another failure domain: there is none in its own.
-func (s *Scheduler) soloFar(g *group) bool {
+// keepsSolo tells whether a target of the group is needed for one request
+// alone: one runs so, or waits and this is the first group to look in.
+func (s *Scheduler) keepsSolo(g *group) bool {
+	for _, m := range g.member {
+		if m.solo != nil {
+			return true
+		}
+	}
 	for _, p := range g.pools {
-		if len(p.solo) > 0 && len(p.groups) > 0 && p.groups[0] == g {
+		if len(p.solo) > 0 && s.firstOpen(p, p.solo[0]) == g {
 			return true
 		}
 	}
 	return false
 }
 
+// firstOpen returns the nearest group of a pool with a target that can take a
+// request, nil if there is none.
+func (s *Scheduler) firstOpen(p *pool, r *request) *group {
+	for _, g := range p.groups {
+		for i, m := range g.member {
+			if !g.Members[i].Leaving && m.health.Usable(s.now) && !excluded(r, m.id) {
+				return g
+			}
+		}
+	}
+	return nil
+}
+
+// soloAvoid returns the targets that won't do for the first request that must
+// be alone.
+func (s *Scheduler) soloAvoid(g *group) uint64 {
+	mask := uint64(0)
+	for _, p := range g.pools {
+		if len(p.solo) == 0 {
+			continue
+		}
+		for i, m := range g.member {
+			if excluded(p.solo[0], m.id) {
+				mask |= 1 << i
+			}
+		}
+	}
+	return mask
+}
+
 // wantOf returns how many permits of a group are wanted for a pool: what the
 // nearer groups have no room for, or everything once it has waited too long.
 func (s *Scheduler) wantOf(p *pool, g *group) int {
--- a/internal/core/sched/requests.go
+++ b/internal/core/sched/requests.go
@@ -43,6 +43,10 @@
 		return
 	}
 	req := &request{Request: r, pool: p, arrived: s.now}
+	if len(r.Exclude) > 0 && !hasTarget(req) {
+		s.refuse(r.ID, outcome.CodeNoTarget, noTargetRetry)
+		return
+	}
 	req.payer, req.line = s.accounts(r.Workspace, p)
 	if s.refuseQueued(req) {
 		return
@@ -56,6 +60,18 @@
 	s.enqueue(req)
 }
 
+// hasTarget tells whether any target of the pool will do for a request.
+func hasTarget(r *request) bool {
+	for _, g := range r.pool.groups {
+		for i, m := range g.member {
+			if !g.Members[i].Leaving && !excluded(r, m.id) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // accounts returns the account that pays for a request and the one by which
 // it is ordered.
 func (s *Scheduler) accounts(w ids.Workspace, p *pool) (payer, line *account.Account) {
