--- a/internal/core/sched/exchange.go
+++ b/internal/core/sched/exchange.go
@@ -9,6 +9,7 @@
 	schedv1 "github.com/umberhill/umberhill/api/sched/v1"
 	"github.com/umberhill/umberhill/internal/core/account"
 	"github.com/umberhill/umberhill/internal/core/permit"
+	"github.com/umberhill/umberhill/internal/core/queue"
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
@@ -17,17 +18,23 @@
 	graceIntervals = 2
 	// lapseIntervals of silence free a holder's permits; half of them if the
 	// holder is no longer live.
-	lapseIntervals = 6
+	lapseIntervals = 4
 	// validIntervals of an owner's silence stop the use of its permits; less
 	// than lapseIntervals, so that a holder stops first.
-	validIntervals = 4
+	validIntervals = 3
 	// freshIntervals is how long a told floor counts.
 	freshIntervals = 3
 	// headroom in tolerances that a lift leaves below the floor, so that a
 	// workspace that was idle is served at once.
 	headroom = 2
 	// toleranceRequests is the least tolerance, in mean requests.
-	toleranceRequests = 2
+	toleranceRequests = 1
+	// toleranceShare of a small pool's bound is the greatest tolerance.
+	toleranceShare = 0.125
+	// minStarved and starvedRequests, in mean request times, are the patience
+	// with which a line waits unserved at a router.
+	minStarved      = 2 * time.Second
+	starvedRequests = 8
 	// linger is how long an unused permit is kept while nobody waits for it.
 	linger = 2 * time.Second
 	// spillAfter is how long requests wait for permits of the nearest groups
@@ -38,15 +45,16 @@
 const (
 	// edgeBytesPerSecond bounds the messages sent between two rounds, over all
 	// peers; what exceeds it waits and travels together.
-	edgeBytesPerSecond = 900
+	edgeBytesPerSecond = 700
 	// edgeBurst in bytes.
-	edgeBurst = 4096
+	edgeBurst = 2048
 	// frameBytes that a message needs on a link besides its own.
 	frameBytes = 18
 )
 
 // peer is what is known of another router, and what is to be sent to it.
 type peer struct {
+	name        ids.Instance
 	incarnation uint32
 	seen        uint32
 	sent        uint32
@@ -58,9 +66,8 @@
 func (s *Scheduler) peer(name ids.Instance) *peer {
 	p := s.peers[name]
 	if p == nil {
-		p = &peer{}
+		p = &peer{name: name}
 		s.peers[name] = p
-		s.peerNames = append(s.peerNames, name)
 	}
 	return p
 }
@@ -70,6 +77,7 @@
 	p := s.peer(to)
 	if p.out == nil {
 		p.out = &schedv1.Message{Incarnation: fold(s.cfg.Incarnation)}
+		s.pending = append(s.pending, p)
 	}
 	return p.out
 }
@@ -88,7 +96,11 @@
 }
 
 func (s *Scheduler) capacityTolerance(c *capacity) float64 {
-	return math.Max(s.cfg.Tolerance, toleranceRequests*c.costs.Units())
+	t := s.cfg.Tolerance
+	if b := c.bound(s.cfg.ReportInterval.Seconds()); b > 0 {
+		t = math.Min(t, b*toleranceShare)
+	}
+	return math.Max(t, toleranceRequests*c.costs.Units())
 }
 
 // exchangeDirty returns permits, asks for more, and lets owners of this router
@@ -150,14 +162,13 @@
 
 // need returns what the router would use of a group now.
 func (s *Scheduler) need(g *group) permit.Need {
-	n := permit.Need{VS: permit.NoVS, Solo: s.needsSolo(g) && g.near || s.soloFar(g)}
+	n := permit.Need{VS: permit.NoVS, Base: permit.NoVS, Solo: s.keepsSolo(g), SoloAvoid: s.soloAvoid(g)}
 	for i, m := range g.member {
 		if !s.open(m) {
 			n.Avoid |= 1 << i
 		}
 	}
 	if s.draining || !g.used {
-		n.Solo = false
 		return n
 	}
 	for _, p := range g.pools {
@@ -172,21 +183,97 @@
 			n.VS = vs
 			n.Step = p.capacity.costs.Units() / l.Account.Weight
 		}
+		if s.starved(p) {
+			n.Want, n.Urgent, n.VS, n.Base, n.Step = 1, 1, 0, permit.NoVS, 0
+			break
+		}
+		if base := s.lasting(p); base != permit.NoVS && (n.Base == permit.NoVS || base < n.Base) {
+			n.Base = base
+		}
 	}
 	return n
 }
 
-// soloFar tells whether a request that needs a target alone may look for it in
-// a group of another failure domain: there is none in its own.
-func (s *Scheduler) soloFar(g *group) bool {
+// starved tells whether the first request has waited for long at a router
+// without permits. Its workspace may be served well elsewhere, so that virtual
+// service alone would never bring a permit here.
+func (s *Scheduler) starved(p *pool) bool {
+	for _, g := range p.groups {
+		if g.working(s.now) > 0 {
+			return false
+		}
+	}
+	return s.now.Sub(p.queue.Longest().Since()) >= p.capacity.patience()
+}
+
+// patience returns how long a line may wait unserved at a router, while its
+// workspace may be served at others, before it gets a turn whatever its virtual
+// service.
+func (c *capacity) patience() time.Duration {
+	requests := starvedRequests * time.Duration(c.costs.Seconds()*float64(time.Second))
+	return max(minStarved, requests)
+}
+
+// lasting returns the least virtual service that has waited for an interval or
+// longer, or NoVS.
+func (s *Scheduler) lasting(p *pool) float64 {
+	vs, n := float64(permit.NoVS), 0
+	p.queue.Ascend(func(l *queue.Line) bool {
+		n++
+		if since, on := l.Account.BackloggedSince(); on && s.now.Sub(since) >= s.cfg.ReportInterval {
+			vs = l.VS()
+		}
+		return vs == permit.NoVS && n < scanLines
+	})
+	return vs
+}
+
+// keepsSolo tells whether a target of the group is needed for one request
+// alone: one runs so, or waits and this is the first group to look in.
+func (s *Scheduler) keepsSolo(g *group) bool {
+	for _, m := range g.member {
+		if m.solo != nil {
+			return true
+		}
+	}
 	for _, p := range g.pools {
-		if len(p.solo) > 0 && len(p.groups) > 0 && p.groups[0] == g {
+		if len(p.solo) > 0 && s.firstOpen(p, p.solo[0]) == g {
 			return true
 		}
 	}
 	return false
 }
 
+// firstOpen returns the nearest group of a pool with a target that can take a
+// request, nil if there is none.
+func (s *Scheduler) firstOpen(p *pool, r *request) *group {
+	for _, g := range p.groups {
+		for i, m := range g.member {
+			if !g.Members[i].Leaving && m.health.Usable(s.now) && !excluded(r, m.id) {
+				return g
+			}
+		}
+	}
+	return nil
+}
+
+// soloAvoid returns the targets that won't do for the first request that must
+// be alone.
+func (s *Scheduler) soloAvoid(g *group) uint64 {
+	mask := uint64(0)
+	for _, p := range g.pools {
+		if len(p.solo) == 0 {
+			continue
+		}
+		for i, m := range g.member {
+			if excluded(p.solo[0], m.id) {
+				mask |= 1 << i
+			}
+		}
+	}
+	return mask
+}
+
 // wantOf returns how many permits of a group are wanted for a pool: what the
 // nearer groups have no room for, or everything once it has waited too long.
 func (s *Scheduler) wantOf(p *pool, g *group) int {
@@ -197,7 +284,7 @@
 	left = max(left, 1)
 	spill := s.now.Sub(p.hungry) >= spillAfter
 	for _, x := range p.groups {
-		room := x.room()
+		room := x.room(s.now)
 		if x == g {
 			return min(left, room)
 		}
@@ -209,10 +296,10 @@
 }
 
 // room returns how many more permits of the group there can be for this router.
-func (g *group) room() int {
+func (g *group) room(now time.Time) int {
 	n := 0
 	for i, m := range g.Members {
-		if !m.Leaving && !g.member[i].health.Ejected() {
+		if !m.Leaving && g.member[i].health.Usable(now) {
 			n += max(0, m.Concurrency-g.holder.Held(i))
 		}
 	}
@@ -220,10 +307,10 @@
 }
 
 // working returns the permits held for targets that take requests.
-func (g *group) working() int {
+func (g *group) working(now time.Time) int {
 	n := 0
 	for i, m := range g.Members {
-		if !m.Leaving && !g.member[i].health.Ejected() {
+		if !m.Leaving && g.member[i].health.Usable(now) {
 			n += g.holder.Held(i)
 		}
 	}
@@ -236,8 +323,8 @@
 func (s *Scheduler) urgent(p *pool, g *group) int {
 	held, first := 0, (*group)(nil)
 	for _, x := range p.groups {
-		held += x.working()
-		if first == nil && x.room() > 0 {
+		held += x.working(s.now)
+		if first == nil && x.room(s.now) > 0 {
 			first = x
 		}
 	}
@@ -376,23 +463,29 @@
 // the budget lasts.
 func (s *Scheduler) send() {
 	s.budget.refill(s.now)
-	for _, name := range s.peerNames {
-		p := s.peers[name]
-		if p.out == nil || (!p.round && !s.budget.open()) {
-			continue
-		}
-		if !s.isLive(name) {
+	keep := s.pending[:0]
+	for _, p := range s.pending {
+		switch {
+		case !s.isLive(p.name):
 			p.out, p.round = nil, false
-			continue
+		case p.round || s.budget.open():
+			s.sendTo(p)
+		default:
+			keep = append(keep, p)
 		}
-		p.sent++
-		p.out.Sequence = p.sent
-		if !p.round {
-			s.budget.take(proto.Size(p.out) + frameBytes)
-		}
-		s.emit(Send{To: name, Msg: p.out})
-		p.out, p.round = nil, false
 	}
+	clear(s.pending[len(keep):])
+	s.pending = keep
+}
+
+func (s *Scheduler) sendTo(p *peer) {
+	p.sent++
+	p.out.Sequence = p.sent
+	if !p.round {
+		s.budget.take(proto.Size(p.out) + frameBytes)
+	}
+	s.emit(Send{To: p.name, Msg: p.out})
+	p.out, p.round = nil, false
 }
 
 // budget is a token bucket of bytes that may go below zero once.
