--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -133,7 +133,9 @@
 
 // Close ends all runs and returns once they have ended.
 func (e *Engine) Close() {
+	e.mu.Lock()
 	e.cancel()
+	e.mu.Unlock()
 	e.wg.Wait()
 }
 
@@ -205,7 +207,13 @@
 	return r
 }
 
+// start runs a request; none starts once Close waits for the end of all.
 func (e *Engine) start(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ctx.Err() != nil {
+		return
+	}
 	e.wg.Go(func() { e.execute(r) })
 }
 
