--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -130,7 +130,9 @@
 
 	It("refuses before running", func() {
 		e.SetFaults(engine.Faults{RefuseEvery: 1})
-		Expect(complete(ask("p", "r1")).Status).To(Equal(http.StatusTooManyRequests))
+		refused := complete(ask("p", "r1"))
+		Expect(refused.Status).To(Equal(http.StatusTooManyRequests))
+		Expect(refused.Header.Get("X-Request-Id")).To(Equal("r1"))
 		Expect(e.Stats().Started).To(BeZero())
 	})
 
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -53,6 +53,7 @@
 func (e *Engine) complete(chat bool) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		req := request{attempt: r.Header.Get(requestIDHeader), chat: chat}
+		w.Header().Set(requestIDHeader, req.attempt)
 		if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
 			standin.WriteError(w, http.StatusBadRequest, err.Error())
 			return
