--- /dev/null
+++ b/internal/bench/curve.go
@@ -0,0 +1,66 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/settings"
+)
+
+// curveWindow is the length of a point's window.
+const curveWindow = 10 * time.Second
+
+// The points of the curve of gap against control traffic.
+var (
+	curveIntervals  = []int{100, 250, 500, 1000}
+	curveTolerances = []float64{64, 256, 1024}
+)
+
+// measureCurve measures the skew's gap and control traffic over the interval
+// between reports and the tolerance within which a permit is reused.
+func measureCurve(ctx context.Context, p Params) ([]Row, error) {
+	var rows []Row
+	for _, interval := range curveIntervals {
+		for _, tolerance := range curveTolerances {
+			point, err := curvePoint(ctx, p, interval, tolerance)
+			if err != nil {
+				return nil, err
+			}
+			rows = append(rows, point...)
+		}
+	}
+	return rows, nil
+}
+
+func curvePoint(ctx context.Context, p Params, interval int, tolerance float64) ([]Row, error) {
+	spec := fairFleet(modeFleet, false)
+	spec.Settings = func(s *settings.Settings) {
+		s.Fairness.ReportMS = interval
+		s.Fairness.Tolerance = tolerance
+	}
+	f, err := startFairSpec(ctx, p, spec, contractsOf(skewWeights))
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	start, err := readCosts(ctx, f.fleet)
+	if err != nil {
+		return nil, err
+	}
+	seen, _, err := f.observe(ctx, curveWindow, f.skew()...)
+	if err != nil {
+		return nil, err
+	}
+	end, err := readCosts(ctx, f.fleet)
+	if err != nil {
+		return nil, err
+	}
+	name := func(figure string) string { return fmt.Sprintf("curve/%dms/%g/%s", interval, tolerance, figure) }
+	bound := f.bound(sameSize(fairSize, skewWeights), skewWeights)
+	return []Row{
+		f.row(name("gap"), seen.gap(skewWeights), "units", AtMost(bound)),
+		f.row(name("utilisation"), seen.utilisation(everyEngine), "ratio", AtLeast(utilisationBound)),
+		f.row(name("traffic"), end.traffic(start), "B/s", AtMost(controlBytesPerSecond)),
+	}, nil
+}
--- a/internal/bench/fairfleet.go
+++ b/internal/bench/fairfleet.go
@@ -75,7 +75,11 @@
 }
 
 func startFair(ctx context.Context, p Params, mode string, links bool, contracts []api.Contract) (*fairRun, error) {
-	fleet, err := harness.Start(ctx, p.Binaries, fairFleet(mode, links))
+	return startFairSpec(ctx, p, fairFleet(mode, links), contracts)
+}
+
+func startFairSpec(ctx context.Context, p Params, spec harness.Spec, contracts []api.Contract) (*fairRun, error) {
+	fleet, err := harness.Start(ctx, p.Binaries, spec)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -18,6 +18,7 @@
 	{Name: "fair/one-sided/", Run: measureOneSided},
 	{Name: "fair/cut/", Run: measureCut},
 	{Name: "fair/kill/", Run: measureKill},
+	{Name: "fair/curve/", Run: measureCurve, Named: true},
 }
 
 // RunMeasure runs the measurements that can give rows with a prefix and prints
@@ -28,6 +29,9 @@
 		return errors.Newf("measure: no figure %q", only)
 	}
 	for _, m := range chosen {
+		if m.Named && !strings.HasPrefix(only, m.Name) {
+			continue
+		}
 		rows, err := m.Run(ctx, p)
 		if err != nil {
 			return errors.Wrapf(err, "measure %s", m.Name)
--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -23,6 +23,8 @@
 type Scenario struct {
 	Name string
 	Run  func(ctx context.Context, p Params) ([]Row, error)
+	// Named scenarios run only where they are asked for by name.
+	Named bool
 }
 
 // scenarios are the soaks in the order in which they run.
