--- /dev/null
+++ b/internal/core/member/choose_test.go
@@ -0,0 +1,145 @@
+package member_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/umberhill/umberhill/internal/core/member"
+	"github.com/umberhill/umberhill/internal/ids"
+)
+
+const largeDomains = 13
+
+func fleet(n int) []member.Candidate {
+	out := make([]member.Candidate, n)
+	for i := range out {
+		out[i] = member.Candidate{
+			Instance: ids.Instance(fmt.Sprintf("r%04d", i)),
+			Domain:   ids.Domain(fmt.Sprintf("d%02d", i%largeDomains)),
+		}
+	}
+	return out
+}
+
+func TestSmallFleetIsFullMesh(t *testing.T) {
+	g := NewWithT(t)
+	all := fleet(8)
+	g.Expect(member.Choose(all[3], all, member.DefaultDegree)).To(HaveLen(7))
+}
+
+func TestLargeFleetIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	all, linked := largeFleet()
+	for i, c := range all {
+		chosen := member.Choose(c, all, member.DefaultDegree)
+		g.Expect(chosen).To(HaveLen(member.DefaultDegree.Within + member.DefaultDegree.Across))
+		g.Expect(chosen).NotTo(ContainElement(c))
+		g.Expect(len(linked[i])).To(BeNumerically("<=", 4*len(chosen)))
+	}
+}
+
+// Every router reaches every other in few hops, also where a failure domain
+// is gone.
+func TestReachAcrossLargeFleet(t *testing.T) {
+	g := NewWithT(t)
+	all, links := largeFleet()
+	g.Expect(hops(links, nil)).To(BeNumerically("<=", 4))
+	gone := func(i int) bool { return all[i].Domain == "d05" }
+	g.Expect(hops(links, gone)).To(BeNumerically("<=", 5))
+}
+
+func TestOneChangeMovesFewLinks(t *testing.T) {
+	g := NewWithT(t)
+	all := fleet(1200)
+	moved := 0
+	const every = 8
+	for i := 1; i < len(all); i += every {
+		c := all[i]
+		before := member.Choose(c, all, member.DefaultDegree)
+		after := member.Choose(c, all[1:], member.DefaultDegree)
+		for _, x := range after {
+			if !contains(before, x) {
+				moved++
+			}
+		}
+	}
+	g.Expect(moved).To(BeNumerically("<=", 4*(member.DefaultDegree.Within+member.DefaultDegree.Across)/every))
+}
+
+// largeFleet returns a fleet of 1,200 and its links in both directions.
+var largeFleet = sync.OnceValues(func() ([]member.Candidate, []map[int]bool) {
+	all := fleet(1200)
+	return all, undirected(all)
+})
+
+func contains(list []member.Candidate, c member.Candidate) bool {
+	for _, x := range list {
+		if x == c {
+			return true
+		}
+	}
+	return false
+}
+
+func undirected(all []member.Candidate) []map[int]bool {
+	index := make(map[ids.Instance]int, len(all))
+	links := make([]map[int]bool, len(all))
+	for i, c := range all {
+		index[c.Instance] = i
+		links[i] = make(map[int]bool)
+	}
+	for i, c := range all {
+		for _, x := range member.Choose(c, all, member.DefaultDegree) {
+			links[i][index[x.Instance]] = true
+			links[index[x.Instance]][i] = true
+		}
+	}
+	return links
+}
+
+// hops returns the longest shortest path from a sample of routers, or a number
+// larger than the fleet where some router is not reached.
+func hops(links []map[int]bool, gone func(int) bool) int {
+	worst := 0
+	for from := 0; from < len(links); from += 97 {
+		if gone != nil && gone(from) {
+			continue
+		}
+		worst = max(worst, eccentricity(links, from, gone))
+	}
+	return worst
+}
+
+func eccentricity(links []map[int]bool, from int, gone func(int) bool) int {
+	dist := map[int]int{from: 0}
+	queue := []int{from}
+	worst := 0
+	for len(queue) > 0 {
+		at := queue[0]
+		queue = queue[1:]
+		for next := range links[at] {
+			if _, seen := dist[next]; seen || gone != nil && gone(next) {
+				continue
+			}
+			dist[next] = dist[at] + 1
+			worst = max(worst, dist[next])
+			queue = append(queue, next)
+		}
+	}
+	for i := range links {
+		if _, seen := dist[i]; !seen && (gone == nil || !gone(i)) {
+			return len(links) + 1
+		}
+	}
+	return worst
+}
+
+func BenchmarkChoose1200(b *testing.B) {
+	all := fleet(1200)
+	for b.Loop() {
+		member.Choose(all[0], all, member.DefaultDegree)
+	}
+}
--- /dev/null
+++ b/internal/peer/call.go
@@ -0,0 +1,188 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+	"golang.org/x/time/rate"
+
+	peerv1 "github.com/umberhill/umberhill/api/peer/v1"
+	"github.com/umberhill/umberhill/internal/ids"
+)
+
+const (
+	// callTimeout bounds an outgoing call whose context has no deadline.
+	callTimeout = 5 * time.Second
+	// serveTimeout bounds an incoming call.
+	serveTimeout = 30 * time.Second
+	// maxServing bounds the incoming calls of one link that run at a time.
+	maxServing = 16
+	// busyRate and busyBurst bound the calls above maxServing, in calls a
+	// second; a peer that exceeds them loses its link.
+	busyRate  = 32
+	busyBurst = 64
+)
+
+// ErrNotLinked says that a peer has no link at present.
+var ErrNotLinked = errors.New("peer is not linked")
+
+// RemoteError is a call that the peer answered with an error.
+type RemoteError struct {
+	Peer   ids.Instance
+	Method string
+	// Message of the peer.
+	Message string
+}
+
+// Error implements error.
+func (e *RemoteError) Error() string {
+	return "call " + e.Method + " at " + string(e.Peer) + ": " + e.Message
+}
+
+// Call sends a request to a peer and returns its answer. It ends with ctx, and
+// after 5 s where ctx has no deadline.
+func (m *Mesh) Call(ctx context.Context, to ids.Instance, method string, body []byte) ([]byte, error) {
+	answer, err := m.call(ctx, to, method, body)
+	if err != nil {
+		m.metrics.callFailures.Inc(1)
+		return nil, errors.Wrapf(err, "call %s at %s", method, to)
+	}
+	return answer, nil
+}
+
+func (m *Mesh) call(ctx context.Context, to ids.Instance, method string, body []byte) ([]byte, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	l := m.linkTo(to)
+	if l == nil {
+		return nil, ErrNotLinked
+	}
+	stream, err := l.openCall(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "open stream")
+	}
+	defer discard(stream)
+	// The stream ends with the call's context.
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	response, err := m.exchange(stream, &peerv1.CallRequest{Method: method, Body: body})
+	if err != nil {
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, err
+	}
+	if response.GetError() != "" {
+		return nil, &RemoteError{Peer: to, Method: method, Message: response.GetError()}
+	}
+	return response.GetBody(), nil
+}
+
+func (l *link) openCall(ctx context.Context) (*yamux.Stream, error) {
+	select {
+	case <-l.opened:
+	case <-l.done:
+		return nil, ErrNotLinked
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	return l.session.OpenStream()
+}
+
+func (m *Mesh) exchange(stream *yamux.Stream, request *peerv1.CallRequest) (*peerv1.CallResponse, error) {
+	frame, err := appendFrame(nil, request)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode request")
+	}
+	if len(frame) > MaxCallRequest {
+		return nil, errTooLarge
+	}
+	if _, err := stream.Write(frame); err != nil {
+		return nil, errors.Wrap(err, "write request")
+	}
+	m.traffic.sent[kindCall].add(len(frame))
+	response := new(peerv1.CallResponse)
+	wire, err := newFrameReader(stream).readMessage(response, MaxCall)
+	if err != nil {
+		return nil, errors.Wrap(err, "read response")
+	}
+	m.traffic.received[kindCall].add(wire)
+	return response, nil
+}
+
+// serveCalls answers the calls of the other side.
+func (l *link) serveCalls(ctx context.Context, g *group, session *yamux.Session) error {
+	slots := make(chan struct{}, maxServing)
+	busy := rate.NewLimiter(busyRate, busyBurst)
+	for {
+		stream, err := session.AcceptStreamWithContext(ctx)
+		if err != nil {
+			return errors.Wrap(err, "accept calls")
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			l.mesh.metrics.refused(refusedBusy)
+			discard(stream)
+			if !busy.Allow() {
+				return errors.Wrap(errMalformed, "flood of calls")
+			}
+			continue
+		}
+		g.run(func() error {
+			defer func() { <-slots }()
+			return l.serveCall(ctx, stream)
+		})
+	}
+}
+
+// serveCall answers one call. Only malformed input ends the link.
+func (l *link) serveCall(ctx context.Context, stream *yamux.Stream) error {
+	defer discard(stream)
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	if err := stream.SetDeadline(deadline); err != nil {
+		return nil
+	}
+	request := new(peerv1.CallRequest)
+	wire, err := newFrameReader(stream).readMessage(request, MaxCallRequest)
+	if err != nil {
+		if hostile(err) {
+			return errors.Wrap(err, "read call")
+		}
+		return nil
+	}
+	l.mesh.traffic.received[kindCall].add(wire)
+	l.answer(ctx, stream, request)
+	return nil
+}
+
+func (l *link) answer(ctx context.Context, stream *yamux.Stream, request *peerv1.CallRequest) {
+	response := new(peerv1.CallResponse)
+	body, err := l.mesh.opts.Handler.Serve(ctx, *l.peer.Load(), request.GetMethod(), request.GetBody())
+	if err == nil && len(body) > MaxCall-maxHello {
+		err = errTooLarge
+	}
+	if err != nil {
+		response.Error = err.Error()
+	} else {
+		response.Body = body
+	}
+	frame, err := appendFrame(nil, response)
+	if err != nil {
+		return
+	}
+	if _, err := stream.Write(frame); err != nil {
+		return
+	}
+	l.mesh.traffic.sent[kindCall].add(len(frame))
+}
--- /dev/null
+++ b/internal/status/fleet.go
@@ -0,0 +1,190 @@
+package status
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Answer is what came of asking one router.
+type Answer struct {
+	Instance string
+	// Router is nil where it did not answer.
+	Router *Router
+	// Error says why it did not answer.
+	Error string
+}
+
+// Fleet is the status of all routers.
+type Fleet struct {
+	At time.Time `json:"at"`
+	// Routers that answered, by name.
+	Routers []Router `json:"routers"`
+	// Silent routers did not answer.
+	Silent []Silent `json:"silent,omitempty"`
+	// Revision is the newest in force anywhere; InForce tells whether all
+	// routers that answered hold it.
+	Revision uint64 `json:"revision"`
+	InForce  bool   `json:"in_force"`
+
+	Targets    []FleetTarget `json:"targets"`
+	Workspaces []Workspace   `json:"workspaces"`
+	Quarantine []Quarantined `json:"quarantine,omitempty"`
+	Conditions []Condition   `json:"conditions,omitempty"`
+}
+
+// Silent is a router that did not answer.
+type Silent struct {
+	Instance string `json:"instance"`
+	Error    string `json:"error"`
+}
+
+// FleetTarget is a back end summed over the routers.
+type FleetTarget struct {
+	Target      string `json:"target"`
+	Domain      string `json:"domain"`
+	Owner       string `json:"owner,omitempty"`
+	Concurrency int    `json:"concurrency"`
+	Permits     int    `json:"permits"`
+	InFlight    int    `json:"in_flight"`
+	Leaving     bool   `json:"leaving,omitempty"`
+	// EjectedBy are the routers that gave it up for a time.
+	EjectedBy []string `json:"ejected_by,omitempty"`
+}
+
+// Merge sums the answers of the routers.
+func Merge(answers []Answer, at time.Time) Fleet {
+	fleet := Fleet{At: at, InForce: true, Routers: []Router{}}
+	for _, a := range answers {
+		if a.Router == nil {
+			fleet.Silent = append(fleet.Silent, Silent{Instance: a.Instance, Error: a.Error})
+			continue
+		}
+		fleet.Routers = append(fleet.Routers, *a.Router)
+	}
+	slices.SortFunc(fleet.Routers, func(a, b Router) int { return cmp.Compare(a.Instance, b.Instance) })
+	slices.SortFunc(fleet.Silent, func(a, b Silent) int { return cmp.Compare(a.Instance, b.Instance) })
+	for _, r := range fleet.Routers {
+		fleet.Revision = max(fleet.Revision, r.Revision)
+	}
+	for _, r := range fleet.Routers {
+		fleet.InForce = fleet.InForce && r.Revision == fleet.Revision
+	}
+	fleet.Targets = mergeTargets(fleet.Routers)
+	fleet.Workspaces = mergeWorkspaces(fleet.Routers)
+	fleet.Quarantine = mergeQuarantine(fleet.Routers)
+	fleet.Conditions = mergeConditions(fleet.Routers)
+	return fleet
+}
+
+func mergeTargets(routers []Router) []FleetTarget {
+	byID := make(map[string]*FleetTarget)
+	for _, r := range routers {
+		for _, t := range r.Targets {
+			sum := byID[t.Target]
+			if sum == nil {
+				sum = &FleetTarget{Target: t.Target, Domain: t.Domain}
+				byID[t.Target] = sum
+			}
+			sum.Owner = cmp.Or(sum.Owner, t.Owner)
+			sum.Concurrency = max(sum.Concurrency, t.Concurrency)
+			sum.Permits += t.Permits
+			sum.InFlight += t.InFlight
+			sum.Leaving = sum.Leaving || t.Leaving
+			if t.Ejected {
+				sum.EjectedBy = append(sum.EjectedBy, r.Instance)
+			}
+		}
+	}
+	return sorted(byID, func(a, b FleetTarget) int { return cmp.Compare(a.Target, b.Target) })
+}
+
+type workspacePool struct{ workspace, pool string }
+
+func mergeWorkspaces(routers []Router) []Workspace {
+	byKey := make(map[workspacePool]*Workspace)
+	for _, r := range routers {
+		for _, w := range r.Workspaces {
+			key := workspacePool{w.Workspace, w.Pool}
+			sum := byKey[key]
+			if sum == nil {
+				sum = &Workspace{Workspace: w.Workspace, Pool: w.Pool, Weight: w.Weight}
+				byKey[key] = sum
+			}
+			sum.Waiting += w.Waiting
+			sum.Running += w.Running
+			sum.Units += w.Units
+			sum.OldestSeconds = max(sum.OldestSeconds, w.OldestSeconds)
+			sum.VirtualService = max(sum.VirtualService, w.VirtualService)
+		}
+	}
+	merged := sorted(byKey, func(a, b Workspace) int {
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	setGaps(merged)
+	return merged
+}
+
+// setGaps fills the distance to the least of the backlogged workspaces of the
+// same pool; those without waiting requests have none.
+func setGaps(workspaces []Workspace) {
+	least := make(map[string]float64)
+	for _, w := range workspaces {
+		if w.Waiting == 0 {
+			continue
+		}
+		if v, ok := least[w.Pool]; !ok || w.VirtualService < v {
+			least[w.Pool] = w.VirtualService
+		}
+	}
+	for i := range workspaces {
+		if workspaces[i].Waiting > 0 {
+			workspaces[i].Gap = workspaces[i].VirtualService - least[workspaces[i].Pool]
+		}
+	}
+}
+
+func mergeQuarantine(routers []Router) []Quarantined {
+	byKey := make(map[string]*Quarantined)
+	for _, r := range routers {
+		for _, q := range r.Quarantine {
+			sum := byKey[q.Fingerprint]
+			if sum == nil || q.Crashes > sum.Crashes {
+				byKey[q.Fingerprint] = &q
+			}
+		}
+	}
+	return sorted(byKey, func(a, b Quarantined) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+}
+
+type conditionKey struct {
+	kind    ConditionType
+	subject string
+}
+
+func mergeConditions(routers []Router) []Condition {
+	byKey := make(map[conditionKey]*Condition)
+	for _, r := range routers {
+		for _, c := range r.Conditions {
+			key := conditionKey{c.Type, c.Subject}
+			sum := byKey[key]
+			if sum == nil {
+				sum = &Condition{Type: c.Type, Subject: c.Subject, Message: c.Message}
+				byKey[key] = sum
+			}
+			sum.Routers = append(sum.Routers, r.Instance)
+		}
+	}
+	return sorted(byKey, func(a, b Condition) int {
+		return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Subject, b.Subject))
+	})
+}
+
+func sorted[K comparable, V any](by map[K]*V, order func(a, b V) int) []V {
+	list := make([]V, 0, len(by))
+	for _, v := range by {
+		list = append(list, *v)
+	}
+	slices.SortFunc(list, order)
+	return list
+}
