--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"bytes"
-	"errors"
 	"io"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/umberhill/umberhill/api/peer/v1"
--- a/internal/peer/hostile_test.go
+++ b/internal/peer/hostile_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
 	. "github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
@@ -87,8 +88,8 @@
 	return func() bool {
 		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
 		_, err := io.Copy(io.Discard, conn)
-		nerr, timeout := err.(net.Error)
-		return !timeout || !nerr.Timeout()
+		var timeout net.Error
+		return !errors.As(err, &timeout) || !timeout.Timeout()
 	}
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -117,7 +117,7 @@
 
 func sched(units uint64) *peerv1.Envelope {
 	return &peerv1.Envelope{Body: &peerv1.Envelope_Sched{Sched: &schedv1.Message{
-		Body: &schedv1.Message_Report{Report: &schedv1.Report{Keys: []uint64{1}, Units: []uint64{units}}},
+		Report: &schedv1.Report{Keys: []uint64{1}, Units: []uint64{units}},
 	}}}
 }
 
--- /dev/null
+++ b/internal/settings/fuzz_test.go
@@ -0,0 +1,40 @@
+package settings_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/umberhill/umberhill/internal/settings"
+	"github.com/umberhill/umberhill/internal/strictjson"
+)
+
+// FuzzParse reads arbitrary bytes as settings: either typed errors, or settings
+// that are accepted again as they are.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"fleet":"f","instance":"a","domain":"d","callers":{"address":"127.0.0.1:1"},` +
+		`"admin":{"address":"127.0.0.1:2","token":"t"},"peer":{"address":"127.0.0.1:3"},"platform":{"url":"http://127.0.0.1:4"}}`))
+	f.Add([]byte(`{"fleet":1,"peer":{"seeds":[{}]}}`))
+	f.Add([]byte(`[`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := settings.Parse(data)
+		if err != nil {
+			mustBeTyped(t, err)
+			return
+		}
+		again, err := json.Marshal(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := settings.Parse(again); err != nil {
+			t.Fatalf("accepted settings are refused as written: %v\n%s", err, again)
+		}
+	})
+}
+
+func mustBeTyped(t *testing.T, err error) {
+	t.Helper()
+	errs, ok := err.(strictjson.Errors)
+	if !ok || len(errs) == 0 {
+		t.Fatalf("untyped error %T %v", err, err)
+	}
+}
