--- a/internal/contract/fuzz_test.go
+++ b/internal/contract/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"strings"
 	"testing"
 
@@ -21,7 +22,8 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		c, err := contract.Parse(data)
 		if err != nil {
-			if errs, ok := err.(strictjson.Errors); !ok || len(errs) == 0 {
+			var errs strictjson.Errors
+			if !errors.As(err, &errs) || len(errs) == 0 {
 				t.Fatalf("untyped error %T %v", err, err)
 			}
 			return
--- a/internal/settings/fuzz_test.go
+++ b/internal/settings/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"testing"
 
 	"github.com/umberhill/umberhill/internal/settings"
@@ -33,8 +34,8 @@
 
 func mustBeTyped(t *testing.T, err error) {
 	t.Helper()
-	errs, ok := err.(strictjson.Errors)
-	if !ok || len(errs) == 0 {
+	var errs strictjson.Errors
+	if !errors.As(err, &errs) || len(errs) == 0 {
 		t.Fatalf("untyped error %T %v", err, err)
 	}
 }
