Daemon: the whole path runs as separate processes

Cause: the parts needed joining: chain, scheduler, links, configuration, ledger, quarantine, burn and the admin listener. Ruled out: a fixed readiness lead; it is a setting.

--- a/cmd/umberhilld/main.go
+++ b/cmd/umberhilld/main.go
@@ -1,4 +1,10 @@
-// Command umberhilld is a placeholder until its package lands.
+// Command umberhilld is a router of the fleet.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/umberhill/umberhill/internal/daemon/command"
+)
+
+func main() { os.Exit(command.Main(os.Args)) }
--- /dev/null
+++ b/internal/daemon/build.go
@@ -0,0 +1,242 @@
+package daemon
+
+import (
+	"crypto/tls"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/umberhill/umberhill/internal/api"
+	"github.com/umberhill/umberhill/internal/burn"
+	"github.com/umberhill/umberhill/internal/configsync"
+	"github.com/umberhill/umberhill/internal/core/sched"
+	"github.com/umberhill/umberhill/internal/directory"
+	"github.com/umberhill/umberhill/internal/dispatch"
+	"github.com/umberhill/umberhill/internal/filter/account"
+	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/ledger"
+	"github.com/umberhill/umberhill/internal/loadpoll"
+	"github.com/umberhill/umberhill/internal/outcome"
+	"github.com/umberhill/umberhill/internal/peer"
+	"github.com/umberhill/umberhill/internal/platform"
+	"github.com/umberhill/umberhill/internal/quarantine"
+	"github.com/umberhill/umberhill/internal/relay"
+	"github.com/umberhill/umberhill/internal/settings"
+	"github.com/umberhill/umberhill/internal/tlsfiles"
+)
+
+// build makes the controllers. The order is that of their needs.
+func (d *Daemon) build() error {
+	d.platform = platform.New(platform.Options{
+		URL:     d.settings.Platform.URL,
+		Token:   d.settings.Platform.Token,
+		Timeout: milliseconds(d.settings.Platform.TimeoutMS),
+		Scope:   d.scope,
+	})
+	if err := d.buildMesh(); err != nil {
+		return err
+	}
+	d.buildScheduler()
+	d.buildRequests()
+	d.buildConfig()
+	return nil
+}
+
+func (d *Daemon) buildMesh() error {
+	p := d.settings.Peer
+	var config *tls.Config
+	if p.TLS != nil {
+		var err error
+		if config, err = tlsfiles.Peer(*p.TLS); err != nil {
+			return errors.Wrap(err, "peer.tls")
+		}
+	}
+	d.mesh = peer.New(peer.Options{
+		Fleet:       d.settings.Fleet,
+		Self:        ids.Instance(d.settings.Instance),
+		Incarnation: d.incarnation,
+		Domain:      ids.Domain(d.settings.Domain),
+		Listen:      d.listeners.peer,
+		Advertise:   p.Advertise,
+		TLS:         config,
+		Heartbeat:   milliseconds(p.HeartbeatMS),
+		Timeout:     milliseconds(p.TimeoutMS),
+		Handler:     d,
+		Beat:        d.beat,
+		Logger:      d.logger,
+		Scope:       d.scope,
+	})
+	d.mesh.SetPeers(p.Seeds)
+	return nil
+}
+
+func (d *Daemon) buildScheduler() {
+	f := d.settings.Fairness
+	machine := sched.New(sched.Settings{
+		Self:           ids.Instance(d.settings.Instance),
+		Incarnation:    d.incarnation,
+		Domain:         ids.Domain(d.settings.Domain),
+		ReportInterval: milliseconds(f.ReportMS),
+		Tolerance:      f.Tolerance,
+		Seed:           uint64(d.incarnation),
+		Mode:           sched.Mode(f.Mode),
+	})
+	d.dispatcher = dispatch.New(machine, d.sendSched, d.scope)
+	d.poller = loadpoll.New(loadpoll.Options{
+		Interval:  milliseconds(d.settings.Targets.LoadMS),
+		Directory: d.directory,
+		Owned:     d.ownedTargets,
+		Report:    func(l sched.Load) { d.dispatcher.Offer(l) },
+		Scope:     d.scope,
+	})
+}
+
+func (d *Daemon) buildRequests() {
+	d.ledger = ledger.New(ledger.Options{
+		Store:       d.platform,
+		Instance:    ids.Instance(d.settings.Instance),
+		Incarnation: d.incarnation,
+		Buckets:     d.settings.Ledger.Buckets,
+		Window:      seconds(d.settings.Ledger.WindowSeconds),
+		MaxAnswer:   d.settings.Ledger.MaxAnswerBytes,
+		Live:        d.liveIncarnation,
+		Logger:      d.logger,
+		Scope:       d.scope,
+	})
+	d.quarantine = quarantine.New(quarantine.Options{
+		Self:        ids.Instance(d.settings.Instance),
+		Incarnation: d.incarnation,
+		Send:        d.broadcastQuarantine,
+		Alone:       d.alone,
+		Duration:    seconds(d.settings.Quarantine.Seconds),
+		Logger:      d.logger,
+		Scope:       d.scope,
+	})
+	d.relay = relay.New(relay.Options{
+		Dial:         milliseconds(d.settings.Targets.DialMS),
+		Stall:        milliseconds(d.settings.Targets.StallMS),
+		ServiceStall: milliseconds(d.settings.Targets.ServiceStallMS),
+		Scope:        d.scope,
+	})
+	d.burn = burn.New(burn.Options{
+		Instance:   ids.Instance(d.settings.Instance),
+		Objectives: d.objectives,
+	})
+	d.account = account.New(d.recent, d.reportEnd, d.scope)
+}
+
+func (d *Daemon) buildConfig() {
+	d.config = configsync.New(configsync.Options{
+		Self:     ids.Instance(d.settings.Instance),
+		Domain:   ids.Domain(d.settings.Domain),
+		Platform: d.platform,
+		Watchers: d.settings.Platform.Watchers,
+		Send:     d.sendConfig,
+		Live:     d.members,
+		Changed:  d.configChanged,
+		Logger:   d.logger,
+		Scope:    d.scope,
+	})
+}
+
+// members are the peers as the configuration's controller sees them.
+func (d *Daemon) members() []configsync.Member {
+	live := d.mesh.Live()
+	list := make([]configsync.Member, 0, len(live))
+	for _, p := range live {
+		list = append(list, configsync.Member{
+			Instance: p.Instance,
+			Domain:   p.Domain,
+			Draining: p.Draining,
+			Watcher:  p.Watcher,
+		})
+	}
+	return list
+}
+
+// configChanged puts a new configuration in force.
+func (d *Daemon) configChanged(snapshot *configsync.Snapshot) {
+	d.directory.Update(snapshot.Targets)
+	d.auth.Update(snapshot.Contracts)
+	d.dispatcher.Tell(sched.SetTargets{Targets: directory.Scheduled(snapshot.Targets)})
+	d.dispatcher.Tell(sched.SetShares{Shares: shares(snapshot)})
+	d.mesh.SetPeers(d.seeds(snapshot))
+}
+
+func shares(snapshot *configsync.Snapshot) []sched.Share {
+	list := make([]sched.Share, 0, len(snapshot.Contracts))
+	for ws, contract := range snapshot.Contracts {
+		list = append(list, sched.Share{Workspace: ws, Weight: contract.Weight, Limits: contract.Limits})
+	}
+	return list
+}
+
+// seeds are the peers of the settings and of the platform's list. Where both
+// name an instance, the settings count.
+func (d *Daemon) seeds(snapshot *configsync.Snapshot) []settings.Seed {
+	known := map[string]bool{d.settings.Instance: true}
+	list := make([]settings.Seed, 0, len(snapshot.Routers)+len(d.settings.Peer.Seeds))
+	for _, seed := range d.settings.Peer.Seeds {
+		known[seed.Instance] = true
+		list = append(list, seed)
+	}
+	for id, router := range snapshot.Routers {
+		if !known[string(id)] {
+			list = append(list, settings.Seed{Instance: string(id), Address: router.PeerAddress, Domain: router.Domain})
+		}
+	}
+	return list
+}
+
+func (d *Daemon) serverTLS(files *settings.TLS) (*tls.Config, error) {
+	if files == nil {
+		return nil, nil
+	}
+	return tlsfiles.Server(*files, false)
+}
+
+// reportEnd tells the burn recorder how a request ended.
+func (d *Daemon) reportEnd(end account.End) {
+	d.burn.Record(burn.Observation{
+		Workspace:  end.Workspace,
+		OK:         end.OK,
+		Fault:      faultOf(end),
+		QueueTime:  end.QueueTime,
+		FirstToken: end.FirstToken,
+		At:         end.At,
+	})
+}
+
+// objectives of a workspace in force; nil for none.
+func (d *Daemon) objectives(ws ids.Workspace) *api.Objectives {
+	contract := d.config.Snapshot().Contracts[ws]
+	if contract == nil {
+		return nil
+	}
+	return contract.Objectives
+}
+
+// faultOf sorts the codes into the classes of the burn report.
+func faultOf(end account.End) burn.Fault {
+	if end.OK {
+		return burn.FaultNone
+	}
+	switch end.Code {
+	case outcome.CodeTargetFailed, outcome.CodeTargetRefused, outcome.CodeNoTarget, outcome.CodeRetryBudget, outcome.CodeOutcomeUnknown:
+		return burn.FaultTarget
+	case outcome.CodeDeadline:
+		return burn.FaultDeadline
+	case outcome.CodeQueueFull, outcome.CodeTooManyRequests:
+		return burn.FaultQueue
+	case outcome.CodeRateLimited, outcome.CodeConcurrency, outcome.CodeAllowance:
+		return burn.FaultLimit
+	case outcome.CodeQuarantined:
+		return burn.FaultQuarantine
+	case outcome.CodeLedger:
+		return burn.FaultPlatform
+	case outcome.CodeCanceled, outcome.CodeBadRequest, outcome.CodeBodyTooLarge, outcome.CodeUnknownModel,
+		outcome.CodeUnknownService, outcome.CodeKeyReused, outcome.CodeInProgress:
+		return burn.FaultCaller
+	default:
+		return burn.FaultRouter
+	}
+}
--- /dev/null
+++ b/internal/daemon/command/command.go
@@ -0,0 +1,126 @@
+// Package command is the command line of umberhilld.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/umberhill/umberhill/internal/daemon"
+	"github.com/umberhill/umberhill/internal/obs"
+	"github.com/umberhill/umberhill/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitOK = iota
+	exitFailed
+	exitUsage
+	// exitCut is used where a second signal ends a planned stop.
+	exitCut
+)
+
+// errUsage marks a command line that can't be used.
+var errUsage = errors.New("usage")
+
+// Main runs the command line and returns the exit code.
+func Main(args []string) int {
+	err := newCommand().Run(context.Background(), args)
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, "umberhilld:", err)
+	if errors.Is(err, errUsage) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func newCommand() *cli.Command {
+	return &cli.Command{
+		Name:           "umberhilld",
+		Usage:          "router of an umberhill fleet",
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			{
+				Name:      "run",
+				Usage:     "run the router until SIGTERM; a second signal ends it at once",
+				ArgsUsage: "SETTINGS",
+				Action:    run,
+			},
+			{
+				Name:      "check",
+				Usage:     "check a settings file",
+				ArgsUsage: "SETTINGS",
+				Action:    check,
+			},
+			{
+				Name:   "version",
+				Usage:  "print version and build information",
+				Action: version,
+			},
+		},
+	}
+}
+
+func load(cmd *cli.Command) (*settings.Settings, error) {
+	if cmd.Args().Len() != 1 {
+		return nil, errors.Wrap(errUsage, "name one settings file")
+	}
+	return settings.Load(cmd.Args().First())
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	s, err := load(cmd)
+	if err != nil {
+		return err
+	}
+	logger, err := obs.Logger(s.Log)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(s, logger)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	go cutOnSecond(ctx)
+	return d.Run(ctx)
+}
+
+// cutOnSecond ends the process at the first signal after the one that ended
+// the context.
+func cutOnSecond(ctx context.Context) {
+	<-ctx.Done()
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGTERM, os.Interrupt)
+	<-again
+	os.Exit(exitCut)
+}
+
+func check(_ context.Context, cmd *cli.Command) error {
+	if _, err := load(cmd); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(output(cmd), "ok")
+	return err
+}
+
+func version(_ context.Context, cmd *cli.Command) error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("no build information")
+	}
+	_, err := fmt.Fprintf(output(cmd), "umberhilld %s %s\n", info.Main.Version, info.GoVersion)
+	return err
+}
+
+func output(cmd *cli.Command) io.Writer { return cmd.Root().Writer }
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,159 @@
+// Package daemon joins the parts of a router into one process: the listeners,
+// the filter chain, and the controllers, each run as a duty of its own.
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/umberhill/umberhill/internal/burn"
+	"github.com/umberhill/umberhill/internal/configsync"
+	"github.com/umberhill/umberhill/internal/directory"
+	"github.com/umberhill/umberhill/internal/dispatch"
+	"github.com/umberhill/umberhill/internal/explain"
+	"github.com/umberhill/umberhill/internal/filter/account"
+	"github.com/umberhill/umberhill/internal/filter/authenticate"
+	"github.com/umberhill/umberhill/internal/filter/hold"
+	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/ledger"
+	"github.com/umberhill/umberhill/internal/loadpoll"
+	"github.com/umberhill/umberhill/internal/obs"
+	"github.com/umberhill/umberhill/internal/peer"
+	"github.com/umberhill/umberhill/internal/platform"
+	"github.com/umberhill/umberhill/internal/quarantine"
+	"github.com/umberhill/umberhill/internal/relay"
+	"github.com/umberhill/umberhill/internal/settings"
+)
+
+// recentRequests is how many requests a router can explain.
+const recentRequests = 4096
+
+// Daemon is one router.
+type Daemon struct {
+	settings    *settings.Settings
+	incarnation ids.Incarnation
+	started     time.Time
+	logger      *logrus.Entry
+	scope       tally.Scope
+	metrics     http.Handler
+	metricsEnd  io.Closer
+
+	listeners listeners
+
+	platform   *platform.Client
+	config     *configsync.Controller
+	mesh       *peer.Mesh
+	dispatcher *dispatch.Dispatcher
+	ledger     *ledger.Ledger
+	quarantine *quarantine.Controller
+	burn       *burn.Recorder
+	poller     *loadpoll.Poller
+	relay      *relay.Client
+
+	directory *directory.Directory
+	recent    *explain.Recent
+	auth      *authenticate.Filter
+	hold      *hold.Filter
+	account   *account.Filter
+
+	control  meter
+	draining atomic.Bool
+	// background runs the listeners.
+	background conc.WaitGroup
+}
+
+// listeners are open from New to the end of Run.
+type listeners struct {
+	callers net.Listener
+	admin   net.Listener
+	peer    net.Listener
+}
+
+// New opens the listeners and builds a router. Run must follow.
+func New(s *settings.Settings, logger *logrus.Logger) (*Daemon, error) {
+	now := time.Now()
+	d := &Daemon{
+		settings:    s,
+		incarnation: ids.Incarnation(now.UnixNano()),
+		started:     now,
+		directory:   directory.New(),
+		recent:      explain.New(recentRequests),
+		auth:        authenticate.New(),
+		hold:        hold.New(s.Callers.MaxHeld),
+	}
+	d.control.at = now
+	d.logger = logger.WithFields(logrus.Fields{"instance": s.Instance, "domain": s.Domain})
+	d.scope, d.metrics, d.metricsEnd = obs.NewScope(nil)
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	if err := d.build(); err != nil {
+		d.listeners.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.listeners.callers, err = listen("callers.address", d.settings.Callers.Address); err != nil {
+		return err
+	}
+	if d.listeners.admin, err = listen("admin.address", d.settings.Admin.Address); err != nil {
+		d.listeners.close()
+		return err
+	}
+	if d.listeners.peer, err = listen("peer.address", d.settings.Peer.Address); err != nil {
+		d.listeners.close()
+		return err
+	}
+	return nil
+}
+
+func listen(field, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	return listener, errors.Wrapf(err, "%s: listen on %s", field, address)
+}
+
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.admin, l.peer} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// Run serves until the context ends, then stops gracefully: readiness goes off,
+// waiting requests are refused as not run, and running ones finish.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer d.metricsEnd.Close()
+	callers := d.callersServer()
+	admin := d.adminServer()
+	d.Changed(nil)
+	duties, endDuties := d.startDuties()
+	d.serve(callers, d.listeners.callers, d.settings.Callers.TLS)
+	d.serve(admin, d.listeners.admin, d.settings.Admin.TLS)
+	d.logger.WithField("callers", d.listeners.callers.Addr().String()).Info("router started")
+	<-ctx.Done()
+	d.stop(callers)
+	endDuties()
+	duties.Wait()
+	d.relay.Close()
+	closeServer(admin)
+	d.background.Wait()
+	d.logger.Info("router stopped")
+	return nil
+}
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func seconds(n int) time.Duration { return time.Duration(n) * time.Second }
--- /dev/null
+++ b/internal/daemon/status.go
@@ -0,0 +1,180 @@
+package daemon
+
+import (
+	"context"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/configsync"
+	"github.com/umberhill/umberhill/internal/core/sched"
+	"github.com/umberhill/umberhill/internal/dispatch"
+	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/status"
+)
+
+// localStatus is what this router says of itself.
+func (d *Daemon) localStatus(ctx context.Context) status.Router {
+	snapshot := d.config.Snapshot()
+	decided := d.dispatcher.Inspect(ctx)
+	quarantined := d.quarantine.View()
+	traffic := d.mesh.Traffic()
+	r := status.Router{
+		Instance:      d.settings.Instance,
+		Domain:        d.settings.Domain,
+		Incarnation:   uint64(d.incarnation),
+		Version:       version(),
+		At:            time.Now(),
+		UptimeSeconds: time.Since(d.started).Seconds(),
+		Ready:         d.ready(),
+		Draining:      d.draining.Load(),
+		Watcher:       d.config.Watching(),
+		Revision:      snapshot.Revision,
+		Links:         d.links(),
+		Targets:       targets(decided),
+		Workspaces:    workspaces(decided),
+		Platform:      status.Platform{Up: snapshot.PlatformUp},
+		Ledger:        status.Ledger{Available: snapshot.PlatformUp},
+		Control:       d.control.read(traffic),
+	}
+	for _, pool := range decided.View.Pools {
+		r.Waiting += pool.Waiting
+	}
+	for _, target := range decided.View.Targets {
+		r.Running += target.InFlight
+	}
+	r.Conditions = d.conditions(snapshot, decided.View)
+	if quarantined.Suspects+quarantined.Quarantined > 0 {
+		r.Conditions = append(r.Conditions, status.Condition{
+			Type:    conditionQuarantine,
+			Message: strconv.Itoa(quarantined.Quarantined) + " requests in quarantine, " + strconv.Itoa(quarantined.Suspects) + " suspected of crashing targets",
+		})
+	}
+	return r
+}
+
+// conditionQuarantine: requests are kept from targets.
+const conditionQuarantine status.ConditionType = "requests-quarantined"
+
+func (d *Daemon) links() []status.Link {
+	now := time.Now()
+	live := d.mesh.Live()
+	links := make([]status.Link, 0, len(live))
+	for _, p := range live {
+		links = append(links, status.Link{
+			Instance:     string(p.Instance),
+			Domain:       string(p.Domain),
+			Incarnation:  uint64(p.Incarnation),
+			Revision:     p.Revision,
+			Draining:     p.Draining,
+			Watcher:      p.Watcher,
+			SinceSeconds: now.Sub(p.Since).Seconds(),
+			HeardSeconds: now.Sub(p.LastHeard).Seconds(),
+		})
+	}
+	return links
+}
+
+func targets(decided dispatch.Snapshot) []status.Target {
+	list := make([]status.Target, 0, len(decided.View.Targets))
+	for _, t := range decided.View.Targets {
+		list = append(list, status.Target{
+			Target:      string(t.Target),
+			Domain:      string(t.Domain),
+			Owner:       string(t.Owner),
+			Concurrency: t.Concurrency,
+			Limit:       t.Limit,
+			Permits:     t.Held,
+			InFlight:    t.InFlight,
+			Leaving:     t.Leaving,
+			Ejected:     t.Ejected,
+		})
+	}
+	return list
+}
+
+func workspaces(decided dispatch.Snapshot) []status.Workspace {
+	var list []status.Workspace
+	for _, pool := range decided.View.Pools {
+		least := 0.0
+		for i, w := range pool.Backlogged {
+			if i == 0 {
+				least = w.VirtualService
+			}
+			list = append(list, status.Workspace{
+				Workspace:      string(w.Workspace),
+				Pool:           string(pool.Pool),
+				Weight:         w.Weight,
+				Waiting:        w.Queue,
+				OldestSeconds:  w.OldestWait.Seconds(),
+				Units:          w.Units,
+				VirtualService: w.VirtualService,
+				Gap:            w.VirtualService - least,
+			})
+		}
+	}
+	return list
+}
+
+// conditions gathers what is degraded and why.
+func (d *Daemon) conditions(snapshot *configsync.Snapshot, view sched.View) []status.Condition {
+	var list []status.Condition
+	add := func(kind status.ConditionType, subject, message string) {
+		list = append(list, status.Condition{Type: kind, Subject: subject, Message: message})
+	}
+	if !snapshot.PlatformUp {
+		add(status.ConditionPlatformDown, "", "the platform's object service does not answer; once-only work is refused")
+	}
+	for _, p := range snapshot.Problems {
+		add(status.ConditionObjectInvalid, string(p.Kind)+"/"+p.Name, p.Message)
+	}
+	for _, name := range d.missing(snapshot) {
+		add(status.ConditionPeersMissing, name, "no link to a router of the platform's list")
+	}
+	if d.draining.Load() {
+		add(status.ConditionDraining, "", "the router is stopping")
+	}
+	for _, c := range view.Conditions {
+		add(conditionOf(c.Type), c.About, c.Type)
+	}
+	return list
+}
+
+func conditionOf(name string) status.ConditionType {
+	switch name {
+	case sched.ConditionEjected:
+		return status.ConditionTargetEjected
+	case sched.ConditionNoTarget:
+		return status.ConditionNoTarget
+	default:
+		return status.ConditionType(name)
+	}
+}
+
+// missing lists the routers that the platform names and no link reaches.
+func (d *Daemon) missing(snapshot *configsync.Snapshot) []string {
+	reached := make(map[ids.Instance]bool)
+	for _, p := range d.mesh.Live() {
+		reached[p.Instance] = true
+	}
+	var names []string
+	for id := range snapshot.Routers {
+		if string(id) != d.settings.Instance && !reached[id] {
+			names = append(names, string(id))
+		}
+	}
+	return names
+}
+
+// ready tells whether the balancer may send requests here.
+func (d *Daemon) ready() bool {
+	return !d.draining.Load() && d.config.Snapshot().Known
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	return info.Main.Version
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -19,7 +19,6 @@
 )
 
 func TestDispatch(t *testing.T) {
-	defer goleak.VerifyNone(t)
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "dispatch")
 }
@@ -60,6 +59,8 @@
 	)
 
 	BeforeEach(func() {
+		ignore := goleak.IgnoreCurrent()
+		DeferCleanup(func() { Expect(goleak.Find(ignore)).To(Succeed()) })
 		m = &machine{events: make(chan sched.Event, 16)}
 		d = dispatch.New(m, func(ids.Instance, *schedv1.Message) {}, tally.NoopScope)
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/filter/quarantine/quarantine.go
+++ b/internal/filter/quarantine/quarantine.go
@@ -5,12 +5,16 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/umberhill/umberhill/internal/filter"
 	"github.com/umberhill/umberhill/internal/outcome"
 	"github.com/umberhill/umberhill/internal/quarantine"
 )
 
+// trialWait bounds the wait of a suspect for its trial.
+const trialWait = 5 * time.Second
+
 // Controller knows suspects and quarantined requests.
 type Controller interface {
 	// AdmitWait decides on a request; a suspect waits for its trial.
@@ -44,11 +48,18 @@
 }
 
 func (f *Filter) admit(x *filter.Exchange) quarantine.Verdict {
-	ctx, stop := context.WithDeadline(x.Context(), x.Deadline)
+	ctx, stop := context.WithDeadline(x.Context(), earlier(x.Deadline, time.Now().Add(trialWait)))
 	defer stop()
 	return f.controller.AdmitWait(ctx, x.Fingerprint)
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (f *Filter) refuse(verdict quarantine.Verdict) error {
 	e := &outcome.Error{
 		Code:       outcome.CodeQuarantined,
--- a/internal/proctest/proctest.go
+++ b/internal/proctest/proctest.go
@@ -12,8 +12,8 @@
 	"net/http"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2" //nolint:revive,staticcheck // the matchers' own language
-	. "github.com/onsi/gomega"    //nolint:revive,staticcheck // the matchers' own language
+	. "github.com/onsi/ginkgo/v2" //nolint:staticcheck // the matchers' own language
+	. "github.com/onsi/gomega"    //nolint:staticcheck // the matchers' own language
 
 	"github.com/umberhill/umberhill/internal/api"
 	"github.com/umberhill/umberhill/internal/harness"
--- a/test/config/config_test.go
+++ b/test/config/config_test.go
@@ -86,7 +86,9 @@
 		statuses := make([]int, operators)
 		var wg conc.WaitGroup
 		for n := range operators {
-			wg.Go(func() { statuses[n] = proctest.PutContract(ctx, f.Routers[n%2], proctest.VersionContract(workspace, 2+n), revision) })
+			wg.Go(func() {
+				statuses[n] = proctest.PutContract(ctx, f.Routers[n%2], proctest.VersionContract(workspace, 2+n), revision)
+			})
 		}
 		wg.Wait()
 		slices.Sort(statuses)
