--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"fmt"
+	"syscall"
 	"testing"
 	"time"
 
 	peerv1 "github.com/umberhill/umberhill/api/peer/v1"
+	"github.com/umberhill/umberhill/internal/settings"
 )
 
 func BenchmarkEncodeReport100(b *testing.B) {
@@ -55,3 +58,46 @@
 	}
 	b.ReportMetric(float64(a.Traffic().WireSent-before.WireSent)/float64(sent), "wire-B/op")
 }
+
+// BenchmarkHeartbeats runs a hub with idle links and reports the processor
+// time of both ends and the wire bytes for each heartbeat.
+func BenchmarkHeartbeats(b *testing.B) {
+	for _, peers := range []int{1, 7, 23} {
+		b.Run(fmt.Sprint(peers), func(b *testing.B) { benchmarkHeartbeats(b, peers) })
+	}
+}
+
+func benchmarkHeartbeats(b *testing.B, peers int) {
+	const interval = 20 * time.Millisecond
+	opts := func(o *Options) {
+		o.Heartbeat = interval
+		o.Timeout = 50 * interval
+		o.Beat = func() *peerv1.Heartbeat { return &peerv1.Heartbeat{Revision: 1 << 32} }
+	}
+	hub := start(b, "hub", opts)
+	var seeds []settings.Seed
+	for i := range peers {
+		seeds = append(seeds, start(b, fmt.Sprintf("r%02d", i), opts).seed)
+	}
+	hub.SetPeers(seeds)
+	for len(hub.Live()) < peers {
+		time.Sleep(time.Millisecond)
+	}
+	before, cpu := hub.Traffic(), processorTime(b)
+	for b.Loop() {
+		time.Sleep(interval)
+	}
+	after, spent := hub.Traffic(), processorTime(b)-cpu
+	beats := float64(after.Kinds["heartbeat"].MessagesSent - before.Kinds["heartbeat"].MessagesSent)
+	b.ReportMetric(float64(after.WireSent-before.WireSent)/beats, "wire-B/beat")
+	// As many beats come in as go out, and both ends run here.
+	b.ReportMetric(float64(spent.Microseconds())/beats/2, "cpu-us/beat")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
