--- a/internal/burn/burn.go
+++ b/internal/burn/burn.go
@@ -77,10 +77,11 @@
 	OK bool
 	// Fault of a request that is not OK, or that was late.
 	Fault Fault
-	// QueueTime is the wait before dispatch.
+	// QueueTime is the wait before dispatch; negative where the request was
+	// never dispatched.
 	QueueTime time.Duration
-	// FirstToken is the time to the first byte of the answer; zero where none
-	// came.
+	// FirstToken is the time to the first byte of the answer; zero or less
+	// where none came.
 	FirstToken time.Duration
 	// At is when the request ended.
 	At time.Time
@@ -119,8 +120,8 @@
 		v.fault[0] = orRouter(o.Fault)
 	}
 	if slo.QueueTime != nil {
-		v.counts[1] = true
-		v.missed[1] = o.QueueTime > bound(slo.QueueTime)
+		v.counts[1] = o.QueueTime >= 0 || o.gaveUpWaiting()
+		v.missed[1] = o.QueueTime > bound(slo.QueueTime) || o.gaveUpWaiting()
 		v.fault[1] = lateInQueue(o)
 	}
 	// A request without an answer has no first token; availability counts it.
@@ -132,6 +133,11 @@
 	return v
 }
 
+// gaveUpWaiting tells that the request waited and was never dispatched.
+func (o Observation) gaveUpWaiting() bool {
+	return o.QueueTime < 0 && (o.Fault == FaultQueue || o.Fault == FaultDeadline)
+}
+
 func bound(l *api.Latency) time.Duration { return time.Duration(l.Milliseconds) * time.Millisecond }
 
 func orRouter(f Fault) Fault {
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -106,6 +106,21 @@
 	return back
 }
 
+// A request that was never dispatched misses the queue's objective where it
+// gave up waiting, and says nothing of it where it was refused at once.
+func TestNeverDispatched(t *testing.T) {
+	g := NewWithT(t)
+	now := start
+	rec := recorder("a", &now)
+	rec.Record(burn.Observation{Workspace: "w", Fault: burn.FaultDeadline, QueueTime: -1, FirstToken: -1, At: now})
+	rec.Record(burn.Observation{Workspace: "w", Fault: burn.FaultPlatform, QueueTime: -1, FirstToken: -1, At: now})
+	w := burn.NewReport(rec.Snapshot(), contracts("w"), now).Workspaces[0]
+	g.Expect(w.Objectives[0].Windows[0].Missed).To(BeEquivalentTo(2))
+	g.Expect(w.Objectives[1].Windows[0].Total).To(BeEquivalentTo(1))
+	g.Expect(w.Objectives[1].Fault).To(Equal(burn.FaultQueue))
+	g.Expect(w.Objectives[2].Windows[0].Total).To(BeZero())
+}
+
 func TestWindowsForget(t *testing.T) {
 	g := NewWithT(t)
 	now := start
--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -104,7 +104,9 @@
 	rec.last = o.At
 	rec.fine.at(o.At.Unix()).add(v)
 	rec.coarse.at(o.At.Unix()).add(v)
-	rec.queue.record(o.At, o.QueueTime)
+	if o.QueueTime >= 0 {
+		rec.queue.record(o.At, o.QueueTime)
+	}
 	if o.FirstToken > 0 {
 		rec.first.record(o.At, o.FirstToken)
 	}
