--- /dev/null
+++ b/test/badinput/peers_test.go
@@ -0,0 +1,187 @@
+package badinput_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	configv1 "github.com/umberhill/umberhill/api/config/v1"
+	peerv1 "github.com/umberhill/umberhill/api/peer/v1"
+	quarantinev1 "github.com/umberhill/umberhill/api/quarantine/v1"
+	schedv1 "github.com/umberhill/umberhill/api/sched/v1"
+	"github.com/umberhill/umberhill/internal/harness"
+	"github.com/umberhill/umberhill/internal/peer"
+)
+
+const (
+	seed            = 1
+	hostileMessages = 2_000
+)
+
+func hello(instance string) *peerv1.Envelope {
+	return &peerv1.Envelope{Body: &peerv1.Envelope_Hello{Hello: &peerv1.Hello{
+		Version: peer.Version, Fleet: harness.FleetName, Instance: instance, Incarnation: 1, Domain: "a",
+	}}}
+}
+
+func encoded(msg proto.Message) []byte {
+	GinkgoHelper()
+	var out bytes.Buffer
+	_, err := protodelim.MarshalTo(&out, msg)
+	Expect(err).NotTo(HaveOccurred())
+	return out.Bytes()
+}
+
+// greeted opens a link as a router of the fleet and returns its control stream.
+func greeted(r *harness.Router, instance string) (*yamux.Session, net.Conn) {
+	GinkgoHelper()
+	conn := dial(r.Peer)
+	_, err := conn.Write(encoded(hello(instance)))
+	Expect(err).NotTo(HaveOccurred())
+	length := make([]byte, 2)
+	_, err = io.ReadFull(conn, length[:1])
+	Expect(err).NotTo(HaveOccurred())
+	size := uint64(length[0])
+	if length[0] >= 0x80 {
+		_, err = io.ReadFull(conn, length[1:])
+		Expect(err).NotTo(HaveOccurred())
+		size, _ = binary.Uvarint(length)
+	}
+	_, err = io.CopyN(io.Discard, conn, int64(size))
+	Expect(err).NotTo(HaveOccurred())
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = false
+	cfg.LogOutput = io.Discard
+	session, err := yamux.Client(conn, cfg)
+	Expect(err).NotTo(HaveOccurred())
+	control, err := session.OpenStream()
+	Expect(err).NotTo(HaveOccurred())
+	return session, control
+}
+
+var _ = DescribeTable("A connection that is no router of the fleet is refused and counted",
+	func(ctx context.Context, name string, input []byte) {
+		r := fleet.Routers[0]
+		before := metric(Default, r, name)
+		conn := dial(r.Peer)
+		defer conn.Close()
+		_, err := conn.Write(input)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func(g Gomega) {
+			g.Expect(metric(g, r, name)).To(BeNumerically(">", before))
+		}).WithTimeout(patience).WithPolling(poll).Should(Succeed())
+		Eventually(func() bool { return ended(conn) }).WithTimeout(patience).WithPolling(poll).Should(BeTrue())
+		serves(ctx, r)
+	},
+	Entry("HTTP", "umberhill_peer_malformed", []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"+string(make([]byte, 100)))),
+	Entry("endless length", "umberhill_peer_malformed", []byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}),
+	Entry("another fleet", "umberhill_peer_refused", []byte{9, 10, 7, 8, 1, 18, 1, 'x', 26, 0}),
+)
+
+// hostile returns messages that a broken or hostile router may send: whole
+// ones with senseless content.
+func hostile(rng *rand.Rand) *peerv1.Envelope {
+	number := func() uint64 {
+		return []uint64{0, 1, math.MaxUint32, math.MaxUint64, rng.Uint64()}[rng.IntN(5)]
+	}
+	small := func() uint32 { return uint32(number()) }
+	numbers := func() []uint64 {
+		out := make([]uint64, rng.IntN(5))
+		for i := range out {
+			out[i] = number()
+		}
+		return out
+	}
+	smalls := func() []uint32 {
+		out := make([]uint32, rng.IntN(5))
+		for i := range out {
+			out[i] = small()
+		}
+		return out
+	}
+	switch rng.IntN(4) {
+	case 0:
+		return &peerv1.Envelope{Body: &peerv1.Envelope_Sched{Sched: &schedv1.Message{
+			Incarnation: small(), Sequence: small(),
+			Report: &schedv1.Report{Keys: numbers(), Units: numbers(), States: smalls(), Levels: numbers()},
+			Totals: &schedv1.Totals{Keys: numbers(), Others: numbers(), To: small()},
+			Holds: []*schedv1.Hold{{
+				Group: small(), Session: small(), Granted: smalls(), Returned: smalls(), Used: small(),
+				Want: small(), Urgent: small(), Vs: number(), Step: number(), Avoid: number(), Solo: true, Refused: smalls(),
+			}, {}},
+			Leases: []*schedv1.Lease{{Group: small()}, {}},
+			Usage:  &schedv1.Usage{}, Quota: &schedv1.Quota{},
+		}}}
+	case 1:
+		return &peerv1.Envelope{Body: &peerv1.Envelope_Config{Config: &configv1.Message{Body: &configv1.Message_Pull{
+			Pull: &configv1.Pull{Since: number()},
+		}}}}
+	case 2:
+		return &peerv1.Envelope{Body: &peerv1.Envelope_Config{Config: &configv1.Message{Body: &configv1.Message_Push{
+			Push: &configv1.Push{Revision: 1, Since: number(), Objects: []*configv1.Object{
+				{Kind: "contracts", Name: "ws", Version: 1, Value: []byte("{")},
+				{Kind: "nonsense", Name: "", Version: number(), Value: []byte("null"), Deleted: true},
+				{},
+			}},
+		}}}}
+	default:
+		return &peerv1.Envelope{Body: &peerv1.Envelope_Quarantine{Quarantine: &quarantinev1.Message{}}}
+	}
+}
+
+var _ = It("outlives senseless messages of a linked peer and goes on", func(ctx context.Context) {
+	r := fleet.Routers[0]
+	before := metric(Default, r, "umberhill_peer_messages", `direction="received"`)
+	session, control := greeted(r, "evil")
+	defer session.Close()
+	go func() { _, _ = io.Copy(io.Discard, control) }()
+	rng := rand.New(rand.NewPCG(seed, seed))
+	for range hostileMessages {
+		_ = control.SetWriteDeadline(time.Now().Add(patience))
+		_, err := control.Write(encoded(hostile(rng)))
+		Expect(err).NotTo(HaveOccurred())
+	}
+	// All were read: none of them ends the link.
+	Eventually(func(g Gomega) {
+		g.Expect(metric(g, r, "umberhill_peer_messages", `direction="received"`)).To(BeNumerically(">=", before+hostileMessages))
+	}).WithTimeout(patience).WithPolling(poll).Should(Succeed())
+	Expect(session.Close()).To(Succeed())
+	Expect(r.Running()).To(BeTrue(), r.Log())
+	for _, router := range fleet.Routers {
+		serves(ctx, router)
+	}
+	// A new configuration still gets in force everywhere.
+	Expect(fleet.Apply(ctx, harness.Contract("later", 2))).To(Succeed())
+})
+
+var _ = It("bounds connections that never greet", func(ctx context.Context) {
+	r := fleet.Routers[0]
+	const silent = 300
+	before := metric(Default, r, "go_goroutines")
+	conns := make([]net.Conn, silent)
+	for i := range conns {
+		conns[i] = dial(r.Peer)
+		DeferCleanup(conns[i].Close)
+	}
+	Eventually(func(g Gomega) {
+		g.Expect(metric(g, r, "umberhill_peer_refused", `reason="busy"`)).To(BeNumerically(">", 0))
+	}).WithTimeout(patience).WithPolling(poll).Should(Succeed())
+	serves(ctx, r)
+	for _, conn := range conns {
+		Eventually(func() bool { return ended(conn) }).WithTimeout(patience).WithPolling(poll).Should(BeTrue())
+	}
+	Eventually(func(g Gomega) {
+		g.Expect(metric(g, r, "go_goroutines")).To(BeNumerically("<", before+silent/4))
+	}).WithTimeout(patience).WithPolling(poll).Should(Succeed())
+})
