--- a/internal/core/permit/owner.go
+++ b/internal/core/permit/owner.go
@@ -130,8 +130,13 @@
 	o.serve(now)
 }
 
-// Load takes in a target's report about itself.
+// Load takes in a target's report about itself. While more permits are out than
+// the limit allows, as may be after a fault, its line says nothing about the
+// limit.
 func (o *Owner) Load(now time.Time, i, waiting int) {
+	if o.handed[i] > o.Limit(i) {
+		waiting = 0
+	}
 	o.limits[i].Load(now, waiting)
 	o.serve(now)
 }
--- a/internal/core/permit/serve.go
+++ b/internal/core/permit/serve.go
@@ -184,24 +184,20 @@
 	return out
 }
 
-// setDrops asks the holder with the most permits of a member for them while
-// more are out than the limit allows; all of them if the member is leaving or
-// another router needs it alone.
+// setDrops asks the holders with the most permits of a member for them, as many
+// holders as it takes while more are out than the limit allows; all of them if
+// the member is leaving or another router needs it alone.
 func (o *Owner) setDrops(i int) {
-	over := o.handed[i] > o.Limit(i)
-	all := over && o.group.Members[i].Leaving || i == o.soloAt
-	var most *holder
-	for _, h := range o.sorted() {
+	over := o.handed[i] - o.Limit(i)
+	all := over > 0 && o.group.Members[i].Leaving || i == o.soloAt
+	holders := o.sorted()
+	sort.SliceStable(holders, func(a, b int) bool { return holders[a].outOf(i) > holders[b].outOf(i) })
+	for _, h := range holders {
 		h.drop &^= 1 << i
-		if all && h.name != o.solo {
+		if over > 0 || (all && h.name != o.solo) {
 			h.drop |= 1 << i
+			over -= h.outOf(i)
 		}
-		if most == nil || h.outOf(i) > most.outOf(i) {
-			most = h
-		}
-	}
-	if over && most != nil {
-		most.drop |= 1 << i
 	}
 }
 
--- a/internal/core/sched/exchange.go
+++ b/internal/core/sched/exchange.go
@@ -15,7 +15,7 @@
 
 const (
 	// graceIntervals is how many report intervals a new owner only listens.
-	graceIntervals = 2
+	graceIntervals = 1
 	// lapseIntervals of silence free a holder's permits; half of them if the
 	// holder is no longer live.
 	lapseIntervals = 4
@@ -35,6 +35,8 @@
 	// with which a line waits unserved at a router.
 	minStarved      = 2 * time.Second
 	starvedRequests = 8
+	// maxEarly bounds the holders' states kept for a group not yet owned.
+	maxEarly = 64
 	// linger is how long an unused permit is kept while nobody waits for it.
 	linger = 2 * time.Second
 	// spillAfter is how long requests wait for permits of the nearest groups
@@ -434,10 +436,8 @@
 		s.answer(from, m.GetIncarnation(), t)
 	}
 	for _, h := range m.GetHolds() {
-		if g := s.groups[h.GetGroup()]; g != nil && g.owner != nil {
-			g.owner.SetTolerance(s.tolerance(g))
-			g.owner.Hold(s.now, from, m.GetIncarnation(), h, old)
-			s.markGroup(g)
+		if g := s.groups[h.GetGroup()]; g != nil {
+			s.takeHold(g, early{from: from, incarnation: m.GetIncarnation(), hold: h, old: old})
 		}
 	}
 	for _, l := range m.GetLeases() {
@@ -450,6 +450,51 @@
 	}
 }
 
+// early is a holder's state, and when it came where it came too early: its
+// sender has learnt of a change of the routers before this one.
+type early struct {
+	from        ids.Instance
+	incarnation uint32
+	hold        *schedv1.Hold
+	old         bool
+	at          time.Time
+}
+
+// takeHold merges a holder's state, or keeps it in case this router is about
+// to learn that it owns the group.
+func (s *Scheduler) takeHold(g *group, e early) {
+	if g.owner != nil {
+		g.owner.SetTolerance(s.tolerance(g))
+		g.owner.Hold(s.now, e.from, e.incarnation, e.hold, e.old)
+		s.markGroup(g)
+		return
+	}
+	if e.old {
+		return
+	}
+	e.at = s.now
+	for i := range g.early {
+		if g.early[i].from == e.from {
+			g.early[i] = e
+			return
+		}
+	}
+	if len(g.early) < maxEarly {
+		g.early = append(g.early, e)
+	}
+}
+
+// takeEarly gives a new owner what came too early.
+func (s *Scheduler) takeEarly(g *group) {
+	held := g.early
+	g.early = nil
+	for _, e := range held {
+		if s.now.Sub(e.at) < s.fresh() {
+			s.takeHold(g, e)
+		}
+	}
+}
+
 // answer takes in a home's totals.
 func (s *Scheduler) answer(from ids.Instance, incarnation uint32, t *schedv1.Totals) {
 	s.book.Answer(s.now, from, incarnation, t, func(a *account.Account) {
--- a/internal/core/sched/requests.go
+++ b/internal/core/sched/requests.go
@@ -264,7 +264,7 @@
 	s.charge(r, units)
 	s.freeMember(r)
 	s.judge(r, e)
-	if !e.Failed && !e.Refused {
+	if !e.Failed && !e.Refused && units > 0 {
 		r.payer.Observe(r.Class, units)
 		r.pool.capacity.costs.Add(units, s.now.Sub(r.started).Seconds())
 	}
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -60,6 +60,7 @@
 	budget    budget
 	nextRound time.Time
 	nextEvict time.Time
+	born      time.Time
 	draining  bool
 
 	dirtyPools  []*pool
@@ -102,6 +103,9 @@
 // Step takes in one event and returns what is to be done, in order.
 func (s *Scheduler) Step(now time.Time, ev Event) []Action {
 	s.now, s.out = now, nil
+	if s.born.IsZero() {
+		s.born = now
+	}
 	s.handle(ev)
 	s.settle()
 	s.send()
--- a/internal/core/sched/sched_test.go
+++ b/internal/core/sched/sched_test.go
@@ -14,6 +14,7 @@
 
 func single(concurrency int, shares ...sched.Share) *sched.Scheduler {
 	s := sched.New(sched.Settings{Self: "r", Domain: "d"})
+	s.Step(t0.Add(-time.Second), sched.Tick{})
 	s.Step(t0, sched.SetRouters{Routers: []sched.Router{{Instance: "r", Domain: "d"}}})
 	s.Step(t0, sched.SetShares{Shares: shares})
 	s.Step(t0, sched.SetTargets{Targets: []sched.Target{target("t", concurrency)}})
@@ -67,6 +68,23 @@
 	}
 }
 
+func TestJustStartedRouterListensFirst(t *testing.T) {
+	s := sched.New(sched.Settings{Self: "r", Domain: "d"})
+	s.Step(t0, sched.SetRouters{Routers: []sched.Router{{Instance: "r", Domain: "d"}}})
+	s.Step(t0, sched.SetTargets{Targets: []sched.Target{target("t", 1)}})
+	as := submit(s, t0, sched.Request{ID: 1, Workspace: "a"})
+	if got := dispatched(as); len(got) != 0 {
+		t.Fatal("took the whole target although others may be using it")
+	}
+	var got []sched.RequestID
+	for now := t0; now.Sub(t0) <= sched.DefaultReportInterval+sched.TickInterval; now = now.Add(sched.TickInterval) {
+		got = append(got, dispatched(s.Step(now, sched.Tick{}))...)
+	}
+	if len(got) != 1 {
+		t.Errorf("dispatched %v after an interval alone", got)
+	}
+}
+
 func TestLeastServedGoesFirst(t *testing.T) {
 	s := single(1, sched.Share{Workspace: "a", Weight: 1}, sched.Share{Workspace: "b", Weight: 3})
 	id := sched.RequestID(0)
--- a/internal/core/sched/topology.go
+++ b/internal/core/sched/topology.go
@@ -57,6 +57,7 @@
 	told     permit.Need
 	toldAt   time.Time
 	returned bool
+	early    []early
 	near     bool
 	// used tells that the router uses the group, being among the candidates.
 	used bool
@@ -350,10 +351,21 @@
 	case owner != s.cfg.Self:
 		g.owner = nil
 	case g.owner == nil:
-		g.owner = permit.NewOwner(s.now, s.ownerSettings(), g.Group, s.names)
+		g.owner = permit.NewOwner(s.now, s.ownerSettings(), g.Group, s.expected())
+		s.takeEarly(g)
 	}
 }
 
+// expected returns the routers that must speak before a new owner grants. A
+// router that has just started and knows no other may only not know them yet:
+// nobody answers to the empty name, so that its owners listen first.
+func (s *Scheduler) expected() []ids.Instance {
+	if len(s.names) > 1 || s.now.Sub(s.born) >= graceIntervals*s.cfg.ReportInterval {
+		return s.names
+	}
+	return []ids.Instance{s.cfg.Self, ""}
+}
+
 func (s *Scheduler) ownerSettings() permit.OwnerSettings {
 	return permit.OwnerSettings{
 		Interval:  s.cfg.ReportInterval,
--- a/test/fairfuzz/fuzz_test.go
+++ b/test/fairfuzz/fuzz_test.go
@@ -66,6 +66,7 @@
 	}
 	f.onDispatch = func(j *job, e *engine) { f.checkDispatch(t, j, e) }
 	f.start()
+	f.fault()
 	return f
 }
 
--- a/test/fairfuzz/world_test.go
+++ b/test/fairfuzz/world_test.go
@@ -23,6 +23,7 @@
 	frame       = 18 // bytes of a message on a link besides its own
 	loadGap     = time.Second
 	refusedGap  = 500 * time.Millisecond // until a refused caller comes again
+	memberLag   = 200 * time.Millisecond // until all routers know a change of the routers
 	configLag   = time.Second            // until all routers know a change of the targets
 )
 
@@ -194,6 +195,7 @@
 	n.s = sched.New(cfg)
 	w.step(n, sched.SetShares{Shares: w.shares})
 	w.step(n, sched.SetTargets{Targets: w.targets()})
+	w.step(n, sched.SetRouters{Routers: []sched.Router{{Instance: n.name, Domain: n.domain}}})
 	inc := n.inc
 	w.at(time.Duration(w.rng.Int64N(int64(sched.TickInterval))), func() { w.tick(n, inc) })
 	w.at(time.Duration(w.rng.Int64N(int64(loadGap))), func() { w.load(n, inc) })
@@ -227,20 +229,25 @@
 	w.at(loadGap, func() { w.load(n, inc) })
 }
 
-// members tells each router the live ones that it can reach.
+// members tells each router the live ones that it can reach, each a little
+// later.
 func (w *world) members() {
 	for _, n := range w.nodes {
-		if !n.alive {
-			continue
-		}
-		var rs []sched.Router
-		for _, m := range w.nodes {
-			if m.alive && w.connected(n, m) {
-				rs = append(rs, sched.Router{Instance: m.name, Domain: m.domain})
-			}
+		w.at(time.Duration(w.rng.Int64N(int64(memberLag))), func() { w.tellMembers(n) })
+	}
+}
+
+func (w *world) tellMembers(n *node) {
+	if !n.alive {
+		return
+	}
+	var rs []sched.Router
+	for _, m := range w.nodes {
+		if m.alive && w.connected(n, m) {
+			rs = append(rs, sched.Router{Instance: m.name, Domain: m.domain})
 		}
-		w.step(n, sched.SetRouters{Routers: rs})
 	}
+	w.step(n, sched.SetRouters{Routers: rs})
 }
 
 func (w *world) connected(a, b *node) bool {
