Ready: no request waits in two queues when the targets change

The scenarios let routers find each other before callers come, so that the local baseline isn't measured on what it took while alone.

--- a/internal/core/sched/topology.go
+++ b/internal/core/sched/topology.go
@@ -77,6 +77,7 @@
 
 func (s *Scheduler) setTargets(ts []Target) {
 	s.targets = ts
+	s.forgetMarks()
 	s.rebuildPools()
 	s.rebuildGroups()
 	s.assignOwners()
@@ -87,6 +88,15 @@
 	}
 }
 
+// forgetMarks drops what the last step left to look at: its pools and their
+// queues are about to be replaced, and a request must not wait in two.
+func (s *Scheduler) forgetMarks() {
+	s.dirtyPools, s.dirtyGroups, s.pushed, s.drained = nil, nil, nil, nil
+	for _, g := range s.groups {
+		g.dirty = false
+	}
+}
+
 // rebuildPools sets up the pools and capacities; waiting requests are put back
 // by requeue.
 func (s *Scheduler) rebuildPools() {
--- a/test/fairfuzz/scenario_test.go
+++ b/test/fairfuzz/scenario_test.go
@@ -25,6 +25,13 @@
 	return w
 }
 
+// begin starts the routers and lets them find each other before any caller
+// comes, as their readiness does.
+func (w *world) begin() {
+	w.start()
+	w.run(time.Second)
+}
+
 func ws(i int) ids.Workspace { return ids.Workspace(fmt.Sprintf("w%d", i)) }
 
 // result is what a scenario showed.
@@ -106,7 +113,7 @@
 // another one backlogged at all, and light ones that use a third.
 func flood(mode sched.Mode, tune func(*sched.Settings), on bool) result {
 	w := agency(1, mode, tune)
-	w.start()
+	w.begin()
 	w.light(3, 14, model, 24, 50)
 	w.light(3, 14, service, 10, 20)
 	if on {
@@ -124,7 +131,7 @@
 	for i, weight := range []float64{1, 1, 2, 4} {
 		w.shares = append(w.shares, sched.Share{Workspace: ws(i + 1), Weight: weight})
 	}
-	w.start()
+	w.begin()
 	w.light(5, 12, service, 10, 20)
 	for i := range 4 {
 		w.backlog(ws(i+1), w.around(50), w.nodes[:1<<i]...)
@@ -137,7 +144,7 @@
 // that are wrong by 4.
 func cost(mode sched.Mode, tune func(*sched.Settings)) result {
 	w := agency(1, mode, tune)
-	w.start()
+	w.begin()
 	wrong := func(c float64) float64 {
 		if w.rng.IntN(2) == 0 {
 			return c / 4
@@ -158,7 +165,7 @@
 // oneRouter has one workspace at one router, all else idle.
 func oneRouter(mode sched.Mode, tune func(*sched.Settings)) result {
 	w := agency(1, mode, tune)
-	w.start()
+	w.begin()
 	w.backlog(ws(1), w.around(50), w.nodes[0])
 	w.run(warm)
 	return w.measure(span)
@@ -167,7 +174,7 @@
 // oneDomain has a backlog at the routers of one failure domain only.
 func oneDomain(mode sched.Mode, tune func(*sched.Settings)) result {
 	w := agency(1, mode, tune)
-	w.start()
+	w.begin()
 	for _, n := range w.nodes {
 		if n.domain == "a" {
 			w.backlog(ws(1), w.around(50), n)
@@ -182,7 +189,7 @@
 // 5 s after it has joined again.
 func cutting(mode sched.Mode, tune func(*sched.Settings)) (during, after result) {
 	w := agency(1, mode, tune)
-	w.start()
+	w.begin()
 	w.backlog(ws(1), w.around(50), w.nodes[0], w.nodes[1])
 	w.backlog(ws(2), w.around(50), w.nodes...)
 	w.run(warm)
@@ -198,7 +205,7 @@
 // after.
 func killing(mode sched.Mode, tune func(*sched.Settings)) (during, after result) {
 	w := agency(1, mode, tune)
-	w.start()
+	w.begin()
 	w.backlog(ws(1), w.around(50), w.nodes[0], w.nodes[1])
 	w.backlog(ws(2), w.around(50), w.nodes...)
 	w.run(warm)
--- a/test/fairfuzz/world_test.go
+++ b/test/fairfuzz/world_test.go
@@ -362,6 +362,9 @@
 func (w *world) dispatch(n *node, x sched.Dispatch) {
 	j := w.jobs[x.ID]
 	e := w.engines[x.Target]
+	if j == nil || j.at != nil {
+		panic(fmt.Sprintf("request %d dispatched twice, or after its end", x.ID))
+	}
 	j.src.held--
 	j.src.wait = append(j.src.wait, w.now.Sub(j.submitted))
 	j.at = e
