--- a/internal/core/account/account_test.go
+++ b/internal/core/account/account_test.go
@@ -159,6 +159,28 @@
 	}
 }
 
+func TestManyAccountsAreReportedInTurn(t *testing.T) {
+	b := account.NewBook()
+	b.SetRouters(rendezvous.New([]ids.Instance{"h"}))
+	const n = 2*account.MaxReported + 10
+	for k := range account.Key(n) {
+		b.SetBacklogged(t0, b.Get(t0, k, "w", 1), true)
+	}
+	seen := map[uint64]bool{}
+	for range 3 {
+		keys := b.Reports(t0)["h"].GetKeys()
+		if len(keys) > account.MaxReported {
+			t.Fatalf("%d accounts in a round", len(keys))
+		}
+		for _, k := range keys {
+			seen[k] = true
+		}
+	}
+	if len(seen) != n {
+		t.Errorf("%d of %d accounts reported in three rounds", len(seen), n)
+	}
+}
+
 func TestIdleAccountsAreEvicted(t *testing.T) {
 	a := newRouter("a", "h")
 	a.book.Evict(t0.Add(2 * account.EvictAfter))
--- a/internal/core/account/book.go
+++ b/internal/core/account/book.go
@@ -21,6 +21,12 @@
 	quietUnits = 128
 	// briefly is how long a backlog may break off and still count as one.
 	briefly = 100 * time.Millisecond
+	// MaxReported bounds the accounts in one round of reports: with more active
+	// ones the reporting interval of each grows in proportion, and the traffic
+	// doesn't.
+	MaxReported = 64
+	// maxScanned bounds the accounts looked at in one round.
+	maxScanned = 4096
 	// liftReports is how many reports carry a lift before the home's word counts.
 	liftReports = 2
 )
@@ -100,33 +106,43 @@
 	return a.home
 }
 
-// Reports returns the report for each home, active accounts only. The home of
-// each account is given by its router's name.
+// Reports returns the report for each home: the accounts that are due, up to
+// MaxReported of them in turn. The home of each account is given by its
+// router's name.
 func (b *Book) Reports(now time.Time) map[ids.Instance]*schedv1.Report {
 	out := map[ids.Instance]*schedv1.Report{}
-	keep := b.active[:0]
-	for _, a := range b.active {
-		h := b.homeOf(a)
-		if !a.due(now) {
-			keep = append(keep, a)
-			continue
-		}
-		r := out[h]
-		if r == nil {
-			r = &schedv1.Report{}
-			out[h] = r
+	var keep []*Account
+	scanned, reported := 0, 0
+	for ; scanned < min(len(b.active), maxScanned) && reported < MaxReported; scanned++ {
+		a := b.active[scanned]
+		b.homeOf(a) // a changed home makes it due
+		if a.due(now) {
+			b.reportTo(out, now, a)
+			reported++
+			a.active = a.backlogged || !a.isSynced
 		}
-		a.report(now, r)
-		a.active = a.backlogged || !a.isSynced
 		if a.active {
 			keep = append(keep, a)
 		}
 	}
-	clear(b.active[len(keep):])
-	b.active = keep
+	// Those not reached come first the next time.
+	rest := copy(b.active, b.active[scanned:])
+	clear(b.active[rest:])
+	b.active = append(b.active[:rest], keep...)
 	return out
 }
 
+// reportTo adds an account to the report for its home.
+func (b *Book) reportTo(out map[ids.Instance]*schedv1.Report, now time.Time, a *Account) {
+	h := b.homeOf(a)
+	r := out[h]
+	if r == nil {
+		r = &schedv1.Report{}
+		out[h] = r
+	}
+	a.report(now, r)
+}
+
 // due tells whether the account must be in the next report: its ordering is
 // in use, its backlog has changed, or much was charged.
 func (a *Account) due(now time.Time) bool {
