--- a/internal/bench/command.go
+++ b/internal/bench/command.go
@@ -53,13 +53,19 @@
 	return &cli.Command{
 		Name:  "measure",
 		Usage: "print one row for each figure",
-		Flags: []cli.Flag{onlyFlag(), seedFlag()},
+		Flags: []cli.Flag{
+			onlyFlag(), seedFlag(),
+			&cli.BoolFlag{Name: "trace", Usage: "print service by time and workspace on standard error"},
+		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			binaries, err := harness.Beside()
 			if err != nil {
 				return err
 			}
 			p := Params{Binaries: binaries, Seed: cmd.Uint64("seed")}
+			if cmd.Bool("trace") {
+				p.Trace = cmd.Root().ErrWriter
+			}
 			return RunMeasure(ctx, p, cmd.String("only"), out)
 		},
 	}
--- a/internal/bench/fairfleet.go
+++ b/internal/bench/fairfleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/umberhill/umberhill/internal/api"
@@ -68,6 +69,7 @@
 	fleet *harness.Fleet
 	probe *probe
 	seed  uint64
+	trace io.Writer
 	// report is the interval between reports of service.
 	report time.Duration
 	// callers by workspace and router.
@@ -96,6 +98,7 @@
 		fleet:   fleet,
 		probe:   startProbe(ctx, fleet),
 		seed:    p.Seed,
+		trace:   p.Trace,
 		report:  time.Duration(loaded.Fairness.ReportMS) * time.Millisecond,
 		callers: map[string]*harness.Caller{},
 	}, nil
@@ -144,6 +147,7 @@
 	pause(ctx, length)
 	seen := f.probe.since(from)
 	load.Stop()
+	seen.trace(f.trace)
 	return seen, load, f.drain(ctx)
 }
 
--- a/internal/bench/probe.go
+++ b/internal/bench/probe.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"math"
 	"sync"
 	"time"
@@ -149,4 +151,18 @@
 	return total
 }
 
+// trace writes the units of service by time and workspace since the window's
+// start.
+func (w window) trace(out io.Writer) {
+	if out == nil {
+		return
+	}
+	for _, r := range w {
+		for workspace, units := range r.units {
+			_, _ = fmt.Fprintf(out, "%d\t%s\t%.0f\n",
+				r.at.Sub(w[0].at).Milliseconds(), workspace, units-w[0].units[workspace])
+		}
+	}
+}
+
 func everyEngine(int) bool { return true }
--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -17,6 +17,8 @@
 	Duration time.Duration
 	// Seed of the faults and requests.
 	Seed uint64
+	// Trace gets the units of service by time and workspace; none where nil.
+	Trace io.Writer
 }
 
 // Scenario is one long-running proof.
