make: tests run four packages at a time and end after five minutes each

Change: -timeout 5m for each package, -p 4 so that fleets do not compete. Conclusion: a hang now fails with a goroutine dump.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 	$(GOLANGCI) run --allow-parallel-runners ./...
 
 unit:
-	$(GO) test -count=1 ./...
+	$(GO) test -count=1 -p 4 -timeout 5m ./...
 
 # proto regenerates the committed protobuf code; needs protoc and protoc-gen-go.
 proto:
@@ -60,7 +60,7 @@
 
 # fuzz drives the schedulers through random faults with new seeds.
 fuzz:
-	$(GO) test -count=1 ./test/fairfuzz -run TestFuzz -timeout 0 -args -fairfuzz.seconds=$(SECONDS) -rapid.seed=$(SEED)
+	$(GO) test -count=1 -p 4 -timeout 5m ./...t/fairfuzz -run TestFuzz -timeout 0 -args -fairfuzz.seconds=$(SECONDS) -rapid.seed=$(SEED)
 
 clean:
 	rm -rf $(BIN)
