--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -45,6 +45,9 @@
 // fleetWriteRate bounds the writes per second of all routers together.
 const fleetWriteRate = 400
 
+// burstsPerSecond divides a second's writes into bursts.
+const burstsPerSecond = 10
+
 // maxBuckets bounds the number of buckets.
 const maxBuckets = 4096
 
@@ -168,7 +171,7 @@
 		opts:          o,
 		scope:         o.Scope.SubScope("ledger"),
 		commitTimeout: commitTimeout,
-		limiter:       rate.NewLimiter(rate.Limit(o.WriteRate), int(o.WriteRate)+1),
+		limiter:       rate.NewLimiter(rate.Limit(o.WriteRate), burst(rate.Limit(o.WriteRate))),
 		work:          make(chan *bucket, maxBuckets),
 		buckets:       map[int]*bucket{},
 		open:          map[claim.ID]struct{}{},
@@ -214,9 +217,13 @@
 func (l *Ledger) shareWrites() {
 	r := l.writeRate()
 	l.limiter.SetLimit(r)
-	l.limiter.SetBurst(int(r) + 1)
+	l.limiter.SetBurst(burst(r))
 }
 
+// burst is the number of writes that may follow each other at once: a tenth of
+// a second's worth, so that routers that start together stay within the rate.
+func burst(r rate.Limit) int { return int(r)/burstsPerSecond + 1 }
+
 // stopGrace bounds the time that Run takes to record the ends of claims after
 // its context is done.
 const stopGrace = 5 * time.Second
