--- a/test/answers/answers_test.go
+++ b/test/answers/answers_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -49,28 +50,42 @@
 	return fleet
 }
 
-var _ = Describe("One engine", func() {
+// engines of the fleet shared by the specs of one engine; each takes one for
+// itself, with a model of its own.
+const engines = 26
+
+var _ = Describe("One engine", Ordered, ContinueOnFailure, func() {
 	var (
 		fleet  *harness.Fleet
-		target *harness.Target
 		caller *harness.Caller
+		taken  int
+		target *harness.Target
+		model  string
 	)
 
-	BeforeEach(func(ctx context.Context) {
+	BeforeAll(func(ctx context.Context) {
+		domain := harness.Domain{Name: "a", Routers: 1}
+		for i := range engines {
+			domain.Engines = append(domain.Engines, harness.Engine{
+				Models: []string{fmt.Sprint("m", i)}, TokensPerSecond: 200,
+			})
+		}
 		fleet = start(ctx, harness.Spec{
-			Domains: []harness.Domain{{
-				Name: "a", Routers: 1,
-				Engines: []harness.Engine{{Models: []string{"m"}, TokensPerSecond: 200}},
-			}},
+			Domains:  []harness.Domain{domain},
 			Settings: func(s *settings.Settings) { s.Targets.StallMS = 500 },
 		})
-		target = fleet.Engines[0]
 		caller = fleet.Routers[0].Caller("ws")
 		DeferCleanup(caller.Close)
 	})
 
+	BeforeEach(func() {
+		target = fleet.Engines[taken]
+		model = target.Object.Models[0]
+		taken++
+	})
+
 	ask := func(stream, chat bool) harness.Ask {
-		return harness.Ask{Model: "m", Prompt: "how much ice", MaxTokens: 20, Stream: stream, Chat: chat}
+		return harness.Ask{Model: model, Prompt: "how much ice", MaxTokens: 20, Stream: stream, Chat: chat}
 	}
 
 	DescribeTable("answers whole", func(ctx context.Context, stream, chat bool) {
@@ -104,7 +119,7 @@
 
 	DescribeTable("never passes a wrong or short answer on as whole",
 		func(ctx context.Context, stream bool, faults engine.Faults) {
-			before := harness.Ask{Model: "m", Prompt: "another request", MaxTokens: 20}
+			before := harness.Ask{Model: model, Prompt: "another request", MaxTokens: 20}
 			Expect(harness.Judge(before, caller.Complete(ctx, before))).To(Equal(harness.Right))
 			Expect(target.SetFaults(ctx, faults)).To(Succeed())
 			a := ask(stream, false)
