Ready: a holder of a whole group gives way to who is behind

The bound's estimate weighs what is in flight by the time it takes, over 512 requests, and no backlogged workspace is more than half the bound behind.

--- a/internal/core/account/cost.go
+++ b/internal/core/account/cost.go
@@ -11,8 +11,12 @@
 // priorWeight is how many requests the prior counts for against those seen.
 const priorWeight = 2
 
-// meanWindow is how many requests a running mean looks back over.
-const meanWindow = 32
+// meanWindow is how many requests the running mean of an account looks back
+// over, costsWindow that of a set of targets.
+const (
+	meanWindow  = 32
+	costsWindow = 512
+)
 
 // mean is a running mean: plain over the first requests, then exponential.
 type mean struct {
@@ -21,8 +25,10 @@
 }
 
 // add takes in one value.
-func (m *mean) add(v float64) {
-	m.n = min(m.n+1, meanWindow)
+func (m *mean) add(v float64) { m.addOver(v, meanWindow) }
+
+func (m *mean) addOver(v float64, window int) {
+	m.n = min(m.n+1, window)
 	m.value += (v - m.value) / float64(m.n)
 }
 
@@ -30,12 +36,24 @@
 type Costs struct {
 	units   mean
 	seconds mean
+	// held is the mean of units times seconds: long requests make up more of
+	// what is in flight than of what ends.
+	held mean
 }
 
 // Add takes in the units and the seconds of a finished request.
 func (c *Costs) Add(units, seconds float64) {
-	c.units.add(units)
-	c.seconds.add(seconds)
+	c.units.addOver(units, costsWindow)
+	c.seconds.addOver(seconds, costsWindow)
+	c.held.addOver(units*seconds, costsWindow)
+}
+
+// Flight returns the mean units of a request in flight.
+func (c *Costs) Flight() float64 {
+	if c.seconds.value <= 0 {
+		return c.Units()
+	}
+	return c.held.value / c.seconds.value
 }
 
 // Units returns the mean units of a request.
--- a/internal/core/sched/exchange.go
+++ b/internal/core/sched/exchange.go
@@ -174,10 +174,12 @@
 		return n
 	}
 	for _, p := range g.pools {
-		want := s.wantOf(p, g)
-		if want == 0 {
+		// A router that holds the whole group wants no more, but the owner must
+		// know how far ahead it is.
+		if p.queue.Backlogged() == 0 {
 			continue
 		}
+		want := s.wantOf(p, g)
 		n.Want += want
 		n.Urgent += min(want, s.urgent(p, g))
 		l := p.queue.Min()
@@ -185,7 +187,7 @@
 			n.VS = vs
 			n.Step = p.capacity.costs.Units() / l.Account.Weight
 		}
-		if s.starved(p) {
+		if want > 0 && s.starved(p) {
 			n.Want, n.Urgent, n.VS, n.Base, n.Step = 1, 1, 0, permit.NoVS, 0
 			break
 		}
--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -139,9 +139,12 @@
 	return ok
 }
 
+// creditShare of the bound is the most that a workspace may be behind.
+const creditShare = 0.5
+
 // capCredit bounds how far behind the leading routers a backlogged workspace
 // may be, as one may be after a partition or the loss of a home: it is raised
-// to the bound below the ceiling.
+// to half the bound below the ceiling.
 func (s *Scheduler) capCredit() {
 	for _, n := range s.poolNames {
 		p := s.pools[n]
@@ -155,7 +158,7 @@
 			if l == nil || ceiling == permit.NoVS {
 				break
 			}
-			least := ceiling - bound/math.Min(1, l.Account.Weight)
+			least := ceiling - creditShare*bound/math.Min(1, l.Account.Weight)
 			if l.VS() >= least-1 {
 				break
 			}
@@ -185,8 +188,8 @@
 	if seconds <= 0 {
 		return 0
 	}
-	flight := float64(c.concurrency) * c.costs.Units()
-	return 2 * (flight + interval*flight/seconds)
+	slots := float64(c.concurrency)
+	return 2 * (slots*c.costs.Flight() + interval*slots*c.costs.Units()/seconds)
 }
 
 func (s *Scheduler) load(e Load) {
--- a/internal/core/sched/sched_test.go
+++ b/internal/core/sched/sched_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	schedv1 "github.com/umberhill/umberhill/api/sched/v1"
 	"github.com/umberhill/umberhill/internal/api"
+	"github.com/umberhill/umberhill/internal/core/permit"
 	"github.com/umberhill/umberhill/internal/core/sched"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/outcome"
@@ -188,6 +190,51 @@
 	}
 }
 
+// Found by TestFuzz with seed 9444: a router that held a whole group wanted no
+// more, so its owner took it for one without waiting work and moved nothing.
+func TestHolderOfAWholeGroupGivesWayToWhoIsBehind(t *testing.T) {
+	s := sched.New(sched.Settings{Self: "r", Domain: "d"})
+	s.Step(t0.Add(-time.Second), sched.Tick{})
+	s.Step(t0, sched.SetTargets{Targets: []sched.Target{target("t", 2)}})
+	s.Step(t0, sched.SetRouters{Routers: []sched.Router{{Instance: "r", Domain: "d"}, {Instance: "q", Domain: "e"}}})
+	now := t0.Add(sched.DefaultReportInterval)
+	var running []sched.RequestID
+	for id := range sched.RequestID(200) {
+		running = append(running, dispatched(submit(s, now, sched.Request{ID: id + 1, Workspace: "a"}))...)
+	}
+	step := func(ev sched.Event) {
+		running = append(running, dispatched(s.Step(now, ev))...)
+	}
+	group := permit.Groups([]permit.Target{{
+		Member: permit.Member{ID: "t", Concurrency: 2}, Domain: "d", Pools: []ids.Pool{"p"},
+	}})[0].ID
+	hold := func(seq uint32) sched.Receive {
+		h := &schedv1.Hold{
+			Group: group, Session: 1, Granted: []uint32{0}, Returned: []uint32{0}, Want: 2, Vs: 1, Lag: 1, Step: 50,
+		}
+		return sched.Receive{From: "q", Msg: &schedv1.Message{Incarnation: 1, Sequence: seq, Holds: []*schedv1.Hold{h}}}
+	}
+	granted := false
+	for seq := uint32(1); seq < 400 && !granted; seq++ {
+		now = now.Add(sched.TickInterval)
+		step(sched.Tick{})
+		if seq%25 == 0 {
+			step(hold(seq))
+		}
+		if len(running) > 0 && seq%5 == 0 {
+			id := running[0]
+			running = running[1:]
+			step(sched.Finish{ID: id, Units: 500})
+		}
+		for _, v := range s.View().Targets {
+			granted = granted || v.Handed > v.Held
+		}
+	}
+	if !granted {
+		t.Error("the router that is behind got no permit")
+	}
+}
+
 func TestContractConcurrencyHoldsUpItsOwnLineOnly(t *testing.T) {
 	s := single(4, sched.Share{Workspace: "a", Weight: 1, Limits: api.Limits{Concurrency: 1}})
 	submit(s, t0, sched.Request{ID: 1, Workspace: "a"})
