Ready: owners go by their waiters' tolerance

Cause: an owner without requests of its own had no estimates and so the full tolerance of 256 also for a small pool, where an eighth of the bound is 54: two workspaces drifted apart without end, the caps hiding it (TestFuzz, seed 3241: gap 507 of 459). Ruled out: the gain of the recalls (4 and 2 tolerances instead of 8 changed nothing).

--- a/internal/core/permit/holder.go
+++ b/internal/core/permit/holder.go
@@ -48,6 +48,8 @@
 	Base float64
 	// Step is what one more request adds to it.
 	Step float64
+	// Tolerance in virtual service; zero for the configured one.
+	Tolerance float64
 	// Solo is set while a request needs a target alone.
 	Solo bool
 	// SoloAvoid has a bit for each target that won't do for it.
@@ -193,6 +195,9 @@
 	if n.VS != NoVS && n.Base != NoVS {
 		m.Lag = encodeVS(math.Max(0, n.Base-n.VS))
 	}
+	if n.VS != NoVS {
+		m.Tolerance = uint32(math.Round(n.Tolerance))
+	}
 	if n.Want > 0 {
 		m.Step = uint64(math.Round(n.Step))
 	}
--- a/internal/core/permit/owner.go
+++ b/internal/core/permit/owner.go
@@ -68,8 +68,10 @@
 	vs     float64
 	base   float64
 	step   float64
-	avoid  uint64
-	solo   bool
+	// tolerance as the holder estimates it.
+	tolerance float64
+	avoid     uint64
+	solo      bool
 	// soloAvoid has a bit for each target that won't do for a solo request.
 	soloAvoid uint64
 
@@ -118,9 +120,6 @@
 	return a.name < b.name
 }
 
-// SetTolerance replaces the tolerance.
-func (o *Owner) SetTolerance(t float64) { o.cfg.Tolerance = t }
-
 // SetGroup takes in changed members with the same names.
 func (o *Owner) SetGroup(now time.Time, g *Group) {
 	o.group = g
@@ -258,6 +257,10 @@
 	h.want = max(0, int(m.GetWant())-pending)
 	h.urgent = max(0, min(h.want, int(m.GetUrgent())-pending))
 	h.vs, h.step = decodeVS(m.GetVs()), float64(m.GetStep())
+	h.tolerance = float64(m.GetTolerance())
+	if h.tolerance == 0 {
+		h.tolerance = o.cfg.Tolerance
+	}
 	h.base = NoVS
 	if h.vs != NoVS && m.GetLag() > 0 {
 		h.base = h.vs + decodeVS(m.GetLag())
--- a/internal/core/permit/serve.go
+++ b/internal/core/permit/serve.go
@@ -121,12 +121,15 @@
 // ahead returns the holder with the most permits among those ahead of the
 // floor, or nil.
 func (o *Owner) ahead() *holder {
-	floor := o.Floor()
+	least, ok := o.waiters.Min()
+	if !ok {
+		return nil
+	}
 	scanned := 0
 	var found *holder
 	o.busiest.Ascend(func(h *holder) bool {
 		scanned++
-		if h.out > h.recall && (h.vs == NoVS || h.vs > floor+o.cfg.Tolerance) {
+		if h.out > h.recall && (h.vs == NoVS || h.vs > least.vs+least.tolerance) {
 			found = h
 			return false
 		}
@@ -210,27 +213,35 @@
 // waits for less is served by urgent asks or by what falls free at its router.
 func (o *Owner) recallAhead() {
 	holders := o.sorted()
-	floor, room := float64(NoVS), 0
-	for _, h := range holders {
-		if h.want > 0 && h.base != NoVS && (floor == NoVS || h.base < floor) {
-			floor = h.base
-		}
-	}
+	least := leastBase(holders)
+	room := 0
 	for _, h := range holders {
-		if h.want > 0 && h.base != NoVS && h.base <= floor+o.cfg.Tolerance {
+		if h.want > 0 && h.base != NoVS && h.base <= least.base+least.tolerance {
 			room += h.want
 		}
 	}
 	for _, h := range holders {
 		n := 0
-		if h.base != NoVS && floor != NoVS {
-			n = min(room, h.excess(h.base-floor, o.cfg.Tolerance))
+		if h.base != NoVS && least != nil {
+			n = min(room, h.excess(h.base-least.base, least.tolerance))
 		}
 		room -= n
 		o.change(h, func() { h.recall = n })
 	}
 }
 
+// leastBase returns the waiter with the least virtual service that has lasted,
+// nil if there is none.
+func leastBase(holders []*holder) *holder {
+	var least *holder
+	for _, h := range holders {
+		if h.want > 0 && h.base != NoVS && (least == nil || h.base < least.base) {
+			least = h
+		}
+	}
+	return least
+}
+
 // excess returns how many permits a holder ahead of the floor should return.
 func (h *holder) excess(ahead, tolerance float64) int {
 	last := h.lastExcess
--- a/internal/core/sched/exchange.go
+++ b/internal/core/sched/exchange.go
@@ -97,6 +97,15 @@
 	return s.capacityTolerance(g.pools[0].capacity)
 }
 
+// toldTolerance returns the tolerance to tell owners, zero for the configured
+// one.
+func (s *Scheduler) toldTolerance(c *capacity) float64 {
+	if t := s.capacityTolerance(c); t != s.cfg.Tolerance {
+		return math.Max(1, t)
+	}
+	return 0
+}
+
 func (s *Scheduler) capacityTolerance(c *capacity) float64 {
 	t := s.cfg.Tolerance
 	if b := c.bound(s.cfg.ReportInterval.Seconds()); b > 0 {
@@ -185,6 +194,7 @@
 		l := p.queue.Min()
 		if vs := l.VS(); n.VS == permit.NoVS || vs < n.VS {
 			n.VS = vs
+			n.Tolerance = s.toldTolerance(p.capacity)
 			n.Step = p.capacity.costs.Units() / l.Account.Weight
 		}
 		if want > 0 && s.starved(p) {
@@ -363,7 +373,6 @@
 	g.told, g.toldAt, g.returned = n, s.now, false
 	state := g.holder.State(n)
 	if g.owner != nil {
-		g.owner.SetTolerance(s.tolerance(g))
 		g.owner.Hold(s.now, s.cfg.Self, fold(s.cfg.Incarnation), state, false)
 		return
 	}
@@ -466,7 +475,6 @@
 // to learn that it owns the group.
 func (s *Scheduler) takeHold(g *group, e early) {
 	if g.owner != nil {
-		g.owner.SetTolerance(s.tolerance(g))
 		g.owner.Hold(s.now, e.from, e.incarnation, e.hold, e.old)
 		s.markGroup(g)
 		return
--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -126,7 +126,6 @@
 			s.hold(g, n)
 		}
 		if g.owner != nil {
-			g.owner.SetTolerance(s.tolerance(g))
 			g.owner.Round(s.now, s.isLive)
 		}
 		s.markGroup(g)
