--- a/internal/core/member/choose_test.go
+++ b/internal/core/member/choose_test.go
@@ -47,6 +47,7 @@
 	g := NewWithT(t)
 	all, links := largeFleet()
 	g.Expect(hops(links, nil)).To(BeNumerically("<=", 4))
+	t.Logf("1,200 routers: links of a router mean %.1f, most %d; hops at most %d", meanLinks(links), mostLinks(links), hops(links, nil))
 	gone := func(i int) bool { return all[i].Domain == "d05" }
 	g.Expect(hops(links, gone)).To(BeNumerically("<=", 5))
 }
@@ -75,6 +76,22 @@
 	return all, undirected(all)
 })
 
+func meanLinks(links []map[int]bool) float64 {
+	sum := 0
+	for _, l := range links {
+		sum += len(l)
+	}
+	return float64(sum) / float64(len(links))
+}
+
+func mostLinks(links []map[int]bool) int {
+	most := 0
+	for _, l := range links {
+		most = max(most, len(l))
+	}
+	return most
+}
+
 func contains(list []member.Candidate, c member.Candidate) bool {
 	for _, x := range list {
 		if x == c {
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -75,6 +76,7 @@
 		o.Beat = func() *peerv1.Heartbeat { return &peerv1.Heartbeat{Revision: 1 << 32} }
 	}
 	hub := start(b, "hub", opts)
+	memory := memoryInUse()
 	var seeds []settings.Seed
 	for i := range peers {
 		seeds = append(seeds, start(b, fmt.Sprintf("r%02d", i), opts).seed)
@@ -83,6 +85,8 @@
 	for len(hub.Live()) < peers {
 		time.Sleep(time.Millisecond)
 	}
+	// Each peer is a mesh with one link, and the hub has the other ends.
+	perLink := (memoryInUse() - memory) / float64(2*peers)
 	before, cpu := hub.Traffic(), processorTime(b)
 	for b.Loop() {
 		time.Sleep(interval)
@@ -90,10 +94,19 @@
 	after, spent := hub.Traffic(), processorTime(b)-cpu
 	beats := float64(after.Kinds["heartbeat"].MessagesSent - before.Kinds["heartbeat"].MessagesSent)
 	b.ReportMetric(float64(after.WireSent-before.WireSent)/beats, "wire-B/beat")
+	b.ReportMetric(perLink, "mem-B/link-end")
 	// As many beats come in as go out, and both ends run here.
 	b.ReportMetric(float64(spent.Microseconds())/beats/2, "cpu-us/beat")
 }
 
+// memoryInUse is the live heap and the stacks.
+func memoryInUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
 func processorTime(b *testing.B) time.Duration {
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
--- /dev/null
+++ b/test/metrics/metrics_test.go
@@ -0,0 +1,159 @@
+// Package metrics_test keeps docs/METRICS.md true: each metric that a router
+// serves has its row, and each row that says "start" is served from the start.
+package metrics_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/umberhill/umberhill/internal/harness"
+)
+
+const (
+	page   = "../../docs/METRICS.md"
+	prefix = "umberhill_"
+	// columns of the page's table: name, type, unit, labels, since, meaning.
+	columns = 6
+)
+
+func TestMetrics(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "metrics")
+}
+
+var _ = AfterSuite(func() { Expect(harness.Clean()).To(Succeed()) })
+
+// family is one metric with all its label values.
+type family struct {
+	kind   string
+	labels []string
+	start  bool
+}
+
+func (f family) String() string { return f.kind + " " + strings.Join(f.labels, ",") }
+
+// documented reads the page's table.
+func documented() map[string]family {
+	GinkgoHelper()
+	text, err := os.ReadFile(page)
+	Expect(err).NotTo(HaveOccurred())
+	out := make(map[string]family)
+	for line := range strings.Lines(string(text)) {
+		cells := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), "|")
+		name := strings.Trim(strings.TrimSpace(cells[0]), "`")
+		if len(cells) != columns || !strings.HasPrefix(name, prefix) {
+			continue
+		}
+		f := family{kind: strings.TrimSpace(cells[1]), start: strings.TrimSpace(cells[4]) == "start"}
+		for label := range strings.SplitSeq(cells[3], ",") {
+			if label = strings.Trim(strings.TrimSpace(label), "`"); label != "" {
+				f.labels = append(f.labels, label)
+			}
+		}
+		slices.Sort(f.labels)
+		out[name] = f
+	}
+	return out
+}
+
+// served reads the metrics of a router.
+func served(text string) map[string]family {
+	GinkgoHelper()
+	out := make(map[string]family)
+	for line := range strings.Lines(text) {
+		fields := strings.Fields(line)
+		if len(fields) == 4 && fields[1] == "TYPE" {
+			if strings.HasPrefix(fields[2], prefix) {
+				out[fields[2]] = family{kind: fields[3]}
+			}
+			continue
+		}
+		series, labels, _ := strings.Cut(fields[0], "{")
+		f, known := out[base(series, out)]
+		if !known || f.labels != nil {
+			continue
+		}
+		f.labels = names(labels)
+		out[base(series, out)] = f
+	}
+	return out
+}
+
+// base is the family of a series: histograms have several.
+func base(series string, families map[string]family) string {
+	for _, suffix := range []string{"_bucket", "_sum", "_count"} {
+		if name, cut := strings.CutSuffix(series, suffix); cut && families[name].kind == "histogram" {
+			return name
+		}
+	}
+	return series
+}
+
+// names are the sorted label names but for a histogram's bound.
+func names(labels string) []string {
+	out := []string{}
+	for pair := range strings.SplitSeq(strings.TrimSuffix(labels, "}"), `",`) {
+		name, _, ok := strings.Cut(pair, "=")
+		if ok && name != "le" {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+var _ = It("are as docs/METRICS.md says", func(ctx context.Context) {
+	binaries, err := harness.Build(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	fleet, err := harness.Start(ctx, binaries, harness.Spec{Domains: []harness.Domain{{
+		Name: "a", Routers: 2,
+		Engines:  []harness.Engine{{Models: []string{"m"}}},
+		Services: []harness.Service{{Name: "svc"}},
+	}}})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(fleet.Close)
+	Expect(fleet.Apply(ctx, harness.Contract("ws", 1))).To(Succeed())
+	rows := documented()
+	check(ctx, fleet, rows)
+	exercise(ctx, fleet)
+	check(ctx, fleet, rows)
+})
+
+// exercise makes the metrics appear that come with the first event.
+func exercise(ctx context.Context, fleet *harness.Fleet) {
+	for _, r := range fleet.Routers {
+		caller := r.Caller("ws")
+		caller.Complete(ctx, harness.Ask{Model: "m", Prompt: "p", MaxTokens: 3, Stream: true})
+		caller.Complete(ctx, harness.Ask{Model: "none", Prompt: "p"})
+		caller.Call(ctx, http.MethodPost, "svc", "/x", fmt.Sprint("key-", r.ID), []byte("{}"))
+		caller.Close()
+	}
+}
+
+func check(ctx context.Context, fleet *harness.Fleet, rows map[string]family) {
+	GinkgoHelper()
+	for _, r := range fleet.Routers {
+		text, err := r.Metrics(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		found := served(text)
+		for name, f := range found {
+			row, ok := rows[name]
+			Expect(ok).To(BeTrue(), "%s (%s) has no row in %s", name, f, page)
+			Expect(f.kind).To(Equal(row.kind), name)
+			Expect(f.labels).To(HaveExactElements(row.labels), "labels of %s", name)
+		}
+		for name, row := range rows {
+			if row.start {
+				Expect(found).To(HaveKey(name))
+			}
+		}
+	}
+}
--- a/test/partition/cuts_test.go
+++ b/test/partition/cuts_test.go
@@ -160,7 +160,10 @@
 
 const (
 	// cutFor is how long one side serves a workspace that the other ignores.
-	cutFor = 4 * time.Second
+	cutFor = 5 * time.Second
+	// converge is how soon the routers must agree after it; queues that know
+	// only their own router would level out in more than twice that.
+	converge = 5 * time.Second
 	// spreadCap bounds how far routers may disagree on a workspace's service:
 	// twice the work in flight and that of one interval of reports.
 	requestUnits = 40
@@ -186,11 +189,11 @@
 				defer flood(ctx, r, workspace, 3*concurrency)()
 			}
 		}
-		Eventually(func(g Gomega) { g.Expect(spread(g, "w3")).To(BeNumerically(">", 2*spreadCap)) }).
+		Eventually(func(g Gomega) { g.Expect(spread(g, "w3")).To(BeNumerically(">", 4*spreadCap)) }).
 			WithTimeout(patience).Should(Succeed())
 		healed()
 		Eventually(func(g Gomega) { g.Expect(spread(g, "w3")).To(BeNumerically("<=", spreadCap)) }).
-			WithTimeout(patience).Should(Succeed())
+			WithTimeout(converge).Should(Succeed())
 		GinkgoWriter.Println("spread after the cut:", spread(Default, "w3"), "bound", spreadCap)
 	})
 })
