--- a/internal/core/sched/exchange.go
+++ b/internal/core/sched/exchange.go
@@ -15,7 +15,7 @@
 
 const (
 	// graceIntervals is how many report intervals a new owner only listens.
-	graceIntervals = 2
+	graceIntervals = 1
 	// lapseIntervals of silence free a holder's permits; half of them if the
 	// holder is no longer live.
 	lapseIntervals = 4
@@ -35,6 +35,8 @@
 	// with which a line waits unserved at a router.
 	minStarved      = 2 * time.Second
 	starvedRequests = 8
+	// maxEarly bounds the holders' states kept for a group not yet owned.
+	maxEarly = 64
 	// linger is how long an unused permit is kept while nobody waits for it.
 	linger = 2 * time.Second
 	// spillAfter is how long requests wait for permits of the nearest groups
@@ -95,6 +97,15 @@
 	return s.capacityTolerance(g.pools[0].capacity)
 }
 
+// toldTolerance returns the tolerance to tell owners, zero for the configured
+// one.
+func (s *Scheduler) toldTolerance(c *capacity) float64 {
+	if t := s.capacityTolerance(c); t != s.cfg.Tolerance {
+		return math.Max(1, t)
+	}
+	return 0
+}
+
 func (s *Scheduler) capacityTolerance(c *capacity) float64 {
 	t := s.cfg.Tolerance
 	if b := c.bound(s.cfg.ReportInterval.Seconds()); b > 0 {
@@ -172,18 +183,21 @@
 		return n
 	}
 	for _, p := range g.pools {
-		want := s.wantOf(p, g)
-		if want == 0 {
+		// A router that holds the whole group wants no more, but the owner must
+		// know how far ahead it is.
+		if p.queue.Backlogged() == 0 {
 			continue
 		}
+		want := s.wantOf(p, g)
 		n.Want += want
 		n.Urgent += min(want, s.urgent(p, g))
 		l := p.queue.Min()
 		if vs := l.VS(); n.VS == permit.NoVS || vs < n.VS {
 			n.VS = vs
+			n.Tolerance = s.toldTolerance(p.capacity)
 			n.Step = p.capacity.costs.Units() / l.Account.Weight
 		}
-		if s.starved(p) {
+		if want > 0 && s.starved(p) {
 			n.Want, n.Urgent, n.VS, n.Base, n.Step = 1, 1, 0, permit.NoVS, 0
 			break
 		}
@@ -359,7 +373,6 @@
 	g.told, g.toldAt, g.returned = n, s.now, false
 	state := g.holder.State(n)
 	if g.owner != nil {
-		g.owner.SetTolerance(s.tolerance(g))
 		g.owner.Hold(s.now, s.cfg.Self, fold(s.cfg.Incarnation), state, false)
 		return
 	}
@@ -434,10 +447,8 @@
 		s.answer(from, m.GetIncarnation(), t)
 	}
 	for _, h := range m.GetHolds() {
-		if g := s.groups[h.GetGroup()]; g != nil && g.owner != nil {
-			g.owner.SetTolerance(s.tolerance(g))
-			g.owner.Hold(s.now, from, m.GetIncarnation(), h, old)
-			s.markGroup(g)
+		if g := s.groups[h.GetGroup()]; g != nil {
+			s.takeHold(g, early{from: from, incarnation: m.GetIncarnation(), hold: h, old: old})
 		}
 	}
 	for _, l := range m.GetLeases() {
@@ -450,6 +461,50 @@
 	}
 }
 
+// early is a holder's state, and when it came where it came too early: its
+// sender has learnt of a change of the routers before this one.
+type early struct {
+	from        ids.Instance
+	incarnation uint32
+	hold        *schedv1.Hold
+	old         bool
+	at          time.Time
+}
+
+// takeHold merges a holder's state, or keeps it in case this router is about
+// to learn that it owns the group.
+func (s *Scheduler) takeHold(g *group, e early) {
+	if g.owner != nil {
+		g.owner.Hold(s.now, e.from, e.incarnation, e.hold, e.old)
+		s.markGroup(g)
+		return
+	}
+	if e.old {
+		return
+	}
+	e.at = s.now
+	for i := range g.early {
+		if g.early[i].from == e.from {
+			g.early[i] = e
+			return
+		}
+	}
+	if len(g.early) < maxEarly {
+		g.early = append(g.early, e)
+	}
+}
+
+// takeEarly gives a new owner what came too early.
+func (s *Scheduler) takeEarly(g *group) {
+	held := g.early
+	g.early = nil
+	for _, e := range held {
+		if s.now.Sub(e.at) < s.fresh() {
+			s.takeHold(g, e)
+		}
+	}
+}
+
 // answer takes in a home's totals.
 func (s *Scheduler) answer(from ids.Instance, incarnation uint32, t *schedv1.Totals) {
 	s.book.Answer(s.now, from, incarnation, t, func(a *account.Account) {
