relay: a stream is whole only after its own usage

An end marker names no request. The protocol puts the usage, which names the request, before the marker, so the relay now asks for it and resumes otherwise.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -44,6 +44,10 @@
 type stream struct {
 	attempt *attempt
 	last    uint64
+	// counted is set once the event before the end marker, which carries the
+	// usage, was passed on. An end marker names no request: one that comes
+	// earlier ends another stream.
+	counted bool
 	done    bool
 }
 
@@ -123,7 +127,7 @@
 		return errGap
 	}
 	end := bytes.Equal(ev.data, doneData)
-	if !end && !s.own(ev.data) {
+	if end && !s.counted || !end && !s.own(ev.data) {
 		return errGap
 	}
 	s.last = ev.id
@@ -146,6 +150,7 @@
 	}
 	if c.Usage != nil {
 		a.usage = *c.Usage
+		s.counted = true
 	}
 	return true
 }
