Steps and the bound's estimate go by the requests at hand

An ask tells the estimate of the line's own request as its step instead of the pool's mean, and long requests count for the bound's estimate while they run, before any has ended.

--- a/internal/core/sched/dispatch.go
+++ b/internal/core/sched/dispatch.go
@@ -191,10 +191,16 @@
 		g.Start()
 		s.parkIfLimited(r)
 	}
-	s.charge(r, r.payer.Estimate(r.Class, r.Hint, &r.pool.capacity.costs))
+	r.pool.capacity.running++
+	s.charge(r, s.estimate(r))
 	s.emit(Dispatch{ID: r.ID, Target: m.id})
 }
 
+// estimate returns the expected units of a request.
+func (s *Scheduler) estimate(r *request) float64 {
+	return r.payer.Estimate(r.Class, r.Hint, &r.pool.capacity.costs)
+}
+
 // dispatchSolo dispatches a request that must be alone at its target.
 func (s *Scheduler) dispatchSolo(p *pool) bool {
 	for _, r := range p.solo {
--- a/internal/core/sched/exchange.go
+++ b/internal/core/sched/exchange.go
@@ -195,7 +195,7 @@
 		if vs := l.VS(); n.VS == permit.NoVS || vs < n.VS {
 			n.VS = vs
 			n.Tolerance = s.toldTolerance(p.capacity)
-			n.Step = p.capacity.costs.Units() / l.Account.Weight
+			n.Step = s.estimate(l.Oldest().Value.(*request)) / l.Account.Weight
 		}
 		if want > 0 && s.starved(p) {
 			n.Want, n.Urgent, n.VS, n.Base, n.Step = 1, 1, 0, permit.NoVS, 0
--- a/internal/core/sched/requests.go
+++ b/internal/core/sched/requests.go
@@ -217,6 +217,7 @@
 // charge moves a request's charge to the given units.
 func (s *Scheduler) charge(r *request, units float64) {
 	r.payer.Charge(units - r.charged)
+	r.pool.capacity.charged += units - r.charged
 	r.charged = units
 	s.book.Touch(s.now, r.payer)
 	s.reorder(r.payer, r.pool.capacity)
@@ -262,6 +263,8 @@
 	units := math.Max(e.Units, r.spent)
 	s.spend(r, units)
 	s.charge(r, units)
+	r.pool.capacity.running--
+	r.pool.capacity.charged -= units
 	s.freeMember(r)
 	s.judge(r, e)
 	if !e.Failed && !e.Refused && units > 0 {
--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -188,7 +188,12 @@
 		return 0
 	}
 	slots := float64(c.concurrency)
-	return 2 * (slots*c.costs.Flight() + interval*slots*c.costs.Units()/seconds)
+	flight := c.costs.Flight()
+	if c.running > 0 {
+		// Long requests are seen in flight before any of them has ended.
+		flight = math.Max(flight, c.charged/float64(c.running))
+	}
+	return 2 * (slots*flight + interval*slots*c.costs.Units()/seconds)
 }
 
 func (s *Scheduler) load(e Load) {
@@ -221,6 +226,18 @@
 	return out
 }
 
+// runningRequests returns the dispatched requests in the order of their ids.
+func (s *Scheduler) runningRequests() []*request {
+	var out []*request
+	for _, r := range s.requests {
+		if r.member != nil {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
 // requeue puts waiting requests into the pools of a changed topology; those
 // whose pool has no target left are refused.
 func (s *Scheduler) requeue() {
@@ -243,9 +260,11 @@
 		r.payer, r.line = s.accounts(r.Workspace, p)
 		s.enqueue(r)
 	}
-	for _, r := range s.requests {
+	for _, r := range s.runningRequests() {
 		if p := s.pools[r.Pool]; p != nil {
 			r.pool = p
+			p.capacity.running++
+			p.capacity.charged += r.charged
 		}
 	}
 }
--- a/internal/core/sched/topology.go
+++ b/internal/core/sched/topology.go
@@ -43,6 +43,9 @@
 	// concurrency is the sum over the targets.
 	concurrency int
 	floor       float64
+	// running requests of this router and the units charged for them.
+	running int
+	charged float64
 }
 
 // group is a group of targets and this router's part in it.
