--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -99,6 +99,7 @@
 		Window:      seconds(d.settings.Ledger.WindowSeconds),
 		MaxAnswer:   d.settings.Ledger.MaxAnswerBytes,
 		Live:        d.liveIncarnation,
+		Routers:     func() int { return len(d.mesh.Live()) + 1 },
 		Logger:      d.logger,
 		Scope:       d.scope,
 	})
