--- a/internal/bench/orders.go
+++ b/internal/bench/orders.go
@@ -94,7 +94,7 @@
 	Said []Said
 	// Wrong is set where an answer was that of another order.
 	Wrong bool
-	// Codes of the refusals.
+	// Codes of the refusals, one for each thing said; empty for an answer.
 	Codes []outcome.Code
 }
 
@@ -117,12 +117,12 @@
 	a := c.Call(ctx, http.MethodPost, cmp.Or(o.Service, OrdersService), cmp.Or(o.Path, "/"), o.Key, o.Body)
 	said := o.judge(a)
 	o.Said = append(o.Said, said)
-	var after time.Duration
-	if a.Refusal != nil {
-		o.Codes = append(o.Codes, a.Refusal.Code)
-		after = retryAfter(a)
+	if a.Refusal == nil {
+		o.Codes = append(o.Codes, "")
+		return said, 0
 	}
-	return said, after
+	o.Codes = append(o.Codes, a.Refusal.Code)
+	return said, retryAfter(a)
 }
 
 // retryAfter returns when an answer asks its caller to come back.
--- a/internal/bench/orders_judge.go
+++ b/internal/bench/orders_judge.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/umberhill/umberhill/internal/harness"
 	"github.com/umberhill/umberhill/internal/outcome"
@@ -25,6 +26,10 @@
 	Done, NotRun, Unknown int
 	// UnknownRun of the unknown orders did run.
 	UnknownRun int
+	// The unknown orders by what first left their callers unsure: the router
+	// gave no answer, the target gave none, or a claim stood that nobody
+	// could settle any more.
+	ByRouter, ByTarget, ByClaim int
 	// NoAnswer are the sends whose connection broke.
 	NoAnswer int
 	// Codes counts the refusals.
@@ -57,7 +62,9 @@
 	r.Sends += len(o.Said)
 	r.NoAnswer += said[NoAnswer]
 	for _, code := range o.Codes {
-		r.Codes[code]++
+		if code != "" {
+			r.Codes[code]++
+		}
 	}
 	notRun := said[SaidNotRun] == len(o.Said)
 	switch {
@@ -68,6 +75,7 @@
 	default:
 		r.Unknown++
 		r.UnknownRun += min(ran, 1)
+		r.cause(o)
 	}
 	r.fault(&r.Doubled, ran > 1, "doubled", o, ran)
 	r.fault(&r.FalseNotRun, notRun && ran > 0, "false not-run", o, ran)
@@ -75,6 +83,19 @@
 	r.fault(&r.WrongAnswer, o.Wrong, "wrong answer", o, ran)
 }
 
+// cause counts what first left the caller of an unknown order unsure.
+func (r *OrdersResult) cause(o *Order) {
+	i := slices.IndexFunc(o.Said, func(s Said) bool { return s != SaidNotRun })
+	switch {
+	case o.Said[i] == NoAnswer:
+		r.ByRouter++
+	case o.Codes[i] == outcome.CodeTargetFailed:
+		r.ByTarget++
+	default:
+		r.ByClaim++
+	}
+}
+
 func (r *OrdersResult) fault(count *int, is bool, what string, o *Order, ran int) {
 	if !is {
 		return
@@ -101,6 +122,9 @@
 		row("not-run", r.NotRun, Info()),
 		row("unknown", r.Unknown, Info()),
 		row("unknown-that-ran", r.UnknownRun, Info()),
+		row("unknown-by-router", r.ByRouter, Info()),
+		row("unknown-by-target", r.ByTarget, Info()),
+		row("unknown-by-claim", r.ByClaim, Info()),
 		{Name: prefix + "sends", Value: float64(r.Sends), Unit: "requests", Bound: Info(), Seed: seed},
 		{Name: prefix + "no-answer", Value: float64(r.NoAnswer), Unit: "requests", Bound: Info(), Seed: seed},
 	}
--- a/test/once/once_suite_test.go
+++ b/test/once/once_suite_test.go
@@ -88,9 +88,7 @@
 	caller := fleet.Routers[router].Caller(bench.OrdersWorkspace)
 	defer caller.Close()
 	said, _ := o.Send(ctx, caller)
-	if n := len(o.Codes); said != bench.SaidDone && n > 0 {
-		GinkgoWriter.Printf("%s at router %d: %s\n", o.Key, router, o.Codes[n-1])
-	}
+	GinkgoWriter.Printf("%s at router %d: %d %s\n", o.Key, router, said, o.Codes[len(o.Codes)-1])
 	return said
 }
 
--- a/test/once/routers_test.go
+++ b/test/once/routers_test.go
@@ -11,6 +11,7 @@
 	"github.com/umberhill/umberhill/internal/api"
 	"github.com/umberhill/umberhill/internal/bench"
 	"github.com/umberhill/umberhill/internal/faultlink"
+	"github.com/umberhill/umberhill/internal/harness"
 	"github.com/umberhill/umberhill/internal/standin/platform"
 	"github.com/umberhill/umberhill/internal/standin/service"
 )
@@ -243,6 +244,25 @@
 	})
 })
 
+var _ = Describe("Orders without faults", func() {
+	BeforeEach(startFleet)
+
+	It("are all done, and nothing is unknown", func(ctx context.Context) {
+		const orders = 300
+		placed := bench.OrdersRun{
+			Seed: 7, Orders: orders, Entries: len(fleet.Routers),
+			Entry: func(n int) *harness.Caller { return fleet.Routers[n].Caller(bench.OrdersWorkspace) },
+		}.Do(ctx)
+		all, err := bench.RunsOf(fleet)
+		Expect(err).NotTo(HaveOccurred())
+		result := bench.JudgeOrders(placed, all)
+		GinkgoWriter.Printf("%+v\n", result)
+		Expect(result.Examples).To(BeEmpty())
+		Expect(result.Unknown).To(BeZero())
+		Expect(result.Done).To(Equal(len(placed)))
+	})
+})
+
 // A short run of the soak with its faults, by a fixed seed.
 var _ = Describe("Orders under random faults", func() {
 	BeforeEach(startFleet)
