--- a/test/once/crash_test.go
+++ b/test/once/crash_test.go
@@ -78,6 +78,12 @@
 		Expect(deaths.Load()).To(BeNumerically("<=", 2))
 		Expect(deaths.Load()).To(BeNumerically(">=", 1))
 		Expect(refusals).To(BeNumerically(">", 0))
+		// The second death had nothing beside it.
+		solo := 0.0
+		for _, r := range fleet.Routers {
+			solo += metric(ctx, r, "umberhill_quarantine_solo")
+		}
+		Expect(solo).To(BeNumerically(">=", 1))
 	})
 
 	It("does not take down for good what runs beside it", func(ctx context.Context) {
