--- a/internal/bench/orders.go
+++ b/internal/bench/orders.go
@@ -92,6 +92,8 @@
 	// Path at the service, with its query.
 	Path string
 	Said []Said
+	// Took is the time that the first send took.
+	Took time.Duration
 	// Wrong is set where an answer was that of another order.
 	Wrong bool
 	// Codes of the refusals, one for each thing said; empty for an answer.
@@ -115,6 +117,9 @@
 	ctx, cancel := context.WithTimeout(ctx, ordersTimeout)
 	defer cancel()
 	a := c.Call(ctx, http.MethodPost, cmp.Or(o.Service, OrdersService), cmp.Or(o.Path, "/"), o.Key, o.Body)
+	if len(o.Said) == 0 {
+		o.Took = a.Total
+	}
 	said := o.judge(a)
 	o.Said = append(o.Said, said)
 	if a.Refusal == nil {
