--- a/internal/burn/plot.go
+++ b/internal/burn/plot.go
@@ -12,7 +12,7 @@
 	plotWidth  = 760
 	plotHeight = 220
 	plotLeft   = 64
-	plotRight  = 16
+	plotRight  = 40
 	plotTop    = 12
 	plotBottom = 28
 	plotTicks  = 4
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -255,7 +255,9 @@
 		share, _ := target(contracts[w.Workspace].Objectives, objectives[index])
 		line := Line{Workspace: w.Workspace, Objective: objectives[index]}
 		for _, b := range byName[w.Workspace].Fine {
-			line.Points = append(line.Points, Point{At: b.Start, Value: burnRate(b.Objectives[index], share)})
+			// A bucket's burn is known at its end.
+			at := min(b.Start+fineSeconds, report.At.Unix())
+			line.Points = append(line.Points, Point{At: at, Value: burnRate(b.Objectives[index], share)})
 		}
 		lines = append(lines, line)
 	}
--- a/internal/status/fleet.go
+++ b/internal/status/fleet.go
@@ -113,7 +113,7 @@
 			}
 			sum.Waiting += w.Waiting
 			sum.Running += w.Running
-			sum.Units += w.Units
+			sum.Units = max(sum.Units, w.Units)
 			sum.OldestSeconds = max(sum.OldestSeconds, w.OldestSeconds)
 			sum.VirtualService = max(sum.VirtualService, w.VirtualService)
 		}
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -80,7 +80,7 @@
 	Running   int     `json:"running"`
 	// OldestSeconds is the age of the oldest waiting request.
 	OldestSeconds float64 `json:"oldest_seconds,omitempty"`
-	// Units of service that this router delivered.
+	// Units of service over the fleet as the router knows them.
 	Units float64 `json:"units"`
 	// VirtualService is the fleet's service by weight as the router knows it.
 	VirtualService float64 `json:"virtual_service"`
--- a/internal/status/status_test.go
+++ b/internal/status/status_test.go
@@ -39,6 +39,8 @@
 	g.Expect(fleet.Targets[0].Permits).To(Equal(6))
 	g.Expect(fleet.Targets[0].EjectedBy).To(Equal([]string{"b"}))
 	g.Expect(fleet.Workspaces[0].Waiting).To(Equal(2))
+	// Each router tells the units of the whole fleet.
+	g.Expect(fleet.Workspaces[0].Units).To(BeEquivalentTo(10))
 	g.Expect(fleet.Workspaces[1].Gap).To(BeEquivalentTo(40))
 	g.Expect(fleet.Workspaces[2].Gap).To(BeZero())
 	g.Expect(fleet.Quarantine).To(HaveLen(1))
