--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/umberhill/umberhill/internal/burn"
 	"github.com/umberhill/umberhill/internal/explain"
 )
 
@@ -102,9 +102,9 @@
 	if path := c.String("html"); path != "" {
 		return writePage(ctx, c, cl, path)
 	}
-	var rep json.RawMessage
+	var rep burn.Report
 	if err := cl.call(ctx, http.MethodGet, burnPath, nil, nil, &rep); err != nil {
 		return err
 	}
-	return writeJSON(c.Root().Writer, rep)
+	return show(c, rep, rep.WriteTable)
 }
--- a/internal/proctest/proctest.go
+++ b/internal/proctest/proctest.go
@@ -24,6 +24,8 @@
 const (
 	// Patience is a generous limit for what must happen at all.
 	Patience = 20 * time.Second
+	// SpecLimit ends a spec that hangs.
+	SpecLimit = time.Minute
 	// Often is the interval of looking.
 	Often = 50 * time.Millisecond
 	// InForceWithin is how soon an accepted change must be in force.
