--- a/internal/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -39,6 +40,21 @@
 	}
 }
 
+// TestAlarmsNameRealMetrics compares the alarms with the table of the metrics,
+// which test/metrics compares with what routers serve.
+func TestAlarmsNameRealMetrics(t *testing.T) {
+	g := NewWithT(t)
+	alarms, err := os.ReadFile("../../docs/OPERATIONS.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	metrics, err := os.ReadFile("../../docs/METRICS.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	names := regexp.MustCompile("`umberhill_[a-z_]+`").FindAllString(string(alarms), -1)
+	g.Expect(names).NotTo(BeEmpty())
+	for _, name := range names {
+		g.Expect(string(metrics)).To(ContainSubstring("| " + name + " |"))
+	}
+}
+
 // helpExamples returns the examples in the help of all commands.
 func helpExamples(c *cli.Command) []string {
 	var out []string
