--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -1,10 +1,6 @@
 package daemon
 
 import (
-	"crypto/tls"
-
-	"github.com/cockroachdb/errors"
-
 	"github.com/umberhill/umberhill/internal/api"
 	"github.com/umberhill/umberhill/internal/burn"
 	"github.com/umberhill/umberhill/internal/configsync"
@@ -19,8 +15,6 @@
 	"github.com/umberhill/umberhill/internal/platform"
 	"github.com/umberhill/umberhill/internal/quarantine"
 	"github.com/umberhill/umberhill/internal/relay"
-	"github.com/umberhill/umberhill/internal/settings"
-	"github.com/umberhill/umberhill/internal/tlsfiles"
 )
 
 // build makes the controllers. The order is that of their needs.
@@ -31,24 +25,18 @@
 		Timeout: milliseconds(d.settings.Platform.TimeoutMS),
 		Scope:   d.scope,
 	})
-	if err := d.buildMesh(); err != nil {
+	if err := d.openTLS(); err != nil {
 		return err
 	}
+	d.buildMesh()
 	d.buildScheduler()
 	d.buildRequests()
 	d.buildConfig()
 	return nil
 }
 
-func (d *Daemon) buildMesh() error {
+func (d *Daemon) buildMesh() {
 	p := d.settings.Peer
-	var config *tls.Config
-	if p.TLS != nil {
-		var err error
-		if config, err = tlsfiles.Peer(*p.TLS); err != nil {
-			return errors.Wrap(err, "peer.tls")
-		}
-	}
 	d.mesh = peer.New(peer.Options{
 		Fleet:       d.settings.Fleet,
 		Self:        ids.Instance(d.settings.Instance),
@@ -56,7 +44,7 @@
 		Domain:      ids.Domain(d.settings.Domain),
 		Listen:      d.listeners.peer,
 		Advertise:   p.Advertise,
-		TLS:         config,
+		TLS:         d.tls.peer,
 		Heartbeat:   milliseconds(p.HeartbeatMS),
 		Timeout:     milliseconds(p.TimeoutMS),
 		Handler:     d,
@@ -65,7 +53,6 @@
 		Scope:       d.scope,
 	})
 	d.mesh.SetPeers(p.Seeds)
-	return nil
 }
 
 func (d *Daemon) buildScheduler() {
@@ -154,13 +141,6 @@
 	return list
 }
 
-func (d *Daemon) serverTLS(files *settings.TLS) (*tls.Config, error) {
-	if files == nil {
-		return nil, nil
-	}
-	return tlsfiles.Server(*files, false)
-}
-
 // reportEnd tells the burn recorder how a request ended.
 func (d *Daemon) reportEnd(end account.End) {
 	d.burn.Record(burn.Observation{
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,6 +48,7 @@
 	metricsEnd  io.Closer
 
 	listeners listeners
+	tls       tlsConfigs
 
 	platform   *platform.Client
 	config     *configsync.Controller
@@ -142,8 +143,8 @@
 	admin := d.adminServer()
 	d.Changed(nil)
 	duties, endDuties := d.startDuties()
-	d.serve(callers, d.listeners.callers, d.settings.Callers.TLS)
-	d.serve(admin, d.listeners.admin, d.settings.Admin.TLS)
+	d.serve(callers, d.listeners.callers, d.tls.callers)
+	d.serve(admin, d.listeners.admin, d.tls.admin)
 	d.logger.WithField("callers", d.listeners.callers.Addr().String()).Info("router started")
 	<-ctx.Done()
 	d.stop(callers)
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -27,6 +27,9 @@
 		{"samples", d.sample},
 		{"quarantine", d.quarantine.Run},
 	}
+	for _, source := range d.tls.sources {
+		duties = append(duties, duty{"certificates", source.Run})
+	}
 	var wg conc.WaitGroup
 	for _, duty := range duties {
 		wg.Go(func() { d.run(ctx, duty) })
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -71,7 +71,7 @@
 func (d *Daemon) beat() *peerv1.Heartbeat {
 	return &peerv1.Heartbeat{
 		Revision: d.config.Snapshot().Revision,
-		Draining: d.draining.Load(),
+		Draining: d.leaving(),
 		Watcher:  d.config.Watching(),
 	}
 }
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/umberhill/umberhill/internal/callers"
-	"github.com/umberhill/umberhill/internal/settings"
 )
 
 const (
@@ -44,13 +43,7 @@
 	}
 }
 
-func (d *Daemon) serve(server *http.Server, listener net.Listener, files *settings.TLS) {
-	config, err := d.serverTLS(files)
-	if err != nil {
-		d.logger.WithError(err).Error("listener without TLS files is not served")
-		_ = listener.Close()
-		return
-	}
+func (d *Daemon) serve(server *http.Server, listener net.Listener, config *tls.Config) {
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/umberhill/umberhill/internal/api"
 	"github.com/umberhill/umberhill/internal/configsync"
 	"github.com/umberhill/umberhill/internal/core/sched"
 	"github.com/umberhill/umberhill/internal/dispatch"
@@ -27,7 +28,7 @@
 		At:            time.Now(),
 		UptimeSeconds: time.Since(d.started).Seconds(),
 		Ready:         d.ready(),
-		Draining:      d.draining.Load(),
+		Draining:      d.leaving(),
 		Watcher:       d.config.Watching(),
 		Revision:      d.inForce().Revision,
 		Links:         d.links(),
@@ -126,7 +127,7 @@
 		add(status.ConditionPlatformDown, "", "the platform's object service does not answer; once-only work is refused")
 	}
 	for _, p := range snapshot.Problems {
-		add(status.ConditionObjectInvalid, string(p.Kind)+"/"+p.Name, p.Message)
+		add(status.ConditionObjectInvalid, subject(p), p.Message)
 	}
 	for _, name := range d.missing(snapshot) {
 		add(status.ConditionPeersMissing, name, "no link to a router of the platform's list")
@@ -140,6 +141,14 @@
 	return list
 }
 
+// subject names the object at fault; empty where the platform is.
+func subject(p configsync.Problem) string {
+	if p.Name == "" {
+		return ""
+	}
+	return string(p.Kind) + "/" + p.Name
+}
+
 func conditionOf(name string) status.ConditionType {
 	switch name {
 	case sched.ConditionEjected:
@@ -168,7 +177,14 @@
 
 // ready tells whether the balancer may send requests here.
 func (d *Daemon) ready() bool {
-	return !d.draining.Load() && d.inForce().Known
+	return d.inForce().Known && !d.leaving()
+}
+
+// leaving tells whether the router is stopping, or is announced as leaving by
+// the platform's list or by an operator.
+func (d *Daemon) leaving() bool {
+	self := d.inForce().Routers[ids.Instance(d.settings.Instance)]
+	return d.draining.Load() || self.State == api.StateLeaving
 }
 
 func version() string {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -99,7 +99,7 @@
 	if a.stalled() {
 		return a.broken("the target is silent")
 	}
-	a.result.Crashed = true
+	a.result.Crashed = a.dead()
 	return a.broken("the target closed the connection: " + errors.UnwrapAll(err).Error())
 }
 
@@ -148,7 +148,7 @@
 		return a.abandon()
 	}
 	if !a.stalled() {
-		a.result.Crashed = true
+		a.result.Crashed = a.dead()
 	}
 	return a.broken("the answer was cut off")
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -220,12 +220,19 @@
 		Expect(outcomeOf(err)).To(Equal(outcome.NotRun))
 	})
 
+	It("is unknown where the connection broke, and no crash where the target lives", func() {
+		server := engine(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		result, err := newClient().Do(context.Background(), engineCall(address(server), false), filter.NewAnswer(httptest.NewRecorder()))
+		Expect(outcomeOf(err)).To(Equal(outcome.Unknown))
+		Expect(result.Crashed).To(BeFalse())
+	})
+
 	It("is unknown where the target died after the connection", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		defer listener.Close()
 		go func() {
 			conn, err := listener.Accept()
+			listener.Close()
 			if err == nil {
 				conn.Close()
 			}
