--- a/internal/strictjson/check.go
+++ b/internal/strictjson/check.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"unicode/utf8"
 )
 
@@ -15,14 +16,35 @@
 	typ       reflect.Type
 	required  bool
 	preset    string
-	minimum   string
-	maximum   string
-	maxLength string
-	maxItems  string
+	minimum   *float64
+	maximum   *float64
+	maxLength *float64
+	maxItems  *float64
 	enum      []string
 }
 
-func orderedFields(t reflect.Type) []field {
+// rules are the fields of a struct type, in order and by name.
+type rules struct {
+	ordered []field
+	byName  map[string]field
+}
+
+// known holds the rules of the types met so far.
+var known sync.Map
+
+func rulesOf(t reflect.Type) *rules {
+	if r, ok := known.Load(t); ok {
+		return r.(*rules)
+	}
+	r := &rules{ordered: parseFields(t), byName: map[string]field{}}
+	for _, f := range r.ordered {
+		r.byName[f.name] = f
+	}
+	known.Store(t, r)
+	return r
+}
+
+func parseFields(t reflect.Type) []field {
 	var out []field
 	for i := range t.NumField() {
 		sf := t.Field(i)
@@ -45,27 +67,19 @@
 		case "default":
 			f.preset = value
 		case "minimum":
-			f.minimum = value
+			f.minimum = bound(value)
 		case "maximum":
-			f.maximum = value
+			f.maximum = bound(value)
 		case "maxLength":
-			f.maxLength = value
+			f.maxLength = bound(value)
 		case "maxItems":
-			f.maxItems = value
+			f.maxItems = bound(value)
 		case "enum":
 			f.enum = append(f.enum, value)
 		}
 	}
 }
 
-func fieldsOf(t reflect.Type) map[string]field {
-	out := map[string]field{}
-	for _, f := range orderedFields(t) {
-		out[f.name] = f
-	}
-	return out
-}
-
 // fill sets the defaults of the fields that are not present.
 func fill(v reflect.Value, path string, present map[string]bool) {
 	switch v.Kind() {
@@ -78,7 +92,7 @@
 			fill(v.Index(i), index(path, i), present)
 		}
 	case reflect.Struct:
-		for _, f := range orderedFields(v.Type()) {
+		for _, f := range rulesOf(v.Type()).ordered {
 			at := join(path, f.name)
 			if f.preset != "" && !present[at] {
 				setPreset(v.Field(f.index), f.preset)
@@ -130,7 +144,7 @@
 			c.check(v.Index(i), index(path, i))
 		}
 	case reflect.Struct:
-		for _, f := range orderedFields(v.Type()) {
+		for _, f := range rulesOf(v.Type()).ordered {
 			c.checkField(v.Field(f.index), f, join(path, f.name))
 		}
 	}
@@ -146,27 +160,30 @@
 		c.errs.Add(path, "is required")
 	case len(f.enum) > 0 && !slices.Contains(f.enum, v.String()):
 		c.errs.Add(path, "must be one of %s", strings.Join(f.enum, ", "))
-	case f.maxLength != "" && float64(utf8.RuneCountInString(v.String())) > bound(f.maxLength):
-		c.errs.Add(path, "must be at most %s characters", f.maxLength)
-	case f.maxItems != "" && float64(v.Len()) > bound(f.maxItems):
-		c.errs.Add(path, "must have at most %s items", f.maxItems)
-	case f.minimum != "" && number(v) < bound(f.minimum):
-		c.errs.Add(path, "must be at least %s, not %v", f.minimum, v.Interface())
-	case f.maximum != "" && number(v) > bound(f.maximum):
-		c.errs.Add(path, "must be at most %s, not %v", f.maximum, v.Interface())
+	case f.maxLength != nil && float64(utf8.RuneCountInString(v.String())) > *f.maxLength:
+		c.errs.Add(path, "must be at most %g characters", *f.maxLength)
+	case f.maxItems != nil && float64(v.Len()) > *f.maxItems:
+		c.errs.Add(path, "must have at most %g items", *f.maxItems)
+	case f.minimum != nil && number(v) < *f.minimum:
+		c.errs.Add(path, "must be at least %s, not %v", plain(*f.minimum), v.Interface())
+	case f.maximum != nil && number(v) > *f.maximum:
+		c.errs.Add(path, "must be at most %s, not %v", plain(*f.maximum), v.Interface())
 	default:
 		c.check(v, path)
 	}
 }
 
-func bound(text string) float64 {
+// bound panics on a rule that is no number: a fault of the tag.
+func bound(text string) *float64 {
 	x, err := strconv.ParseFloat(text, 64)
 	if err != nil {
 		panic(err)
 	}
-	return x
+	return &x
 }
 
+func plain(x float64) string { return strconv.FormatFloat(x, 'f', -1, 64) }
+
 func number(v reflect.Value) float64 {
 	switch {
 	case v.CanInt():
--- a/internal/strictjson/walk.go
+++ b/internal/strictjson/walk.go
@@ -35,10 +35,10 @@
 		return
 	}
 	seen := map[string]bool{}
-	fields := fieldsOf(t)
+	fields := rulesOf(t)
 	for _, m := range n.members {
 		at := join(path, m.name)
-		f, known := fields[m.name]
+		f, known := fields.byName[m.name]
 		switch {
 		case seen[m.name]:
 			w.errs.Add(at, "is given twice")
@@ -50,7 +50,7 @@
 		}
 		seen[m.name] = true
 	}
-	for _, f := range orderedFields(t) {
+	for _, f := range fields.ordered {
 		if f.required && !seen[f.name] {
 			w.errs.Add(join(path, f.name), "is required")
 		}
