--- a/internal/bench/orders.go
+++ b/internal/bench/orders.go
@@ -92,9 +92,11 @@
 	// Path at the service, with its query.
 	Path string
 	Said []Said
+	// Took is the time that the first send took.
+	Took time.Duration
 	// Wrong is set where an answer was that of another order.
 	Wrong bool
-	// Codes of the refusals.
+	// Codes of the refusals, one for each thing said; empty for an answer.
 	Codes []outcome.Code
 }
 
@@ -115,14 +117,17 @@
 	ctx, cancel := context.WithTimeout(ctx, ordersTimeout)
 	defer cancel()
 	a := c.Call(ctx, http.MethodPost, cmp.Or(o.Service, OrdersService), cmp.Or(o.Path, "/"), o.Key, o.Body)
+	if len(o.Said) == 0 {
+		o.Took = a.Total
+	}
 	said := o.judge(a)
 	o.Said = append(o.Said, said)
-	var after time.Duration
-	if a.Refusal != nil {
-		o.Codes = append(o.Codes, a.Refusal.Code)
-		after = retryAfter(a)
+	if a.Refusal == nil {
+		o.Codes = append(o.Codes, "")
+		return said, 0
 	}
-	return said, after
+	o.Codes = append(o.Codes, a.Refusal.Code)
+	return said, retryAfter(a)
 }
 
 // retryAfter returns when an answer asks its caller to come back.
