--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -12,6 +12,7 @@
 // are the prefixes of their rows.
 var measures = []Scenario{
 	{Name: "latency/", Run: measureLatency},
+	{Name: "slope/", Run: measureSlope},
 	{Name: "orders/", Run: measureOrders},
 	{Name: "fair/flood/", Run: measureFlood},
 	{Name: "fair/skew/", Run: measureSkew},
