--- a/internal/bench/fair.go
+++ b/internal/bench/fair.go
@@ -148,14 +148,14 @@
 	}
 	gap := seen.gap(floodWeights)
 	waitBound := milliseconds(lightWait(before) + fairSize.runTime())
-	return append(append(rows, idle...),
+	rows = append(append(rows, idle...), f.traffic("flood/traffic", start, end)...)
+	return append(rows,
 		f.row("flood/gap", gap, "units", AtMost(f.floodBound())),
 		f.row("flood/gap-share-of-local", gap/local, "ratio", AtMost(shareOfLocal)),
 		f.row("flood/light-wait-p95", milliseconds(lightWait(load)), "ms", AtMost(waitBound)),
 		f.row("flood/light-wait-p95-before", milliseconds(lightWait(before)), "ms", Info()),
 		f.row("flood/utilisation", seen.utilisation(everyEngine), "ratio", AtLeast(utilisationBound)),
 		f.row("flood/waiting-in-engine", seen.waitingInside(), "requests", Info()),
-		f.row("flood/traffic", end.traffic(start), "B/s", AtMost(controlBytesPerSecond)),
 	), nil
 }
 
@@ -171,10 +171,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return []Row{
-		f.row("flood/idle-cpu", end.core(start), "% of a core", AtMost(controlCorePercent)),
-		f.row("flood/idle-traffic", end.traffic(start), "B/s", AtMost(controlBytesPerSecond)),
-	}, nil
+	cpu := f.row("flood/idle-cpu", end.core(start), "% of a core", AtMost(controlCorePercent))
+	return append([]Row{cpu}, f.traffic("flood/idle-traffic", start, end)...), nil
+}
+
+// traffic returns the rows of the control traffic between two readings: all
+// bytes on the links, and for information the messages by kind.
+func (f *fairRun) traffic(name string, start, end costs) []Row {
+	rows := []Row{f.row(name, end.traffic(start), "B/s", AtMost(controlBytesPerSecond))}
+	for _, kind := range end.kinds() {
+		rows = append(rows, f.row(name+"-"+kind, end.kind(start, kind), "B/s", Info()))
+	}
+	return rows
 }
 
 // skewWeights are four backlogged workspaces that enter at 1, 2, 4 and 8
@@ -234,9 +242,8 @@
 	if mode != modeFleet {
 		return []Row{f.row("skew/gap-"+mode, gap, "units", Above(bound))}, nil
 	}
-	return []Row{
+	return append([]Row{
 		f.row("skew/gap", gap, "units", AtMost(bound)),
 		f.row("skew/utilisation", seen.utilisation(everyEngine), "ratio", AtLeast(utilisationBound)),
-		f.row("skew/traffic", end.traffic(start), "B/s", AtMost(controlBytesPerSecond)),
-	}, nil
+	}, f.traffic("skew/traffic", start, end)...), nil
 }
--- a/internal/bench/node.go
+++ b/internal/bench/node.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -29,10 +31,15 @@
 // wireBytes are all bytes on the links between routers, by direction.
 var wireBytes = regexp.MustCompile(`(?m)^[a-z_]*peer_wire_bytes(?:_total)?(?:\{[^}]*\})? ([0-9.e+]+)$`)
 
+// kindBytes are the bytes of the messages on the links by direction and kind.
+var kindBytes = regexp.MustCompile(`(?m)^[a-z_]*peer_bytes(?:_total)?\{[^}]*kind="([a-z]+)"[^}]*\} ([0-9.e+]+)$`)
+
 // nodeCost is what a router has spent since its start.
 type nodeCost struct {
 	at    time.Time
 	bytes float64
+	// kinds are the bytes by kind of message.
+	kinds map[string]float64
 	cpu   time.Duration
 }
 
@@ -53,6 +60,14 @@
 		}
 		cost.bytes += bytes
 	}
+	cost.kinds = map[string]float64{}
+	for _, match := range kindBytes.FindAllStringSubmatch(text, -1) {
+		bytes, err := strconv.ParseFloat(match[2], 64)
+		if err != nil {
+			return cost, errors.Wrapf(err, "metrics of %s", r.ID)
+		}
+		cost.kinds[match[1]] += bytes
+	}
 	cost.cpu, err = processCPU(r.PID())
 	return cost, err
 }
@@ -99,6 +114,25 @@
 	return most
 }
 
+// kind returns the bytes per second of a kind of message, of the router with
+// the most.
+func (c costs) kind(earlier costs, kind string) float64 {
+	most := 0.0
+	for i := range c {
+		most = max(most, (c[i].kinds[kind]-earlier[i].kinds[kind])/c[i].at.Sub(earlier[i].at).Seconds())
+	}
+	return most
+}
+
+// kinds returns all kinds of message seen.
+func (c costs) kinds() []string {
+	seen := map[string]float64{}
+	for _, cost := range c {
+		maps.Copy(seen, cost.kinds)
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
 // core returns the largest share of a core of any router, in percent.
 func (c costs) core(earlier costs) float64 {
 	most := 0.0
