Ready: configsync: a router soon knows that the platform is back

After a failed call the next watch is short; before, a router learned of the end of an outage only at the next change or after the whole wait of a watch (found by test/partition). Test: fails with the long wait.

--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -17,6 +17,9 @@
 const (
 	// watchWait is how long the platform holds a watch without a change.
 	watchWait = 5 * time.Second
+	// probeWait is the same after a call that failed, so that the router soon
+	// knows that the platform is back.
+	probeWait = 100 * time.Millisecond
 	// listJitter spreads the lists of routers that start together.
 	listJitter = 300 * time.Millisecond
 	// retryFirst and retryMost bound the wait after a failed call.
@@ -59,8 +62,10 @@
 	wait.InitialInterval = retryFirst
 	wait.MaxInterval = retryMost
 	wait.RandomizationFactor = retryJitter
+	hold := watchWait
 	for ctx.Err() == nil {
-		res := w.call(ctx, v)
+		res := w.call(ctx, v, hold)
+		hold = holdAfter(res.err)
 		next, ok := w.report(ctx, res)
 		if !ok {
 			return
@@ -78,12 +83,19 @@
 	}
 }
 
-func (w *watcher) call(ctx context.Context, v verdict) result {
+func holdAfter(err error) time.Duration {
+	if err != nil {
+		return probeWait
+	}
+	return watchWait
+}
+
+func (w *watcher) call(ctx context.Context, v verdict, hold time.Duration) result {
 	if !v.known {
 		lists, err := w.list(ctx)
 		return result{lists: lists, err: err}
 	}
-	res, err := w.client.Watch(ctx, api.ConfigKinds, v.since, watchWait)
+	res, err := w.client.Watch(ctx, api.ConfigKinds, v.since, hold)
 	out := result{since: v.since, revision: res.Revision, err: err}
 	for _, e := range res.Events {
 		out.events = append(out.events, objectOf(e.Object, e.Deleted))
