--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -16,7 +17,9 @@
 
 	"github.com/umberhill/umberhill/internal/adminapi"
 	"github.com/umberhill/umberhill/internal/api"
+	"github.com/umberhill/umberhill/internal/burn"
 	"github.com/umberhill/umberhill/internal/configsync"
+	"github.com/umberhill/umberhill/internal/explain"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/platform"
 	standin "github.com/umberhill/umberhill/internal/standin/platform"
@@ -60,12 +63,33 @@
 			return r.fleet, nil
 		},
 	})
+	router.HandlerFunc("GET", burnPath, serveBurn)
+	router.HandlerFunc("GET", explainPath+"/:id", serveExplain)
 	srv := httptest.NewServer(router)
 	t.Cleanup(srv.Close)
 	r.admin = srv.URL
 	return r
 }
 
+// serveBurn stands for the report of a fleet with one router.
+func serveBurn(w http.ResponseWriter, r *http.Request) {
+	report := burn.Report{Routers: []string{"r1"}, Silent: []string{"r2"}}
+	if r.URL.Query().Get("format") == "html" {
+		_, _ = w.Write([]byte("<html>"))
+		return
+	}
+	_ = json.NewEncoder(w).Encode(report)
+}
+
+func serveExplain(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasSuffix(r.URL.Path, "/known") {
+		http.Error(w, `{"requests":[]}`, http.StatusNotFound)
+		return
+	}
+	ex := explanation{Requests: []explain.Entry{{ID: "known", Step: "queue", Code: "queue_full", QueuedMS: 1500}}}
+	_ = json.NewEncoder(w).Encode(ex)
+}
+
 // revisions sets what the routers of the fleet hold.
 func (r *rig) revisions(revisions ...uint64) {
 	r.mu.Lock()
@@ -180,6 +204,25 @@
 	r.Expect(json.Unmarshal([]byte(out), &status.Fleet{})).To(Succeed())
 }
 
+func TestReportAndExplain(t *testing.T) {
+	r := newRig(t)
+	code, out, _ := r.run("", "report", "burn")
+	r.Expect(code).To(Equal(ExitOK))
+	r.Expect(out).To(And(ContainSubstring("r1"), ContainSubstring("did not answer: r2")))
+	_, out, _ = r.run("", "report", "burn", "-o", "json")
+	r.Expect(json.Unmarshal([]byte(out), &burn.Report{})).To(Succeed())
+	page := filepath.Join(t.TempDir(), "burn.html")
+	code, _, _ = r.run("", "report", "burn", "--html", page)
+	r.Expect(code).To(Equal(ExitOK))
+	r.Expect(os.ReadFile(page)).To(Equal([]byte("<html>")))
+	code, out, _ = r.run("", "explain", "known")
+	r.Expect(code).To(Equal(ExitOK))
+	r.Expect(out).To(MatchRegexp(`known .*queue .*queue_full .*1\.5s`))
+	code, _, errOut := r.run("", "explain", "unknown")
+	r.Expect(code).To(Equal(ExitNotFound))
+	r.Expect(errOut).To(ContainSubstring("no router that answered remembers"))
+}
+
 func TestUsage(t *testing.T) {
 	r := newRig(t)
 	for _, args := range [][]string{
--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/umberhill/umberhill/internal/adminapi"
 	"github.com/umberhill/umberhill/internal/burn"
 	"github.com/umberhill/umberhill/internal/explain"
 )
@@ -71,7 +72,12 @@
 		return err
 	}
 	var ex explanation
-	if err := cl.call(ctx, http.MethodGet, explainPath+"/"+url.PathEscape(id), nil, nil, &ex); err != nil {
+	err = cl.call(ctx, http.MethodGet, explainPath+"/"+url.PathEscape(id), nil, nil, &ex)
+	var api *adminapi.Error
+	if errors.As(err, &api) && api.Code == adminapi.CodeNotFound {
+		api.Message = "no router that answered remembers a request or workspace " + id
+	}
+	if err != nil {
 		return err
 	}
 	return show(c, ex, func(w io.Writer) error { return explainTable(w, ex) })
