ledger: read a shared bucket before writing it, and after waiting for a turn

Cause: a batch waited for its turn to write with a copy that others outdated meanwhile, met a conflict, and waited again, up to its 5 s. Contention also no longer counts as a store that is down.

--- a/internal/ledger/bucket.go
+++ b/internal/ledger/bucket.go
@@ -72,6 +72,9 @@
 	// seen is the highest version that was ever read or written. An older
 	// answer of the store, or none, is no ground for a decision.
 	seen uint64
+	// shared is set while other routers write the bucket too: reading it first
+	// is cheaper than a write that fails.
+	shared bool
 	// fence is the version on which an unsure write of ours was conditional.
 	// Until a higher version is seen, that write may still arrive.
 	fence    uint64
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -32,6 +32,8 @@
 	fresh bool
 	// unsure is set once a write of this batch may have been applied.
 	unsure bool
+	// turn is set while a write has been taken from the router's share.
+	turn bool
 	// blind counts the failed reads since.
 	blind int
 	// began is the wall clock of the first Apply.
@@ -68,7 +70,7 @@
 // neither done nor an error where it makes sense to try again at once.
 func (l *Ledger) try(ctx context.Context, b *bucket, at *attempt) (done bool, err error) {
 	at.tries++
-	if b.cached == nil {
+	if b.cached == nil || b.shared && !at.fresh {
 		if err := l.load(ctx, b); err != nil {
 			at.blind++
 			if at.unsure && at.blind < maxBlind && l.pause(ctx, at) {
@@ -118,6 +120,7 @@
 // adopt takes over an object as the bucket's state.
 func (b *bucket) adopt(obj platform.Object) error {
 	b.cached = nil
+	b.shared = b.seen > 0 && obj.Version != b.seen
 	if obj.Version < b.seen {
 		return errors.Wrapf(errStale, "version %d after %d", obj.Version, b.seen)
 	}
@@ -134,9 +137,8 @@
 
 // write puts the applied bucket on the condition that it stands as read.
 func (l *Ledger) write(ctx context.Context, b *bucket, at *attempt) (done bool, err error) {
-	l.shareWrites()
-	if err := l.limiter.Wait(ctx); err != nil {
-		b.cached = nil
+	ready, err := l.mayWrite(ctx, b, at)
+	if !ready {
 		return false, err
 	}
 	raw, err := b.cached.Encode()
@@ -154,6 +156,7 @@
 		return true, nil
 	case errors.As(err, &conflict):
 		l.scope.Counter("conflicts").Inc(1)
+		b.shared = true
 		b.cached = nil
 		at.fresh = false
 		if conflict.Current != nil {
@@ -176,6 +179,22 @@
 	return false, err
 }
 
+// mayWrite takes a write from the router's share. Where it had to wait, the
+// bucket is read again, since others have had time to write it.
+func (l *Ledger) mayWrite(ctx context.Context, b *bucket, at *attempt) (ready bool, err error) {
+	if at.turn {
+		at.turn = false
+		return true, nil
+	}
+	l.shareWrites()
+	if l.limiter.Allow() {
+		return true, nil
+	}
+	b.cached = nil
+	at.turn = true
+	return false, l.limiter.Wait(ctx)
+}
+
 // settled counts a batch whose unsure write is now known.
 func (l *Ledger) settled(at *attempt) {
 	if at.unsure {
--- a/internal/ledger/deliver.go
+++ b/internal/ledger/deliver.go
@@ -7,6 +7,7 @@
 
 	"github.com/umberhill/umberhill/internal/core/claim"
 	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/platform"
 )
 
 // deliver answers the operations of a batch that stands in the store.
@@ -119,7 +120,7 @@
 // progress.
 func (l *Ledger) fail(b *bucket, at *attempt, err error) {
 	l.scope.Counter("failed").Inc(1)
-	if !errors.Is(err, errUnreadable) {
+	if at.unsure || storeFailed(err) {
 		l.markDown()
 	}
 	var again []*op
@@ -138,6 +139,14 @@
 	l.requeue(b, again)
 }
 
+// storeFailed tells an error of the store from one of this router, such as a
+// batch that met others' writes until its time was up.
+func storeFailed(err error) bool {
+	var read *platform.ReadError
+	var write *platform.NotAppliedError
+	return errors.As(err, &read) || errors.As(err, &write)
+}
+
 func (l *Ledger) failure(b *bucket, err error) error {
 	return &Error{
 		Step:       "claim",
