--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -382,3 +382,17 @@
 		}
 	}
 }
+
+// Two routers that write a bucket in turn read it first, once they have met.
+func TestSharedBucketIsReadFirst(t *testing.T) {
+	store := newFakeStore()
+	ledgers := []*Ledger{start(t, options(store, "r1", 1)), start(t, options(store, "r2", 1))}
+	const claims = 40
+	for i := range claims {
+		mustClaim(t, ledgers[i%2], fmt.Sprint(i), Granted)
+	}
+	const layoutAndFirstMeetings = 3
+	if _, writes := store.calls(); writes > claims+layoutAndFirstMeetings {
+		t.Errorf("%d writes for %d claims", writes, claims)
+	}
+}
