--- a/test/once/crash_test.go
+++ b/test/once/crash_test.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/umberhill/umberhill/internal/bench"
+	"github.com/umberhill/umberhill/internal/faultlink"
 	"github.com/umberhill/umberhill/internal/harness"
 	"github.com/umberhill/umberhill/internal/outcome"
 	"github.com/umberhill/umberhill/internal/standin/engine"
@@ -86,6 +87,30 @@
 		Expect(solo).To(BeNumerically(">=", 1))
 	})
 
+	It("crashes one more of them for a router that is cut off, which learns of it later", func(ctx context.Context) {
+		last := len(fleet.Routers) - 1
+		lone := fleet.Routers[last]
+		for _, r := range fleet.Routers[:last] {
+			fleet.Links.Pair(lone, r, faultlink.Cut())
+		}
+		DeferCleanup(fleet.Links.Clear)
+		time.Sleep(pastTimeouts)
+		poison := harness.Ask{Model: model, Prompt: "poison cut off " + engine.CrashMarker, MaxTokens: 4}
+		for i := range 3 * len(fleet.Routers) {
+			complete(ctx, i, poison)
+		}
+		Expect(deaths.Load()).To(BeNumerically("<=", 2+1))
+		fleet.Links.Clear()
+		Eventually(func() outcome.Code {
+			_, a := complete(ctx, last, poison)
+			if a.Refusal == nil {
+				return ""
+			}
+			return a.Refusal.Code
+		}, soon).Should(Equal(outcome.CodeQuarantined))
+		Expect(deaths.Load()).To(BeNumerically("<=", 2+1))
+	})
+
 	It("does not take down for good what runs beside it", func(ctx context.Context) {
 		const beside = 12
 		p := pool.New()
