--- a/internal/core/sched/dispatch.go
+++ b/internal/core/sched/dispatch.go
@@ -191,10 +191,16 @@
 		g.Start()
 		s.parkIfLimited(r)
 	}
-	s.charge(r, r.payer.Estimate(r.Class, r.Hint, &r.pool.capacity.costs))
+	r.pool.capacity.running++
+	s.charge(r, s.estimate(r))
 	s.emit(Dispatch{ID: r.ID, Target: m.id})
 }
 
+// estimate returns the expected units of a request.
+func (s *Scheduler) estimate(r *request) float64 {
+	return r.payer.Estimate(r.Class, r.Hint, &r.pool.capacity.costs)
+}
+
 // dispatchSolo dispatches a request that must be alone at its target.
 func (s *Scheduler) dispatchSolo(p *pool) bool {
 	for _, r := range p.solo {
@@ -211,7 +217,7 @@
 	for _, g := range r.pool.groups {
 		for i, m := range g.member {
 			h := g.holder
-			if h.Used(i) > 0 || h.Free(i) == 0 || m.solo != nil || excluded(r, m.id) || !m.health.Usable(s.now) {
+			if g.Members[i].Leaving || h.Used(i) > 0 || h.Free(i) == 0 || m.solo != nil || excluded(r, m.id) || !m.health.Usable(s.now) {
 				continue
 			}
 			if !s.fleet() || (h.Alone() == i && s.valid(g)) {
