--- a/internal/configsync/build.go
+++ b/internal/configsync/build.go
@@ -89,6 +89,7 @@
 	if len(affected) > 0 {
 		next.Contracts = b.buildContracts(last.Contracts, affected)
 		next.Generations.Contracts++
+		next.logContracts(affected)
 	}
 	if kinds[api.KindDrain] {
 		next.Drains = maps.Clone(b.drains)
@@ -105,6 +106,20 @@
 	return &next
 }
 
+// logContracts notes what changed with the snapshot's generation. Changes that
+// would not fit are forgotten, and readers then compare all.
+func (s *Snapshot) logContracts(affected map[ids.Workspace]bool) {
+	if len(s.contractLog)+len(affected) > maxContractLog {
+		s.contractLog, s.logSince = nil, s.Generations.Contracts
+		return
+	}
+	log := slices.Clone(s.contractLog)
+	for ws := range affected {
+		log = append(log, contractChange{generation: s.Generations.Contracts, workspace: ws})
+	}
+	s.contractLog = log
+}
+
 // take notes an object's value in force.
 func (b *builder) take(key config.Key, affected map[ids.Workspace]bool) {
 	typed, _ := b.set.Lookup(key)
--- a/internal/configsync/snapshot.go
+++ b/internal/configsync/snapshot.go
@@ -27,6 +27,9 @@
 	Drains map[string]api.Drain
 	// Generations rise by one with each change of the map of that name.
 	Generations Generations
+	// contractLog has the changes of the generations after logSince.
+	contractLog []contractChange
+	logSince    uint64
 	// Problems that operators should mend.
 	Problems []Problem
 	// PlatformUp tells whether the platform answered last. A router that does
@@ -40,6 +43,31 @@
 	Contracts, Targets, Routers uint64
 }
 
+// maxContractLog bounds the changes of contracts that a snapshot remembers.
+const maxContractLog = 1024
+
+// contractChange is one workspace whose contract differs from a generation on.
+type contractChange struct {
+	generation uint64
+	workspace  ids.Workspace
+}
+
+// ChangedContracts returns the workspaces whose contracts may differ from those
+// of the snapshot that had the given generation. It is false where that one is
+// too old to tell.
+func (s *Snapshot) ChangedContracts(since uint64) ([]ids.Workspace, bool) {
+	if since < s.logSince {
+		return nil, false
+	}
+	var changed []ids.Workspace
+	for _, c := range s.contractLog {
+		if c.generation > since {
+			changed = append(changed, c.workspace)
+		}
+	}
+	return changed, true
+}
+
 // Problem is an object that is not in force as written, or a platform that
 // answers with an older state.
 type Problem struct {
--- a/internal/core/sched/api.go
+++ b/internal/core/sched/api.go
@@ -100,6 +100,14 @@
 // SetShares replaces the limits and weights of all workspaces.
 type SetShares struct{ Shares []Share }
 
+// PatchShares changes the limits and weights of some workspaces.
+type PatchShares struct {
+	// Put adds or replaces shares.
+	Put []Share
+	// Removed workspaces have none any more.
+	Removed []ids.Workspace
+}
+
 // Share is what the scheduler needs of a contract.
 type Share struct {
 	Workspace ids.Workspace
@@ -118,17 +126,18 @@
 // and all waiting requests are refused.
 type Drain struct{}
 
-func (Submit) isEvent()     {}
-func (Cancel) isEvent()     {}
-func (Progress) isEvent()   {}
-func (Finish) isEvent()     {}
-func (Receive) isEvent()    {}
-func (Tick) isEvent()       {}
-func (SetRouters) isEvent() {}
-func (SetTargets) isEvent() {}
-func (SetShares) isEvent()  {}
-func (Load) isEvent()       {}
-func (Drain) isEvent()      {}
+func (Submit) isEvent()      {}
+func (Cancel) isEvent()      {}
+func (Progress) isEvent()    {}
+func (Finish) isEvent()      {}
+func (Receive) isEvent()     {}
+func (Tick) isEvent()        {}
+func (SetRouters) isEvent()  {}
+func (SetTargets) isEvent()  {}
+func (SetShares) isEvent()   {}
+func (PatchShares) isEvent() {}
+func (Load) isEvent()        {}
+func (Drain) isEvent()       {}
 
 // Action is something that the router must do.
 type Action interface{ isAction() }
--- a/internal/core/sched/limits.go
+++ b/internal/core/sched/limits.go
@@ -25,16 +25,42 @@
 	s.shares = make(map[ids.Workspace]Share, len(shares))
 	s.limited = map[uint64]Share{}
 	for _, sh := range shares {
-		s.shares[sh.Workspace] = sh
-		if limit.Limited(sh.Limits) {
-			s.limited[xxhash.Sum64String(string(sh.Workspace))] = sh
-		}
+		s.putShare(sh)
 	}
 	for _, w := range s.gateNames() {
-		g := s.gates[w]
-		g.SetLimits(s.now, s.shares[w].Limits)
-		s.unpark(g)
+		s.limitsChanged(w)
+	}
+}
+
+func (s *Scheduler) patchShares(p PatchShares) {
+	for _, sh := range p.Put {
+		s.putShare(sh)
+		s.limitsChanged(sh.Workspace)
+	}
+	for _, w := range p.Removed {
+		delete(s.shares, w)
+		delete(s.limited, xxhash.Sum64String(string(w)))
+		s.limitsChanged(w)
+	}
+}
+
+func (s *Scheduler) putShare(sh Share) {
+	key := xxhash.Sum64String(string(sh.Workspace))
+	s.shares[sh.Workspace] = sh
+	delete(s.limited, key)
+	if limit.Limited(sh.Limits) {
+		s.limited[key] = sh
+	}
+}
+
+// limitsChanged tells a workspace's gate, if it has one, of its limits.
+func (s *Scheduler) limitsChanged(w ids.Workspace) {
+	g := s.gates[w]
+	if g == nil {
+		return
 	}
+	g.SetLimits(s.now, s.shares[w].Limits)
+	s.unpark(g)
 }
 
 func (s *Scheduler) gateNames() []ids.Workspace {
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -130,6 +130,8 @@
 		s.setRouters(e.Routers)
 	case SetTargets:
 		s.setTargets(e.Targets)
+	case PatchShares:
+		s.patchShares(e)
 	case SetShares:
 		s.setShares(e.Shares)
 	case Load:
--- a/internal/core/sched/shares_bench_test.go
+++ b/internal/core/sched/shares_bench_test.go
@@ -31,3 +31,21 @@
 		})
 	}
 }
+
+// BenchmarkPatchShares changes one share among n.
+func BenchmarkPatchShares(b *testing.B) {
+	for _, n := range []int{16, 46_000} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			s := sched.New(sched.Settings{Self: "r", Incarnation: 1, Domain: "d", ReportInterval: 500 * time.Millisecond, Tolerance: 256})
+			shares := make([]sched.Share, n)
+			for i := range shares {
+				shares[i] = sched.Share{Workspace: ids.Workspace(fmt.Sprint("workspace-", i)), Weight: 1}
+			}
+			now := time.Unix(1_700_000_000, 0)
+			s.Step(now, sched.SetShares{Shares: shares})
+			for b.Loop() {
+				s.Step(now, sched.PatchShares{Put: shares[:1], Removed: []ids.Workspace{"none"}})
+			}
+		})
+	}
+}
--- a/internal/daemon/apply.go
+++ b/internal/daemon/apply.go
@@ -5,9 +5,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/umberhill/umberhill/internal/api"
 	"github.com/umberhill/umberhill/internal/configsync"
 	"github.com/umberhill/umberhill/internal/core/sched"
 	"github.com/umberhill/umberhill/internal/directory"
+	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/settings"
 )
 
@@ -67,8 +69,7 @@
 		d.dispatcher.Tell(sched.SetTargets{Targets: directory.Scheduled(next.Targets)})
 	}
 	if next.Generations.Contracts != last.Contracts {
-		d.dispatcher.Tell(sched.SetShares{Shares: shares(next)})
-		d.auth.Update(next.Contracts)
+		d.applyContracts(next, last.Contracts)
 	}
 	if next.Generations.Routers != last.Routers {
 		d.mesh.SetPeers(d.seeds(next))
@@ -76,10 +77,40 @@
 	d.applier.applied.Store(next)
 }
 
+// applyContracts passes on the changes since a generation, or all contracts
+// where the snapshot can't tell them.
+func (d *Daemon) applyContracts(next *configsync.Snapshot, since uint64) {
+	changed, ok := next.ChangedContracts(since)
+	if !ok {
+		d.dispatcher.Tell(sched.SetShares{Shares: shares(next)})
+		d.auth.Update(next.Contracts)
+		return
+	}
+	d.dispatcher.Tell(patch(next, changed))
+	d.auth.Patch(next.Contracts, changed)
+}
+
+func patch(snapshot *configsync.Snapshot, changed []ids.Workspace) sched.PatchShares {
+	var p sched.PatchShares
+	for _, ws := range changed {
+		contract := snapshot.Contracts[ws]
+		if contract == nil {
+			p.Removed = append(p.Removed, ws)
+			continue
+		}
+		p.Put = append(p.Put, share(ws, contract))
+	}
+	return p
+}
+
+func share(ws ids.Workspace, c *api.Contract) sched.Share {
+	return sched.Share{Workspace: ws, Weight: c.Weight, Limits: c.Limits}
+}
+
 func shares(snapshot *configsync.Snapshot) []sched.Share {
 	list := make([]sched.Share, 0, len(snapshot.Contracts))
 	for ws, contract := range snapshot.Contracts {
-		list = append(list, sched.Share{Workspace: ws, Weight: contract.Weight, Limits: contract.Limits})
+		list = append(list, share(ws, contract))
 	}
 	return list
 }
--- a/internal/filter/authenticate/authenticate.go
+++ b/internal/filter/authenticate/authenticate.go
@@ -49,6 +49,26 @@
 	f.index.Store(edit.next)
 }
 
+// Patch takes in contracts of which only the named workspaces' differ from those
+// of the last call. Calls must not overlap with others or with Update.
+func (f *Filter) Patch(contracts map[ids.Workspace]*api.Contract, changed []ids.Workspace) {
+	edit := f.index.Load().edit()
+	for _, ws := range changed {
+		old, next := f.last[ws], contracts[ws]
+		if old == next {
+			continue
+		}
+		if old != nil {
+			edit.remove(old)
+		}
+		if next != nil {
+			edit.add(next)
+		}
+	}
+	f.last = contracts
+	f.index.Store(edit.next)
+}
+
 // Serve implements filter.Filter.
 func (f *Filter) Serve(x *filter.Exchange, next filter.Handler) error {
 	header := x.In.Header.Get("Authorization")
--- a/internal/filter/authenticate/authenticate_test.go
+++ b/internal/filter/authenticate/authenticate_test.go
@@ -47,8 +47,20 @@
 	}
 }
 
-// BenchmarkUpdate changes one contract among many.
-func BenchmarkUpdate(b *testing.B) {
+func TestPatchMovesAKeyBetweenContracts(t *testing.T) {
+	f := authenticate.New()
+	a, b := contract("a", "k1"), contract("b", "k2")
+	f.Update(map[ids.Workspace]*api.Contract{"a": a, "b": b})
+	f.Patch(map[ids.Workspace]*api.Contract{"a": a, "c": contract("c", "k2")}, []ids.Workspace{"b", "c", "c"})
+	for key, want := range map[string]ids.Workspace{"k1": "a", "k2": "c"} {
+		if got := workspaceOf(t, f, key); got != want {
+			t.Errorf("key %q: workspace %q, want %q", key, got, want)
+		}
+	}
+}
+
+// BenchmarkPatch changes one contract among many.
+func BenchmarkPatch(b *testing.B) {
 	for _, n := range []int{16, 4_600, 46_000} {
 		b.Run(fmt.Sprintf("contracts=%d", n), func(b *testing.B) {
 			f := authenticate.New()
@@ -64,7 +76,7 @@
 				next := maps.Clone(contracts)
 				next["ws-1"] = contract("ws-1", "key-ws-1")
 				b.StartTimer()
-				f.Update(next)
+				f.Patch(next, []ids.Workspace{"ws-1"})
 				contracts = next
 			}
 		})
