--- a/internal/bench/fair.go
+++ b/internal/bench/fair.go
@@ -162,7 +162,7 @@
 // idle measures what control costs while nothing is asked: the whole of the
 // routers' CPU time and link bytes.
 func (f *fairRun) idle(ctx context.Context) ([]Row, error) {
-	start, err := readCosts(ctx, f.fleet)
+	start, err := settledCosts(ctx, f.fleet)
 	if err != nil {
 		return nil, err
 	}
@@ -225,7 +225,7 @@
 }
 
 func (f *fairRun) skewRows(ctx context.Context, mode string) ([]Row, error) {
-	start, err := readCosts(ctx, f.fleet)
+	start, err := settledCosts(ctx, f.fleet)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/node.go
+++ b/internal/bench/node.go
@@ -21,6 +21,10 @@
 	controlBytesPerSecond = 2000
 	controlCorePercent    = 1.1
 
+	// metricsLag is how long a router's metrics may be behind, and so how long
+	// the writing of contracts may show after it.
+	metricsLag = 3 * time.Second
+
 	// clockTick is the unit of the CPU times in /proc.
 	clockTick = 10 * time.Millisecond
 	// userField and systemField are the columns after the command's name.
@@ -93,6 +97,13 @@
 // costs are those of all routers of a fleet.
 type costs []nodeCost
 
+// settledCosts waits until what was before shows in the metrics and reads the
+// costs.
+func settledCosts(ctx context.Context, fleet *harness.Fleet) (costs, error) {
+	pause(ctx, metricsLag)
+	return readCosts(ctx, fleet)
+}
+
 func readCosts(ctx context.Context, fleet *harness.Fleet) (costs, error) {
 	all := make(costs, len(fleet.Routers))
 	for i, r := range fleet.Routers {
