Ready: turns for lines that waited long take a bounded share

Cause: with requests of 20 times the others' cost, a line that had waited 8 mean request times at a router got a turn at each router every few seconds, each for 20 times as long: up to half of the pool went to it whatever its virtual service (trace of fair/cost on real processes: the workspace at one router got half of its share). Patience goes by the request's own expected time now, and turns take at most one in 8 of a router's permits. A hint moves a first estimate to the geometric mean of hint and pool mean: a low hint of long requests filled the pool with them at the start.

--- a/internal/core/account/cost.go
+++ b/internal/core/account/cost.go
@@ -1,6 +1,10 @@
 package account
 
-import "github.com/umberhill/umberhill/internal/api"
+import (
+	"math"
+
+	"github.com/umberhill/umberhill/internal/api"
+)
 
 // classes is the number of request classes.
 const classes = 3
@@ -79,11 +83,13 @@
 }
 
 // Estimate returns the expected units of a request: the running mean of the
-// account and class, with the hint, or else the targets' mean, as weak prior.
+// account and class, with the targets' mean as weak prior. A hint moves the prior
+// to the geometric mean of both: too low an estimate of long requests shows only
+// when they have held too many slots for long.
 func (a *Account) Estimate(c api.Class, hint float64, all *Costs) float64 {
-	prior := hint
-	if prior <= 0 {
-		prior = all.Units()
+	prior := all.Units()
+	if hint > 0 {
+		prior = math.Sqrt(hint * prior)
 	}
 	m := a.costs[classIndex(c)]
 	n := float64(m.n)
--- a/internal/core/sched/dispatch.go
+++ b/internal/core/sched/dispatch.go
@@ -72,20 +72,24 @@
 }
 
 // dispatchStarved gives a turn to a line that has waited unserved for too long:
-// its workspace is ahead by what other routers serve of it. Turns are rare, and
-// charged like any other, so that shares over the fleet stay as they are.
+// its workspace is ahead by what other routers serve of it. Turns are charged
+// like any other, and take at most a share of this router's permits, else long
+// requests would live on them.
 func (s *Scheduler) dispatchStarved(p *pool) bool {
-	patience := p.capacity.patience()
-	l := p.queue.Longest()
-	if s.cfg.Mode == ModeFIFO || s.now.Sub(l.Since()) < patience || s.now.Sub(p.starved) < patience {
+	if s.cfg.Mode == ModeFIFO || s.now.Before(p.nextStarved) || !s.outOfPatience(p) {
 		return false
 	}
-	r := l.Oldest().Value.(*request)
+	r := p.queue.Longest().Oldest().Value.(*request)
 	m := s.choose(r, 0)
 	if m == nil {
 		return false
 	}
-	p.starved = s.now
+	working := 0
+	for _, g := range p.groups {
+		working += g.working(s.now)
+	}
+	pause := starvedRequests * s.duration(r) / time.Duration(max(1, working))
+	p.nextStarved = s.now.Add(max(minStarved, pause))
 	s.start(r, m)
 	return true
 }
@@ -196,6 +200,12 @@
 	s.emit(Dispatch{ID: r.ID, Target: m.id})
 }
 
+// duration returns the expected time of a request at a target, zero if unknown.
+func (s *Scheduler) duration(r *request) time.Duration {
+	c := &r.pool.capacity.costs
+	return time.Duration(s.estimate(r) / c.Units() * c.Seconds() * float64(time.Second))
+}
+
 // estimate returns the expected units of a request.
 func (s *Scheduler) estimate(r *request) float64 {
 	return r.payer.Estimate(r.Class, r.Hint, &r.pool.capacity.costs)
--- a/internal/core/sched/exchange.go
+++ b/internal/core/sched/exchange.go
@@ -31,8 +31,9 @@
 	toleranceRequests = 1
 	// toleranceShare of a small pool's bound is the greatest tolerance.
 	toleranceShare = 0.125
-	// minStarved and starvedRequests, in mean request times, are the patience
-	// with which a line waits unserved at a router.
+	// minStarved and starvedRequests, in times of its next request, are the
+	// patience with which a line waits unserved at a router; one in as many
+	// permits may be used for such lines.
 	minStarved      = 2 * time.Second
 	starvedRequests = 8
 	// maxEarly bounds the holders' states kept for a group not yet owned.
@@ -217,15 +218,19 @@
 			return false
 		}
 	}
-	return s.now.Sub(p.queue.Longest().Since()) >= p.capacity.patience()
+	return s.outOfPatience(p)
 }
 
-// patience returns how long a line may wait unserved at a router, while its
-// workspace may be served at others, before it gets a turn whatever its virtual
-// service.
-func (c *capacity) patience() time.Duration {
-	requests := starvedRequests * time.Duration(c.costs.Seconds()*float64(time.Second))
-	return max(minStarved, requests)
+// outOfPatience tells whether a line has waited unserved at this router for so
+// long that it gets a turn whatever its virtual service, while its workspace may
+// be served at others.
+func (s *Scheduler) outOfPatience(p *pool) bool {
+	l := p.queue.Longest()
+	if l == nil {
+		return false
+	}
+	patience := starvedRequests * s.duration(l.Oldest().Value.(*request))
+	return s.now.Sub(l.Since()) >= max(minStarved, patience)
 }
 
 // lasting returns the least virtual service that has waited for an interval or
--- a/internal/core/sched/topology.go
+++ b/internal/core/sched/topology.go
@@ -30,8 +30,8 @@
 	// hungry is since when requests have waited without a break.
 	hungry  time.Time
 	started pace
-	// starved is when a line last got a turn for having waited long.
-	starved time.Time
+	// nextStarved is when a line may next get a turn for having waited long.
+	nextStarved time.Time
 }
 
 // capacity is a set of pools that share targets, and so accounts: service in
