Ready: burn: no search of all workspaces for each observation that finds no room

With 512 workspaces held, each observation of a further one searched all of them; now once a minute at most.

--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -30,6 +30,9 @@
 	histogramMaxMS  = 3_600_000
 	histogramDigits = 1
 	histogramSpan   = time.Hour
+	// evictEvery bounds the searches for an idle workspace where all places
+	// are taken.
+	evictEvery = time.Minute
 )
 
 // Options of a Recorder.
@@ -53,6 +56,8 @@
 	workspaces map[ids.Workspace]*record
 	uncounted  uint64
 	samples    []Sample
+	// nextEvict is when a search for an idle workspace is worth while again.
+	nextEvict time.Time
 }
 
 // record is what is held of one workspace.
@@ -166,12 +171,16 @@
 
 // evict removes a workspace whose observations have all left the windows.
 func (r *Recorder) evict(now time.Time) bool {
+	if now.Before(r.nextEvict) {
+		return false
+	}
 	for name, rec := range r.workspaces {
 		if now.Sub(rec.last) > coarseBuckets*coarseSeconds*time.Second {
 			delete(r.workspaces, name)
 			return true
 		}
 	}
+	r.nextEvict = now.Add(evictEvery)
 	return false
 }
 
