daemon: a duty that fails ends the router; scheduler takes a patch before any replacement

Cause: the first contract with limits, taken in as a patch, panicked in the scheduler (nil map): conc kept the panic until the end, and the router went on, refusing every request as shutting_down. Found by measure capacity/ (a workspace of 46,000 that no router served).

--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -21,6 +21,7 @@
 	{Name: "fair/cut/", Run: measureCut},
 	{Name: "fair/kill/", Run: measureKill},
 	{Name: "fair/curve/", Run: measureCurve, Named: true},
+	{Name: "capacity/", Run: measureCapacity, Named: true},
 }
 
 // RunMeasure runs the measurements that can give rows with a prefix and prints
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -89,6 +89,7 @@
 		gates:      map[ids.Workspace]*gate{},
 		quota:      limit.NewHome(),
 		shares:     map[ids.Workspace]Share{},
+		limited:    map[uint64]Share{},
 		pools:      map[ids.Pool]*pool{},
 		capacities: map[string]*capacity{},
 		groups:     map[uint32]*group{},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,6 +69,8 @@
 	applier  *applier
 	control  meter
 	draining atomic.Bool
+	// failed has the first failure of a duty.
+	failed chan error
 	// background runs the listeners.
 	background conc.WaitGroup
 }
@@ -90,6 +92,7 @@
 		directory:   directory.New(),
 		recent:      explain.New(recentRequests),
 		applier:     newApplier(),
+		failed:      make(chan error, 1),
 		auth:        authenticate.New(),
 		hold:        hold.New(s.Callers.MaxHeld),
 	}
@@ -136,7 +139,8 @@
 }
 
 // Run serves until the context ends, then stops gracefully: readiness goes off,
-// waiting requests are refused as not run, and running ones finish.
+// waiting requests are refused as not run, and running ones finish. The error is
+// that of a duty that failed; the router can't go on without it.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.metricsEnd.Close()
 	callers := d.callersServer()
@@ -146,15 +150,28 @@
 	d.serve(callers, d.listeners.callers, d.tls.callers)
 	d.serve(admin, d.listeners.admin, d.tls.admin)
 	d.logger.WithField("callers", d.listeners.callers.Addr().String()).Info("router started")
-	<-ctx.Done()
-	d.stop(callers)
+	err := d.await(ctx, callers)
 	endDuties()
 	duties.Wait()
 	d.relay.Close()
 	closeServer(admin)
 	d.background.Wait()
 	d.logger.Info("router stopped")
-	return nil
+	return err
+}
+
+// await waits for the end of the context and stops gracefully, or for the
+// failure of a duty and cuts off what runs.
+func (d *Daemon) await(ctx context.Context, callers *http.Server) error {
+	select {
+	case <-ctx.Done():
+		d.stop(callers)
+		return nil
+	case err := <-d.failed:
+		d.draining.Store(true)
+		_ = callers.Close()
+		return err
+	}
 }
 
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
