--- a/test/once/once_suite_test.go
+++ b/test/once/once_suite_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -18,6 +19,7 @@
 	"github.com/umberhill/umberhill/internal/bench"
 	"github.com/umberhill/umberhill/internal/core/claim"
 	"github.com/umberhill/umberhill/internal/harness"
+	"github.com/umberhill/umberhill/internal/settings"
 	"github.com/umberhill/umberhill/internal/standin/service"
 )
 
@@ -61,6 +63,12 @@
 		engine := harness.Engine{Models: []string{model}, Concurrency: 8, TokensPerSecond: 400}
 		spec.Domains[i].Engines = append(spec.Domains[i].Engines, harness.Repeat(3, engine)...)
 	}
+	spec.Settings = func(s *settings.Settings) {
+		bench.OrdersSettings(s)
+		// The relays look up who called them before they pass a byte on, which
+		// takes seconds on a loaded machine.
+		s.Targets.ServiceStallMS = int(soon / time.Millisecond)
+	}
 	fleet, err = harness.Start(ctx, binaries, spec)
 	Expect(err).NotTo(HaveOccurred())
 	for _, e := range fleet.Engines {
