--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -12,6 +12,7 @@
 // are the prefixes of their rows.
 var measures = []Scenario{
 	{Name: "latency/", Run: measureLatency},
+	{Name: "slope/", Run: measureSlope},
 	{Name: "orders/", Run: measureOrders},
 	{Name: "fair/flood/", Run: measureFlood},
 	{Name: "fair/skew/", Run: measureSkew},
@@ -20,6 +21,7 @@
 	{Name: "fair/cut/", Run: measureCut},
 	{Name: "fair/kill/", Run: measureKill},
 	{Name: "fair/curve/", Run: measureCurve, Named: true},
+	{Name: "capacity/", Run: measureCapacity, Named: true},
 }
 
 // RunMeasure runs the measurements that can give rows with a prefix and prints
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -89,6 +89,7 @@
 		gates:      map[ids.Workspace]*gate{},
 		quota:      limit.NewHome(),
 		shares:     map[ids.Workspace]Share{},
+		limited:    map[uint64]Share{},
 		pools:      map[ids.Pool]*pool{},
 		capacities: map[string]*capacity{},
 		groups:     map[uint32]*group{},
@@ -130,6 +131,8 @@
 		s.setRouters(e.Routers)
 	case SetTargets:
 		s.setTargets(e.Targets)
+	case PatchShares:
+		s.patchShares(e)
 	case SetShares:
 		s.setShares(e.Shares)
 	case Load:
