quarantine: a death after which the request began anew is another, however soon

Change: crashes carry when the request began; one that began after the earlier death counts. Conclusion: partial; being looked into.

--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -36,6 +36,8 @@
 	Solo bool
 	// At is the reporter's wall clock in Unix milliseconds.
 	At int64
+	// Began is when the request began at the target, by the same clock.
+	Began int64
 	// Cleared is set once the request is known not to be to blame. It is
 	// never unset.
 	Cleared bool
@@ -180,7 +182,8 @@
 	return Standing{Level: Suspect, Until: time.UnixMilli(last).Add(2 * t.duration)}
 }
 
-// deaths counts the different deaths held against the suspect.
+// deaths counts the different deaths held against the suspect. One that it began
+// after the earlier death of the same target is another, however soon.
 func (s *suspect) deaths(skip func(Crash) bool) (n int, solo bool, last int64) {
 	seen := map[ids.Target]int64{}
 	for _, c := range s.crashes {
@@ -191,7 +194,7 @@
 		solo = solo || c.Solo
 		before, ok := seen[c.Target]
 		seen[c.Target] = c.At
-		if ok && !c.Solo && c.At-before <= deathGap.Milliseconds() {
+		if ok && !c.Solo && c.Began <= before && c.At-before <= deathGap.Milliseconds() {
 			continue
 		}
 		n++
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -175,3 +175,25 @@
 		t.Fatal("granted twice")
 	}
 }
+
+func TestTargetThatIsBackAtOnce(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for _, tc := range []struct {
+		name  string
+		began int64
+		want  Level
+	}{
+		{"ran beside the first", -10, Suspect},
+		{"began after the first death", 20, Quarantined},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table := New(10 * time.Minute)
+			at := now.UnixMilli()
+			table.Add(Crash{Fingerprint: 1, Target: "t", ID: "a/1", Began: at - 100, At: at}, now)
+			table.Add(Crash{Fingerprint: 1, Target: "t", ID: "b/1", Began: at + tc.began, At: at + 30}, now)
+			if got := table.Standing(1, now.Add(time.Second)).Level; got != tc.want {
+				t.Errorf("level %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -92,6 +92,7 @@
 	fp     uint64
 	target ids.Target
 	solo   bool
+	began  int64 // Unix milliseconds
 }
 
 // Controller holds a router's view of suspects. It is safe for concurrent use.
@@ -310,7 +311,7 @@
 		c.trials.Start(fp)
 	}
 	if len(c.running) < maxRunning {
-		c.running[id] = attempt{fp: fp, target: target, solo: solo}
+		c.running[id] = attempt{fp: fp, target: target, solo: solo, began: c.opts.Now().UnixMilli()}
 	}
 	return true
 }
@@ -360,8 +361,9 @@
 	crash := quarantine.Crash{
 		Fingerprint: a.fp,
 		Target:      a.target,
-		ID:          c.deathID(a.target, now),
+		ID:          c.deathID(a, now),
 		Solo:        a.solo,
+		Began:       a.began,
 		At:          now.UnixMilli(),
 	}
 	if !c.table.Add(crash, now) {
@@ -372,10 +374,11 @@
 	msg.Crashes = append(msg.Crashes, encodeCrash(crash))
 }
 
-// deathID names the death of a target; attempts that end together share it.
-func (c *Controller) deathID(target ids.Target, now time.Time) string {
-	d, ok := c.deaths[target]
-	if ok && now.Sub(d.at) < sameDeath {
+// deathID names the death of a target; attempts that ran beside each other and
+// end together share it.
+func (c *Controller) deathID(a attempt, now time.Time) string {
+	d, ok := c.deaths[a.target]
+	if ok && now.Sub(d.at) < sameDeath && a.began <= d.at.UnixMilli() {
 		return d.id
 	}
 	for t, old := range c.deaths {
@@ -385,7 +388,7 @@
 	}
 	c.counter++
 	d = death{id: fmt.Sprintf("%s/%x/%d", c.opts.Self, uint64(c.opts.Incarnation), c.counter), at: now}
-	c.deaths[target] = d
+	c.deaths[a.target] = d
 	return d.id
 }
 
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -48,6 +48,7 @@
 		Solo:        m.GetSolo(),
 		At:          min(m.GetAtMs(), now.Add(maxAhead).UnixMilli()),
 		Cleared:     m.GetCleared(),
+		Began:       m.GetBeganMs(),
 	}
 	if c.table.Add(crash, now) {
 		c.logLevel(crash.Fingerprint, now)
@@ -81,6 +82,7 @@
 		Solo:        c.Solo,
 		AtMs:        c.At,
 		Cleared:     c.Cleared,
+		BeganMs:     c.Began,
 	}
 }
 
