quarantine: a router that returns learns of a quarantine before its trial runs

Cause: after a partition the router that was cut off asked for the trial of a suspect that the others held in quarantine, and ran it before a digest (every 5 s) told it: 4 deaths in test/once's cut-off spec, bound 3. Ruled out: crashes that the relay does not attribute, and deaths taken for one (a trace of the spec: 2 deaths for the fleet, 1 for the router cut off, the 4th after the links were back). Change: a router that holds the fingerprint in quarantine answers a trial's announcement with its crashes; the 300 ms in which a trial settles leave room.

--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -140,6 +140,15 @@
 	return slices.ContainsFunc(s.crashes, func(k Crash) bool { return k.ID == c.ID })
 }
 
+// Of returns the crashes of one fingerprint, by time.
+func (t *Table) Of(fp uint64) []Crash {
+	s := t.suspects[fp]
+	if s == nil {
+		return nil
+	}
+	return slices.Clone(s.crashes)
+}
+
 // Clear takes back the crashes that are held against a fingerprint so far and
 // returns them. Those told later count.
 func (t *Table) Clear(fp uint64) []Crash {
--- a/internal/quarantine/controller_test.go
+++ b/internal/quarantine/controller_test.go
@@ -171,6 +171,21 @@
 	}
 }
 
+// A router that was cut off asks for its trial before a digest has told it what
+// the others know.
+func TestRouterThatReturnsTriesNothingTheOthersQuarantined(t *testing.T) {
+	f := newFleet(t, 8)
+	f.cut[7] = true
+	for i := range 16 {
+		f.run(i%8, 1, ids.Target(fmt.Sprint("t", i%5)), Crashed)
+		f.pass(time.Second)
+	}
+	f.cut = map[int]bool{}
+	if f.run(7, 1, "t9", Crashed) {
+		t.Error("the router that returned ran a request that the others quarantined")
+	}
+}
+
 // Innocent requests beside the one that crashes are cleared by a run alone.
 func TestInnocentsAreCleared(t *testing.T) {
 	f := newFleet(t, 4)
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -24,7 +24,7 @@
 	for _, t := range msg.GetTrials() {
 		c.hear(from, t, now)
 	}
-	var answer *quarantinev1.Message
+	answer := c.objections(msg.GetTrials(), now)
 	if msg.GetHasDigest() && msg.GetDigest() != c.table.Digest() && now.Sub(c.told) >= digestInterval {
 		c.told = now
 		answer = c.whole()
@@ -55,6 +55,26 @@
 	}
 }
 
+// objections answers routers that announce a trial of what this router holds in
+// quarantine: they lack crashes that it knows, as after a partition. The trial's
+// settling time leaves room for the answer.
+func (c *Controller) objections(trials []*quarantinev1.Trial, now time.Time) *quarantinev1.Message {
+	var answer *quarantinev1.Message
+	for _, t := range trials {
+		fp := t.GetFingerprint()
+		if t.GetEnded() || t.GetRunning() || c.table.Standing(fp, now).Level != quarantine.Quarantined {
+			continue
+		}
+		if answer == nil {
+			answer = &quarantinev1.Message{}
+		}
+		for _, crash := range c.table.Of(fp) {
+			answer.Crashes = append(answer.Crashes, encodeCrash(crash))
+		}
+	}
+	return answer
+}
+
 // hear learns of a trial; a router speaks for itself only.
 func (c *Controller) hear(from ids.Instance, m *quarantinev1.Trial, now time.Time) {
 	if m.GetInstance() != string(from) {
