--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -23,6 +23,9 @@
 const ServicePrefix = "/services/"
 
 const (
+	// step is the name that errors of this package carry.
+	step = "callers"
+	// maxNameBytes bounds a service's name.
 	maxNameBytes = 128
 	paramName    = "name"
 	paramPath    = "path"
@@ -163,18 +166,12 @@
 		Message: "the router failed",
 		Outcome: what,
 		Status:  http.StatusInternalServerError,
-		Step:    "callers",
+		Step:    step,
 	}
 }
 
 func badRequest(message string) *outcome.Error {
-	return &outcome.Error{
-		Code:    outcome.CodeBadRequest,
-		Message: message,
-		Outcome: outcome.NotRun,
-		Status:  http.StatusBadRequest,
-		Step:    "callers",
-	}
+	return outcome.Refuse(step, http.StatusBadRequest, outcome.CodeBadRequest, message)
 }
 
 func notFound(w http.ResponseWriter, _ *http.Request) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -23,8 +23,6 @@
 	ringSize = 8192
 	// fullRetryAfter is when a request may come back that met a full ring.
 	fullRetryAfter = time.Second
-	// statusClientClosed is the customary status for a caller that went away.
-	statusClientClosed = 499
 )
 
 // Machine is the scheduler's state machine.
@@ -264,14 +262,9 @@
 
 func refusal(r sched.Refuse) error {
 	text, status := explain(r.Code)
-	return &outcome.Error{
-		Code:       r.Code,
-		Message:    text,
-		Outcome:    outcome.NotRun,
-		RetryAfter: r.RetryAfter,
-		Status:     status,
-		Step:       step,
-	}
+	e := outcome.Refuse(step, status, r.Code, text)
+	e.RetryAfter = r.RetryAfter
+	return e
 }
 
 func explain(code outcome.Code) (text string, status int) {
@@ -296,22 +289,11 @@
 }
 
 func canceled() error {
-	return &outcome.Error{
-		Code:    outcome.CodeCanceled,
-		Message: "the caller went away",
-		Outcome: outcome.NotRun,
-		Status:  statusClientClosed,
-		Step:    step,
-	}
+	return outcome.Refuse(step, outcome.StatusClientClosed, outcome.CodeCanceled, "the caller went away")
 }
 
 func overloaded() error {
-	return &outcome.Error{
-		Code:       outcome.CodeTooManyRequests,
-		Message:    "this router has too many events to handle",
-		Outcome:    outcome.NotRun,
-		RetryAfter: fullRetryAfter,
-		Status:     http.StatusServiceUnavailable,
-		Step:       step,
-	}
+	e := outcome.Refuse(step, http.StatusServiceUnavailable, outcome.CodeTooManyRequests, "this router has too many events to handle")
+	e.RetryAfter = fullRetryAfter
+	return e
 }
--- a/internal/filter/attempt/attempt.go
+++ b/internal/filter/attempt/attempt.go
@@ -118,14 +118,9 @@
 // withhold ends an attempt of which nothing was sent.
 func (f *Filter) withhold(x *filter.Exchange, code outcome.Code, message string) error {
 	f.opts.Scheduler.Release(sched.Finish{ID: x.Attempt})
-	return &outcome.Error{
-		Code:    code,
-		Message: message,
-		Outcome: outcome.NotRun,
-		Status:  http.StatusServiceUnavailable,
-		Step:    f.Name(),
-		Peer:    string(x.Target),
-	}
+	e := outcome.Refuse(f.Name(), http.StatusServiceUnavailable, code, message)
+	e.Peer = string(x.Target)
+	return e
 }
 
 func finish(x *filter.Exchange, result relay.Result) sched.Finish {
--- a/internal/filter/authenticate/authenticate.go
+++ b/internal/filter/authenticate/authenticate.go
@@ -84,11 +84,5 @@
 }
 
 func (f *Filter) refuse(message string) error {
-	return &outcome.Error{
-		Code:    outcome.CodeUnauthorized,
-		Message: message,
-		Outcome: outcome.NotRun,
-		Status:  http.StatusUnauthorized,
-		Step:    f.Name(),
-	}
+	return outcome.Refuse(f.Name(), http.StatusUnauthorized, outcome.CodeUnauthorized, message)
 }
--- a/internal/filter/claim/claim.go
+++ b/internal/filter/claim/claim.go
@@ -165,14 +165,9 @@
 }
 
 func (f *Filter) unavailable() error {
-	return &outcome.Error{
-		Code:       outcome.CodeLedger,
-		Message:    "the claim for this idempotency key can't be made durable now",
-		Outcome:    outcome.NotRun,
-		RetryAfter: ledgerRetryAfter,
-		Status:     http.StatusServiceUnavailable,
-		Step:       f.Name(),
-	}
+	e := outcome.Refuse(f.Name(), http.StatusServiceUnavailable, outcome.CodeLedger, "the claim for this idempotency key can't be made durable now")
+	e.RetryAfter = ledgerRetryAfter
+	return e
 }
 
 func (f *Filter) inProgress() error {
@@ -197,11 +192,5 @@
 }
 
 func (f *Filter) reused() error {
-	return &outcome.Error{
-		Code:    outcome.CodeKeyReused,
-		Message: "this idempotency key was used with other content",
-		Outcome: outcome.NotRun,
-		Status:  http.StatusUnprocessableEntity,
-		Step:    f.Name(),
-	}
+	return outcome.Refuse(f.Name(), http.StatusUnprocessableEntity, outcome.CodeKeyReused, "this idempotency key was used with other content")
 }
--- a/internal/filter/classify/classify.go
+++ b/internal/filter/classify/classify.go
@@ -48,11 +48,5 @@
 }
 
 func (f *Filter) refuse(message string) error {
-	return &outcome.Error{
-		Code:    outcome.CodeBadRequest,
-		Message: message,
-		Outcome: outcome.NotRun,
-		Status:  http.StatusBadRequest,
-		Step:    f.Name(),
-	}
+	return outcome.Refuse(f.Name(), http.StatusBadRequest, outcome.CodeBadRequest, message)
 }
--- a/internal/filter/hold/hold.go
+++ b/internal/filter/hold/hold.go
@@ -46,12 +46,7 @@
 }
 
 func (f *Filter) refuse(status int, code outcome.Code, message string) error {
-	return &outcome.Error{
-		Code:       code,
-		Message:    message,
-		Outcome:    outcome.NotRun,
-		RetryAfter: retryAfter,
-		Status:     status,
-		Step:       f.Name(),
-	}
+	e := outcome.Refuse(f.Name(), status, code, message)
+	e.RetryAfter = retryAfter
+	return e
 }
--- a/internal/filter/quarantine/quarantine.go
+++ b/internal/filter/quarantine/quarantine.go
@@ -61,16 +61,11 @@
 }
 
 func (f *Filter) refuse(verdict quarantine.Verdict) error {
-	e := &outcome.Error{
-		Code:       outcome.CodeQuarantined,
-		Message:    "this request is suspected of crashing the targets that run it",
-		Outcome:    outcome.NotRun,
-		RetryAfter: verdict.RetryAfter,
-		Status:     http.StatusServiceUnavailable,
-		Step:       f.Name(),
-	}
+	message := "this request is suspected of crashing the targets that run it"
 	if verdict.Quarantined {
-		e.Message = "this request has crashed the targets that ran it"
+		message = "this request has crashed the targets that ran it"
 	}
+	e := outcome.Refuse(f.Name(), http.StatusServiceUnavailable, outcome.CodeQuarantined, message)
+	e.RetryAfter = verdict.RetryAfter
 	return e
 }
--- a/internal/filter/validate/validate.go
+++ b/internal/filter/validate/validate.go
@@ -152,13 +152,7 @@
 }
 
 func (f *Filter) refuse(message string) *outcome.Error {
-	return &outcome.Error{
-		Code:    outcome.CodeBadRequest,
-		Message: message,
-		Outcome: outcome.NotRun,
-		Status:  http.StatusBadRequest,
-		Step:    f.Name(),
-	}
+	return outcome.Refuse(f.Name(), http.StatusBadRequest, outcome.CodeBadRequest, message)
 }
 
 // modelRequest holds the fields of a model request that routing needs.
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -13,6 +13,9 @@
 // RequestIDHeader is the response header that carries the request's id.
 const RequestIDHeader = "Umberhill-Request-Id"
 
+// StatusClientClosed is the customary status for a caller that went away.
+const StatusClientClosed = 499
+
 // Outcome says whether a request ran.
 type Outcome string
 
@@ -75,6 +78,11 @@
 	Peer string `json:"peer,omitempty"`
 }
 
+// Refuse returns the error of a step that ends a request before any of it ran.
+func Refuse(step string, status int, code Code, message string) *Error {
+	return &Error{Code: code, Message: message, Outcome: NotRun, Status: status, Step: step}
+}
+
 // Error implements error.
 func (e *Error) Error() string {
 	if e.Peer != "" {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -198,15 +198,10 @@
 }
 
 func refused(call Call) *outcome.Error {
-	return &outcome.Error{
-		Code:       outcome.CodeTargetRefused,
-		Message:    "the target refused the request before running it",
-		Outcome:    outcome.NotRun,
-		RetryAfter: refusedRetryAfter,
-		Status:     http.StatusServiceUnavailable,
-		Step:       step,
-		Peer:       string(call.Target),
-	}
+	e := outcome.Refuse(step, http.StatusServiceUnavailable, outcome.CodeTargetRefused, "the target refused the request before running it")
+	e.RetryAfter = refusedRetryAfter
+	e.Peer = string(call.Target)
+	return e
 }
 
 func callerGone(call Call) *outcome.Error {
@@ -214,11 +209,8 @@
 		Code:    outcome.CodeCanceled,
 		Message: "the caller went away",
 		Outcome: outcome.Unknown,
-		Status:  statusClientClosed,
+		Status:  outcome.StatusClientClosed,
 		Step:    step,
 		Peer:    string(call.Target),
 	}
 }
-
-// statusClientClosed is the customary status for a caller that went away.
-const statusClientClosed = 499
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -165,10 +165,7 @@
 
 func (e *Engine) postFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var faults Faults
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&faults); err != nil {
-		standin.WriteError(w, http.StatusBadRequest, err.Error())
+	if !standin.ReadFaults(w, r, &faults) {
 		return
 	}
 	e.SetFaults(faults)
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -296,10 +296,7 @@
 
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var faults Faults
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&faults); err != nil {
-		standin.WriteError(w, http.StatusBadRequest, err.Error())
+	if !standin.ReadFaults(w, r, &faults) {
 		return
 	}
 	s.SetFaults(faults)
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -278,10 +278,7 @@
 
 func (s *Service) setFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var faults Faults
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&faults); err != nil {
-		standin.WriteError(w, http.StatusBadRequest, err.Error())
+	if !standin.ReadFaults(w, r, &faults) {
 		return
 	}
 	s.SetFaults(faults)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -52,6 +52,18 @@
 	return err
 }
 
+// ReadFaults decodes the faults that a test asks for. It answers with 400 and
+// returns false where the body has unknown fields or is no JSON.
+func ReadFaults(w http.ResponseWriter, r *http.Request, faults any) bool {
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(faults); err != nil {
+		WriteError(w, http.StatusBadRequest, err.Error())
+		return false
+	}
+	return true
+}
+
 // WriteJSON answers with a status and a value as JSON.
 func WriteJSON(w http.ResponseWriter, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/test/answers/answers_test.go
+++ b/test/answers/answers_test.go
@@ -15,6 +15,7 @@
 	"github.com/umberhill/umberhill/internal/bench"
 	"github.com/umberhill/umberhill/internal/harness"
 	"github.com/umberhill/umberhill/internal/outcome"
+	"github.com/umberhill/umberhill/internal/proctest"
 	"github.com/umberhill/umberhill/internal/settings"
 	"github.com/umberhill/umberhill/internal/standin/engine"
 )
@@ -36,16 +37,7 @@
 // start starts a fleet with a contract for "ws".
 func start(ctx context.Context, spec harness.Spec) *harness.Fleet {
 	GinkgoHelper()
-	binaries, err := harness.Build(ctx)
-	Expect(err).NotTo(HaveOccurred())
-	fleet, err := harness.Start(ctx, binaries, spec)
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(func() {
-		if CurrentSpecReport().Failed() {
-			GinkgoWriter.Println(fleet.Logs())
-		}
-		fleet.Close()
-	})
+	fleet := proctest.Start(ctx, spec)
 	Expect(fleet.Apply(ctx, harness.Contract("ws", 1))).To(Succeed())
 	return fleet
 }
