--- a/internal/core/sched/api.go
+++ b/internal/core/sched/api.go
@@ -71,7 +71,8 @@
 	Msg  *schedv1.Message
 }
 
-// Tick lets time pass; it comes every TickInterval or sooner.
+// Tick lets time pass; it comes every TickInterval or sooner, and a few
+// times a second while nothing else happens.
 type Tick struct{}
 
 // SetRouters replaces the set of live routers, this one among them.
@@ -206,5 +207,6 @@
 	DefaultTolerance      = 256
 )
 
-// TickInterval is the longest time between two Tick events.
+// TickInterval is the longest time between two Tick events, but after
+// some seconds without any other event.
 const TickInterval = 20 * time.Millisecond
