--- a/internal/core/sched/api.go
+++ b/internal/core/sched/api.go
@@ -71,8 +71,7 @@
 	Msg  *schedv1.Message
 }
 
-// Tick lets time pass; it comes every TickInterval or sooner, and a few
-// times a second while nothing else happens.
+// Tick lets time pass; it comes every TickInterval or sooner.
 type Tick struct{}
 
 // SetRouters replaces the set of live routers, this one among them.
@@ -207,6 +206,5 @@
 	DefaultTolerance      = 256
 )
 
-// TickInterval is the longest time between two Tick events, but after
-// some seconds without any other event.
+// TickInterval is the longest time between two Tick events.
 const TickInterval = 20 * time.Millisecond
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -23,11 +23,6 @@
 	ringSize = 8192
 	// fullRetryAfter is when a request may come back that met a full ring.
 	fullRetryAfter = time.Second
-	// restAfter is how long nothing but ticks must come for the scheduler to
-	// be ticked at restInterval only: whatever waits then waits for seconds, and
-	// the next event ends the rest.
-	restAfter    = 3 * time.Second
-	restInterval = 100 * time.Millisecond
 )
 
 // Machine is the scheduler's state machine.
@@ -96,9 +91,8 @@
 // are answered "not run".
 func (d *Dispatcher) Run(ctx context.Context) error {
 	defer close(d.done)
-	tick := time.NewTimer(sched.TickInterval)
+	tick := time.NewTicker(sched.TickInterval)
 	defer tick.Stop()
-	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -106,33 +100,12 @@
 			return nil
 		case <-tick.C:
 			d.step(sched.Tick{})
-			tick.Reset(tickAfter(time.Since(last)))
 		case item := <-d.ring:
-			if _, reads := item.(inspection); !reads {
-				last = d.wake(last, tick)
-			}
 			d.handle(item)
 		}
 	}
 }
 
-// tickAfter returns the time to the next tick after some time of quiet.
-func tickAfter(quiet time.Duration) time.Duration {
-	if quiet < restAfter {
-		return sched.TickInterval
-	}
-	return restInterval
-}
-
-// wake ends a rest, where there was one, and returns the time of the event.
-func (d *Dispatcher) wake(last time.Time, tick *time.Timer) time.Time {
-	now := time.Now()
-	if now.Sub(last) >= restAfter {
-		tick.Reset(sched.TickInterval)
-	}
-	return now
-}
-
 func (d *Dispatcher) handle(item any) {
 	switch item := item.(type) {
 	case submission:
