--- /dev/null
+++ b/internal/core/admit/line.go
@@ -0,0 +1,357 @@
+package admit
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/core/share"
+	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/routing"
+)
+
+const (
+	// patience is the part of a request's time after which it is refused if it
+	// still waits, so that the caller has time to come back.
+	patience = 0.25
+	// retryFirst and retryLast bound the Retry-After of a refusal.
+	retryFirst = 300 * time.Millisecond
+	retryLast  = 4 * time.Second
+	// retrySpread spreads the returns of callers that were refused together.
+	retrySpread = 0.5
+	// noTargetRetry is the Retry-After where a service has no usable target:
+	// about the time of a target's restart.
+	noTargetRetry = time.Second
+	// startShare is the part of the objective that must be left for a request
+	// to be taken into the line.
+	startShare = 0.9
+	// maxLine bounds the requests that wait for one service.
+	maxLine = 2000
+)
+
+// Options of a Line.
+type Options struct {
+	// Domain of this router.
+	Domain ids.Domain
+	// Window over which fair shares are kept.
+	Window time.Duration
+	// Seed of the spread of Retry-After.
+	Seed uint64
+}
+
+// Line is the state machine of one router. It is not safe for concurrent use.
+type Line struct {
+	opts     Options
+	random   *rand.Rand
+	window   *share.Window
+	services map[string]*service
+	targets  map[ids.Target]*target
+	flights  map[ID]*flight
+	// throughput of all engines in tokens a second, 0 where not known.
+	throughput float64
+}
+
+// New returns an empty line.
+func New(o Options) *Line {
+	return &Line{
+		opts:     o,
+		random:   rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15)),
+		window:   share.New(o.Window),
+		services: make(map[string]*service),
+		targets:  make(map[ids.Target]*target),
+		flights:  make(map[ID]*flight),
+	}
+}
+
+// SetConfig takes a configuration into account.
+func (l *Line) SetConfig(c *routing.Config) {
+	l.throughput = c.Limits.TokensPerSecond
+	for name, conf := range c.Services {
+		l.service(name).conf = conf
+	}
+	l.setPriors()
+}
+
+// SetTargets replaces the known targets. A later run of a target starts with
+// nothing of what was known of the earlier one.
+func (l *Line) SetTargets(all []routing.Target) {
+	for _, s := range l.services {
+		s.targets = nil
+	}
+	seen := make(map[ids.Target]bool, len(all))
+	for _, t := range all {
+		seen[t.ID] = true
+		known := l.targets[t.ID]
+		if known == nil || !known.SameRun(t) {
+			known = newTarget(t)
+			l.targets[t.ID] = known
+		}
+		known.Target = t
+		s := l.service(t.Service)
+		s.targets = append(s.targets, known)
+	}
+	for id := range l.targets {
+		if !seen[id] {
+			delete(l.targets, id)
+		}
+	}
+	for _, s := range l.services {
+		slices.SortFunc(s.targets, func(a, b *target) int { return compare(a.ID, b.ID) })
+	}
+	l.setPriors()
+}
+
+func compare(a, b ids.Target) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// setPriors derives the reading rate expected of an engine until it is learned.
+func (l *Line) setPriors() {
+	engines := 0
+	for _, s := range l.services {
+		if s.engine() {
+			engines += len(s.targets)
+		}
+	}
+	for _, s := range l.services {
+		if s.fit != nil || (s.engine() && engines == 0) {
+			continue
+		}
+		prior := 0.0
+		if s.engine() {
+			prior = l.throughput / float64(engines) / 1000
+		}
+		s.fit = newFit(prior)
+	}
+}
+
+func (l *Line) service(name string) *service {
+	s := l.services[name]
+	if s == nil {
+		s = &service{name: name, backlog: make(map[ids.Instance]peerBacklog)}
+		l.services[name] = s
+	}
+	return s
+}
+
+// Submit decides on a request: it goes to a target, waits, or is refused.
+func (l *Line) Submit(now time.Time, r Request) Verdict {
+	s := l.services[r.Service]
+	if s == nil || s.fit == nil {
+		return Verdict{ID: r.ID, Refused: NoTarget, RetryAfter: l.spread(noTargetRetry)}
+	}
+	s.noteObjective(now, r.Objective)
+	if s.engine() {
+		l.window.Ask(now, r.Workspace, r.tokens())
+	}
+	within := l.within(now, s, &r)
+	c, found := s.choose(now, &r, l.opts.Domain, within)
+	if !found {
+		return Verdict{ID: r.ID, Refused: NoTarget, RetryAfter: l.spread(noTargetRetry)}
+	}
+	wait := s.lineWait(now)
+	c.inputs.LineWait = wait
+	if c.room && (s.line.len() == 0 || within) {
+		return l.send(now, s, &r, c)
+	}
+	return l.hold(now, s, &r, c, wait)
+}
+
+// hold puts a request into the line, or refuses it where it can't be in time.
+func (l *Line) hold(now time.Time, s *service, r *Request, c candidate, wait time.Duration) Verdict {
+	v := Verdict{ID: r.ID, Inputs: c.inputs}
+	starts := now.Add(wait + c.inputs.Predicted)
+	latest := r.Arrived.Add(time.Duration(startShare * float64(r.Objective)))
+	switch {
+	case !c.inputs.Within:
+		v.Refused = BeyondShare
+	case starts.After(latest), s.line.len() >= maxLine:
+		v.Refused = Saturated
+	default:
+		v.Waiting = true
+		s.line.add(&entry{req: r, within: true, give: giveUp(r)})
+		return v
+	}
+	v.RetryAfter = l.spread(max(wait, retryFirst))
+	return v
+}
+
+// giveUp is when a request that still waits is refused.
+func giveUp(r *Request) time.Time {
+	return r.Arrived.Add(max(r.Objective, time.Duration(patience*float64(r.Deadline.Sub(r.Arrived)))))
+}
+
+func (l *Line) within(now time.Time, s *service, r *Request) bool {
+	return !s.engine() || l.window.Within(now, r.Workspace, r.tokens(), l.throughput)
+}
+
+func (l *Line) spread(d time.Duration) time.Duration {
+	d = min(max(d, retryFirst), retryLast)
+	return d + time.Duration(l.random.Float64()*retrySpread*float64(d))
+}
+
+func (l *Line) send(now time.Time, s *service, r *Request, c candidate) Verdict {
+	t := c.target
+	f := &flight{req: r, target: t, sent: now, uncached: c.uncached, ahead: c.ahead}
+	l.flights[r.ID] = f
+	t.running++
+	t.pending += f.uncached
+	t.memory += r.Prompt + r.Output
+	t.health.sent(r.ID)
+	if s.engine() {
+		l.window.Start(now, r.Workspace, r.tokens())
+		t.cache.touch(now, r.Parts)
+	}
+	return Verdict{ID: r.ID, Target: t.Target, Inputs: c.inputs}
+}
+
+// Began tells that a request's answer began: at an engine, its prompt has been
+// read.
+func (l *Line) Began(now time.Time, id ID) {
+	f := l.flights[id]
+	if f == nil || f.began {
+		return
+	}
+	f.began, f.beganAt = true, now
+	f.target.pending -= f.uncached
+	s := l.services[f.req.Service]
+	if s == nil || !s.engine() {
+		return
+	}
+	took := now.Sub(f.sent)
+	f.target.observeSlowness(now, took, s.fit.predict(f.ahead))
+	s.fit.observe(f.ahead, took)
+}
+
+// Ended tells that a request has left its target.
+func (l *Line) Ended(now time.Time, id ID, result Result) {
+	f := l.flights[id]
+	if f == nil {
+		return
+	}
+	delete(l.flights, id)
+	t := f.target
+	t.running--
+	t.memory -= f.req.Prompt + f.req.Output
+	if !f.began {
+		t.pending -= f.uncached
+	}
+	t.health.result(now, id, result)
+	if s := l.services[f.req.Service]; s != nil && result == Served {
+		took := now.Sub(f.sent)
+		if !s.engine() {
+			t.observeSlowness(now, took, s.fit.duration())
+		}
+		s.fit.ended(took)
+	}
+}
+
+// Withdraw takes a request out of the line and tells whether it was there.
+func (l *Line) Withdraw(id ID) bool {
+	for _, s := range l.services {
+		if s.line.remove(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// Waiting returns the number of requests in the line.
+func (l *Line) Waiting() int {
+	n := 0
+	for _, s := range l.services {
+		n += s.line.len()
+	}
+	return n
+}
+
+// Poll decides on the requests in the line, as far as they can be decided.
+func (l *Line) Poll(now time.Time) []Verdict {
+	var out []Verdict
+	for _, s := range l.services {
+		if s.line.len() > 0 {
+			out = l.pollService(now, s, out)
+		}
+	}
+	return out
+}
+
+func (l *Line) pollService(now time.Time, s *service, out []Verdict) []Verdict {
+	s.line.order(now, func(r *Request) bool { return l.within(now, s, r) })
+	kept := s.line.waiting[:0]
+	waiting := s.line.waiting
+	for _, e := range waiting {
+		v, decided := l.decide(now, s, e)
+		if decided {
+			out = append(out, v)
+			continue
+		}
+		kept = append(kept, e)
+	}
+	clear(waiting[len(kept):])
+	s.line.waiting = kept
+	return out
+}
+
+func (l *Line) decide(now time.Time, s *service, e *entry) (Verdict, bool) {
+	c, found := s.choose(now, e.req, l.opts.Domain, e.within)
+	if found && c.room {
+		return l.send(now, s, e.req, c), true
+	}
+	if now.Before(e.give) {
+		return Verdict{}, false
+	}
+	v := Verdict{ID: e.req.ID, Refused: Expired, RetryAfter: l.spread(s.lineWait(now)), Inputs: c.inputs}
+	if !found {
+		v.Refused = NoTarget
+	}
+	return v, true
+}
+
+// Report takes a peer's load, backlog and use of workspaces.
+func (l *Line) Report(now time.Time, peer ids.Instance, loads []Load, backlogs []Backlog, use map[ids.Workspace]share.Use) {
+	said := make(map[ids.Target]bool, len(loads))
+	for _, load := range loads {
+		said[load.Target] = true
+		if t := l.targets[load.Target]; t != nil {
+			t.peers[peer] = peerLoad{at: now, Load: load}
+		}
+	}
+	for id, t := range l.targets {
+		if !said[id] {
+			delete(t.peers, peer)
+		}
+	}
+	for _, s := range l.services {
+		delete(s.backlog, peer)
+	}
+	for _, b := range backlogs {
+		if s := l.services[b.Service]; s != nil {
+			s.backlog[peer] = peerBacklog{at: now, Backlog: b}
+		}
+	}
+	l.window.Report(now, peer, use)
+}
+
+// Own returns this router's load, backlog and use for reports to peers.
+func (l *Line) Own(now time.Time) ([]Load, []Backlog, map[ids.Workspace]share.Use) {
+	var loads []Load
+	for id, t := range l.targets {
+		if t.running > 0 {
+			loads = append(loads, Load{Target: id, Running: t.running, Pending: t.pending, Memory: t.memory})
+		}
+	}
+	var backlogs []Backlog
+	for name, s := range l.services {
+		if n := s.line.len(); n > 0 {
+			backlogs = append(backlogs, Backlog{Service: name, Requests: n, Tokens: s.line.tokens()})
+		}
+	}
+	return loads, backlogs, l.window.Own(now)
+}
--- /dev/null
+++ b/internal/core/admit/service.go
@@ -0,0 +1,188 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/routing"
+)
+
+const (
+	// readyShare is the part of the tightest latency objective that the tokens
+	// not yet read at an engine may take.
+	readyShare = 0.5
+	// beyondShare is the part of an engine's bounds up to which it takes
+	// requests of workspaces that have had their fair share.
+	beyondShare = 0.6
+	// memoryShare is the part of an engine's memory that requests may fill, so
+	// that running ones are not preempted as they grow.
+	memoryShare = 0.85
+	// outputShare is the part of the most tokens generated that a request takes
+	// of an engine's memory in the mean.
+	outputShare = 0.6
+	// queuedShare is the part of a plain target's slots that may wait there.
+	queuedShare = 0.5
+	// crossDomain is what a target in another failure domain adds to the
+	// expected latency: the delay of the network and its price.
+	crossDomain = 4 * time.Millisecond
+	// busyPenalty is what a full batch adds to the expected latency of an
+	// engine, whose steps take longer the more requests run.
+	busyPenalty = 60 * time.Millisecond
+	// tightestLife is how long the tightest objective seen holds.
+	tightestLife = 10 * time.Second
+)
+
+// service is the state of one service.
+type service struct {
+	name    string
+	conf    *routing.Service
+	targets []*target
+	fit     *fit
+
+	// tightest is the shortest latency objective seen lately.
+	tightest   time.Duration
+	tightestAt time.Time
+
+	line    line
+	backlog map[ids.Instance]peerBacklog
+}
+
+type peerBacklog struct {
+	at time.Time
+	Backlog
+}
+
+func hashOf(s string) uint64 { return xxhash.Sum64String(s) }
+
+func (s *service) engine() bool { return s.conf != nil && s.conf.Engine != nil }
+
+func (s *service) noteObjective(now time.Time, objective time.Duration) {
+	if objective <= 0 {
+		return
+	}
+	if objective <= s.tightest || now.Sub(s.tightestAt) > tightestLife {
+		s.tightest = objective
+		s.tightestAt = now
+	}
+}
+
+// candidate is a target with the cost of sending a request there.
+type candidate struct {
+	target   *target
+	cost     time.Duration
+	room     bool
+	inputs   Inputs
+	uncached int
+	ahead    int
+}
+
+// choose returns the cheapest target that has room, or the cheapest without
+// room, or nothing where no target can be used.
+func (s *service) choose(now time.Time, r *Request, self ids.Domain, within bool) (candidate, bool) {
+	var best candidate
+	found := false
+	for _, t := range s.targets {
+		if !t.usable(now, r) {
+			continue
+		}
+		c := s.weigh(now, t, r, self, within)
+		if !found || better(c, best) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+func better(a, b candidate) bool {
+	if a.room != b.room {
+		return a.room
+	}
+	return a.cost < b.cost
+}
+
+func (s *service) weigh(now time.Time, t *target, r *Request, self ids.Domain, within bool) candidate {
+	var c candidate
+	if s.engine() {
+		c = s.weighEngine(now, t, r, within)
+	} else {
+		c = s.weighPlain(now, t, within)
+	}
+	c.target = t
+	c.cost += t.health.penalty(now)
+	if t.Domain != self {
+		c.cost += crossDomain
+	}
+	return c
+}
+
+func (s *service) weighEngine(now time.Time, t *target, r *Request, within bool) candidate {
+	running, pending, memory := t.load(now)
+	uncached := t.uncached(now, r, func(key uint64) *target { return home(s.targets, key) })
+	ahead := pending + uncached
+	slow := t.slowness(now)
+	predicted := time.Duration(float64(s.fit.predict(ahead)) * slow)
+	slots := max(1, t.Slots)
+	c := candidate{
+		cost:     predicted + busyPenalty*time.Duration(running)/time.Duration(slots),
+		uncached: uncached,
+		ahead:    ahead,
+		inputs:   Inputs{Running: running, Pending: pending, Uncached: uncached, Predicted: predicted, Within: within},
+	}
+	part := 1.0
+	if !within {
+		part = beyondShare
+	}
+	unread := float64(s.fit.tokensIn(s.tightest)) * readyShare * part / slow
+	need := float64(memory+r.Prompt) + outputShare*float64(r.Output)
+	c.room = float64(running+1) <= float64(slots)*part &&
+		(pending == 0 || float64(ahead) <= unread) &&
+		(running == 0 || need <= memoryShare*part*float64(s.conf.Engine.MemoryTokens))
+	return c
+}
+
+func (s *service) weighPlain(now time.Time, t *target, within bool) candidate {
+	running, _, _ := t.load(now)
+	slots := max(1, t.Slots)
+	took := time.Duration(float64(s.fit.duration()) * t.slowness(now))
+	predicted := took
+	if running >= slots {
+		predicted += took * time.Duration(running+1-slots) / time.Duration(slots)
+	}
+	return candidate{
+		cost:   predicted + took*time.Duration(running)/time.Duration(4*slots),
+		room:   running < slots+int(queuedShare*float64(slots)),
+		inputs: Inputs{Running: running, Predicted: predicted, Within: within},
+	}
+}
+
+// lineWait is the expected time until what waits before a new request has been
+// sent, at all routers together.
+func (s *service) lineWait(now time.Time) time.Duration {
+	requests, tokens := s.line.len(), s.line.tokens()
+	for peer, b := range s.backlog {
+		if now.Sub(b.at) > reportLife {
+			delete(s.backlog, peer)
+			continue
+		}
+		requests += b.Requests
+		tokens += b.Tokens
+	}
+	slots, open := 0, 0
+	for _, t := range s.targets {
+		if !t.Leaving && t.health.open(now) {
+			slots += max(1, t.Slots)
+			open++
+		}
+	}
+	if open == 0 {
+		return 0
+	}
+	wait := s.fit.duration() * time.Duration(requests) / time.Duration(slots)
+	if s.engine() {
+		reading := time.Duration(float64(tokens) * s.fit.msPerToken * float64(time.Millisecond) / float64(open))
+		wait = max(wait, reading)
+	}
+	return wait
+}
--- /dev/null
+++ b/internal/core/admit/target.go
@@ -0,0 +1,130 @@
+package admit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/core/rendezvous"
+	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/routing"
+)
+
+const (
+	// reportLife is how long a peer's report of its load counts.
+	reportLife = 1500 * time.Millisecond
+	// slowWeight is the weight of one observation in a target's slowness.
+	slowWeight = 0.1
+	// slowHalfLife is the time in which a slowness without observations halves.
+	slowHalfLife = 5 * time.Second
+	// slowMost bounds the slowness.
+	slowMost = 20
+	// homes is the number of engines at which a shared part is expected to be
+	// cached although this router did not send it there.
+	homes = 1
+)
+
+// flight is a request at a target.
+type flight struct {
+	req      *Request
+	target   *target
+	sent     time.Time
+	uncached int
+	// ahead are the tokens that were to be read before and with this request.
+	ahead   int
+	began   bool
+	beganAt time.Time
+}
+
+// target is what is known of one run of a back end.
+type target struct {
+	routing.Target
+	hash uint64
+
+	// running, pending and memory are this router's own load there.
+	running, pending, memory int
+	peers                    map[ids.Instance]peerLoad
+
+	cache  prefixCache
+	health health
+
+	slow   float64
+	slowAt time.Time
+}
+
+type peerLoad struct {
+	at time.Time
+	Load
+}
+
+func newTarget(t routing.Target) *target {
+	return &target{
+		Target: t,
+		hash:   hashOf(string(t.ID)),
+		peers:  make(map[ids.Instance]peerLoad),
+		slow:   1,
+	}
+}
+
+// load returns the fleet's load at the target.
+func (t *target) load(now time.Time) (running, pending, memory int) {
+	running, pending, memory = t.running, t.pending, t.memory
+	for peer, l := range t.peers {
+		if now.Sub(l.at) > reportLife {
+			delete(t.peers, peer)
+			continue
+		}
+		running += l.Running
+		pending += l.Pending
+		memory += l.Memory
+	}
+	return running, pending, memory
+}
+
+// uncached returns the tokens of a prompt that the engine must read. Parts are
+// cached only where all parts before them are.
+func (t *target) uncached(now time.Time, r *Request, homeOf func(uint64) *target) int {
+	cached := 0
+	for i, p := range r.Parts {
+		shared := i < len(r.Parts)-1
+		if !t.cache.hold(now, p.Key) && (!shared || homeOf(p.Key) != t) {
+			break
+		}
+		cached += p.Tokens
+	}
+	return max(0, r.Prompt-cached)
+}
+
+func (t *target) slowness(now time.Time) float64 {
+	if t.slow <= 1 {
+		return t.slow
+	}
+	halves := now.Sub(t.slowAt).Seconds() / slowHalfLife.Seconds()
+	return 1 + (t.slow-1)/(1+halves)
+}
+
+func (t *target) observeSlowness(now time.Time, took, expected time.Duration) {
+	ratio := float64(took) / float64(max(expected, time.Millisecond))
+	ratio = min(max(ratio, 0.25), slowMost)
+	t.slow = t.slowness(now)*(1-slowWeight) + ratio*slowWeight
+	t.slowAt = now
+}
+
+func (t *target) usable(now time.Time, r *Request) bool {
+	return !t.Leaving && t.health.open(now) && !slices.Contains(r.Exclude, t.ID)
+}
+
+// home returns the target at which a shared part is kept by agreement of all
+// routers: the one with the highest random weight.
+func home(targets []*target, key uint64) *target {
+	var best *target
+	var top uint64
+	for _, t := range targets {
+		if t.Leaving {
+			continue
+		}
+		if w := rendezvous.Mix(key ^ t.hash); best == nil || w > top {
+			best, top = t, w
+		}
+	}
+	return best
+}
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -21,6 +21,14 @@
 	return b
 }
 
+// SetBurst changes how many retries are held at most.
+func (b *Budget) SetBurst(burst int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.burst = float64(max(burst, 0))
+	b.held = min(b.held, b.burst)
+}
+
 // First counts a first try.
 func (b *Budget) First() {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/core/share/share.go
@@ -0,0 +1,201 @@
+// Package share tells which workspaces have had their max-min fair share of a
+// pool of engines. It is a deterministic state machine without I/O or clock.
+//
+// It answers the load where a few workspaces ask for many times their usual:
+// what they ask beyond an even share must not displace what the others ask.
+package share
+
+import (
+	"slices"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/ids"
+)
+
+const (
+	// bucketSpan is the resolution of the sliding window.
+	bucketSpan = 250 * time.Millisecond
+	// peerLife is how long a peer's last report counts, so that a router that
+	// is cut off does not keep its workspaces' use in the sum for good.
+	peerLife = 2 * time.Second
+)
+
+// Use is what a workspace asked for and was given within the window, in tokens:
+// each token read counts once, each token generated twice.
+type Use struct {
+	Asked, Started float64
+}
+
+// Window sums the use of the fleet's workspaces over a sliding window.
+type Window struct {
+	span time.Duration
+	// epoch makes the buckets' numbers follow the steady clock, since the time
+	// of day may jump.
+	epoch time.Time
+	own   map[ids.Workspace]*series
+	peers map[ids.Instance]peerUse
+
+	// The level is computed at most once a bucket.
+	levelAt time.Time
+	level   float64
+}
+
+type peerUse struct {
+	at  time.Time
+	use map[ids.Workspace]Use
+}
+
+type series struct {
+	buckets []Use
+	last    int64
+	sum     Use
+}
+
+// New returns a window of the given length.
+func New(span time.Duration) *Window {
+	return &Window{
+		span:  max(span, bucketSpan),
+		own:   make(map[ids.Workspace]*series),
+		peers: make(map[ids.Instance]peerUse),
+	}
+}
+
+// Ask records that a workspace asked for tokens at this router.
+func (w *Window) Ask(now time.Time, ws ids.Workspace, tokens float64) {
+	w.series(now, ws).add(Use{Asked: tokens})
+}
+
+// Start records that a workspace's request was sent to an engine.
+func (w *Window) Start(now time.Time, ws ids.Workspace, tokens float64) {
+	w.series(now, ws).add(Use{Started: tokens})
+}
+
+// Own returns this router's use for the reports to peers.
+func (w *Window) Own(now time.Time) map[ids.Workspace]Use {
+	out := make(map[ids.Workspace]Use, len(w.own))
+	for ws := range w.own {
+		s := w.series(now, ws)
+		if s.sum.Asked <= 0 && s.sum.Started <= 0 {
+			delete(w.own, ws)
+			continue
+		}
+		out[ws] = s.sum
+	}
+	return out
+}
+
+// Report takes a peer's use.
+func (w *Window) Report(now time.Time, peer ids.Instance, use map[ids.Workspace]Use) {
+	w.peers[peer] = peerUse{at: now, use: use}
+}
+
+// Within tells whether a workspace may start tokens more without exceeding its
+// fair share of capacity, in tokens a second. Unknown capacity bounds nothing.
+func (w *Window) Within(now time.Time, ws ids.Workspace, tokens, capacity float64) bool {
+	if capacity <= 0 {
+		return true
+	}
+	return w.fleetUse(now, ws).Started+tokens/2 <= w.fairLevel(now, capacity)
+}
+
+// Started returns what the fleet started for a workspace within the window.
+func (w *Window) Started(now time.Time, ws ids.Workspace) float64 {
+	return w.fleetUse(now, ws).Started
+}
+
+func (w *Window) fleetUse(now time.Time, ws ids.Workspace) Use {
+	var sum Use
+	if _, ok := w.own[ws]; ok {
+		sum = w.series(now, ws).sum
+	}
+	for peer, p := range w.peers {
+		if now.Sub(p.at) > peerLife {
+			delete(w.peers, peer)
+			continue
+		}
+		use := p.use[ws]
+		sum.Asked += use.Asked
+		sum.Started += use.Started
+	}
+	return sum
+}
+
+// fairLevel is the largest share L with sum(min(asked, L)) <= capacity.
+func (w *Window) fairLevel(now time.Time, capacity float64) float64 {
+	if now.Sub(w.levelAt) < bucketSpan && w.level > 0 {
+		return w.level
+	}
+	names := make(map[ids.Workspace]bool)
+	for ws := range w.own {
+		names[ws] = true
+	}
+	for _, p := range w.peers {
+		for ws := range p.use {
+			names[ws] = true
+		}
+	}
+	asked := make([]float64, 0, len(names))
+	for ws := range names {
+		asked = append(asked, w.fleetUse(now, ws).Asked)
+	}
+	w.level = Level(asked, capacity*w.span.Seconds())
+	w.levelAt = now
+	return w.level
+}
+
+// Level returns the max-min fair level: the largest L such that the sum of
+// min(demand, L) does not exceed capacity; where capacity covers all demand it
+// is the capacity itself.
+func Level(demands []float64, capacity float64) float64 {
+	sorted := slices.Clone(demands)
+	slices.Sort(sorted)
+	left := capacity
+	for i, d := range sorted {
+		even := left / float64(len(sorted)-i)
+		if d >= even {
+			return even
+		}
+		left -= d
+	}
+	return capacity
+}
+
+func (w *Window) series(now time.Time, ws ids.Workspace) *series {
+	if w.epoch.IsZero() {
+		w.epoch = now
+	}
+	tick := int64(now.Sub(w.epoch) / bucketSpan)
+	s := w.own[ws]
+	if s == nil {
+		s = &series{buckets: make([]Use, int(w.span/bucketSpan)), last: tick}
+		w.own[ws] = s
+	}
+	s.advance(tick)
+	return s
+}
+
+// advance drops the buckets that have left the window.
+func (s *series) advance(to int64) {
+	n := int64(len(s.buckets))
+	if to-s.last >= n {
+		clear(s.buckets)
+		s.sum = Use{}
+		s.last = to
+		return
+	}
+	for s.last < to {
+		s.last++
+		b := &s.buckets[s.last%n] // the bucket that leaves is the one that comes
+		s.sum.Asked = max(0, s.sum.Asked-b.Asked)
+		s.sum.Started = max(0, s.sum.Started-b.Started)
+		*b = Use{}
+	}
+}
+
+func (s *series) add(u Use) {
+	b := &s.buckets[s.last%int64(len(s.buckets))]
+	b.Asked += u.Asked
+	b.Started += u.Started
+	s.sum.Asked += u.Asked
+	s.sum.Started += u.Started
+}
--- a/internal/daemon/command/command.go
+++ b/internal/daemon/command/command.go
@@ -16,6 +16,7 @@
 	"github.com/umberhill/umberhill/internal/daemon"
 	"github.com/umberhill/umberhill/internal/obs"
 	"github.com/umberhill/umberhill/internal/settings"
+	"github.com/umberhill/umberhill/platform"
 )
 
 // Exit codes.
@@ -55,6 +56,11 @@
 				ArgsUsage: "SETTINGS",
 				Action:    run,
 			},
+			{
+				Name:   "serve",
+				Usage:  "run the router on the users' platform, whose settings file the environment names",
+				Action: serve,
+			},
 			{
 				Name:      "check",
 				Usage:     "check a settings file",
@@ -96,6 +102,22 @@
 	return d.Run(ctx)
 }
 
+// serve runs the router with the platform's own settings file.
+func serve(ctx context.Context, _ *cli.Command) error {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		return err
+	}
+	logger, err := obs.Logger(settings.Log{})
+	if err != nil {
+		return err
+	}
+	logger.SetOutput(os.Stdout)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return platform.Run(ctx, s, logger)
+}
+
 // cutOnSecond ends the process at the first signal after the one that ended
 // the context.
 func cutOnSecond(ctx context.Context) {
--- /dev/null
+++ b/internal/edge/answer.go
@@ -0,0 +1,73 @@
+package edge
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/core/admit"
+)
+
+// answer is a target's answer in one piece.
+type answer struct {
+	resp *http.Response
+	body []byte
+}
+
+// deliver passes a target's whole answer on.
+func (e *exchange) deliver(a *answer) {
+	h := e.w.Header()
+	e.server.opts.Dialect.Answer(h, a.resp.Header)
+	if e.r.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
+	e.entry.Status = a.resp.StatusCode
+	e.entry.First = time.Since(e.arrived)
+	e.entry.Outcome = "served"
+	if a.resp.StatusCode >= http.StatusInternalServerError {
+		e.entry.Outcome, e.entry.Reason = "failed", "target_answer"
+		e.server.counts.failed.Inc(1)
+	}
+	e.w.WriteHeader(a.resp.StatusCode)
+	if _, err := e.w.Write(a.body); err != nil {
+		e.entry.Outcome, e.entry.Reason = "left", err.Error()
+	}
+}
+
+// refusal is an answer of the router's own.
+type refusal struct {
+	status     int
+	reason     string
+	detail     string
+	retryAfter time.Duration
+	inputs     *admit.Inputs
+}
+
+// refuse answers a request that no target answers.
+func (e *exchange) refuse(f *refusal) {
+	h := e.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if f.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
+		e.entry.RetryAfter = f.retryAfter
+	}
+	e.entry.Status, e.entry.Reason = f.status, f.reason
+	if f.detail != "" {
+		e.entry.Reason += ": " + f.detail
+	}
+	e.entry.Outcome = "refused"
+	if f.status == http.StatusBadGateway || f.status == http.StatusGatewayTimeout {
+		e.entry.Outcome = "failed"
+		e.server.counts.failed.Inc(1)
+	} else {
+		e.server.counts.refused.Inc(1)
+	}
+	if f.inputs != nil {
+		e.entry.Attempts = append(e.entry.Attempts, AttemptEntry{Inputs: *f.inputs, End: "refused"})
+	}
+	e.w.WriteHeader(f.status)
+	if _, err := io.WriteString(e.w, f.reason+"\n"); err != nil {
+		e.entry.Reason += ": " + err.Error()
+	}
+}
--- /dev/null
+++ b/internal/edge/scheduler.go
@@ -0,0 +1,151 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/core/admit"
+	"github.com/umberhill/umberhill/internal/core/share"
+	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/routing"
+)
+
+// pollInterval is how often the line is looked at while requests wait, besides
+// after each event that makes room.
+const pollInterval = 10 * time.Millisecond
+
+// Scheduler guards the state machine of the line and wakes those who wait.
+type Scheduler struct {
+	mu      sync.Mutex
+	line    *admit.Line
+	lastID  admit.ID
+	waiting map[admit.ID]chan admit.Verdict
+	wake    chan struct{}
+}
+
+// NewScheduler returns a scheduler whose Run must be started.
+func NewScheduler(o admit.Options) *Scheduler {
+	return &Scheduler{
+		line:    admit.New(o),
+		waiting: make(map[admit.ID]chan admit.Verdict),
+		wake:    make(chan struct{}, 1),
+	}
+}
+
+// Run looks at the line while requests wait, until ctx ends.
+func (s *Scheduler) Run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+			timer.Reset(pollInterval)
+		case <-timer.C:
+			s.do(func(time.Time) {})
+		}
+	}
+}
+
+// do changes the line and carries out the verdicts that follow.
+func (s *Scheduler) do(change func(now time.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	change(now)
+	if len(s.waiting) == 0 {
+		return
+	}
+	for _, v := range s.line.Poll(now) {
+		s.decide(v)
+	}
+	if len(s.waiting) > 0 {
+		s.poke()
+	}
+}
+
+func (s *Scheduler) poke() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Scheduler) decide(v admit.Verdict) {
+	if ch := s.waiting[v.ID]; ch != nil {
+		delete(s.waiting, v.ID)
+		ch <- v
+	}
+}
+
+// Acquire returns the verdict on a request, after a wait in the line where it
+// must. It reports false where ctx ended first. Each verdict with a target must
+// be followed by one Ended.
+func (s *Scheduler) Acquire(ctx context.Context, r admit.Request) (admit.Verdict, bool) {
+	s.mu.Lock()
+	s.lastID++
+	r.ID = s.lastID
+	v := s.line.Submit(time.Now(), r)
+	if !v.Waiting {
+		s.mu.Unlock()
+		return v, true
+	}
+	ch := make(chan admit.Verdict, 1)
+	s.waiting[r.ID] = ch
+	s.poke()
+	s.mu.Unlock()
+	select {
+	case v = <-ch:
+		return v, true
+	case <-ctx.Done():
+		return s.leave(r.ID, ch)
+	}
+}
+
+// leave takes a request out of the line, or gives its target back unused.
+func (s *Scheduler) leave(id admit.ID, ch chan admit.Verdict) (admit.Verdict, bool) {
+	s.mu.Lock()
+	delete(s.waiting, id)
+	s.line.Withdraw(id)
+	s.mu.Unlock()
+	select {
+	case v := <-ch:
+		if v.Target.ID != "" {
+			s.Ended(id, admit.Left)
+		}
+	default:
+	}
+	return admit.Verdict{}, false
+}
+
+// Began tells that a request's answer began.
+func (s *Scheduler) Began(id admit.ID) { s.do(func(now time.Time) { s.line.Began(now, id) }) }
+
+// Ended tells that a request has left its target.
+func (s *Scheduler) Ended(id admit.ID, result admit.Result) {
+	s.do(func(now time.Time) { s.line.Ended(now, id, result) })
+}
+
+// SetConfig puts a configuration in force.
+func (s *Scheduler) SetConfig(c *routing.Config) {
+	s.do(func(time.Time) { s.line.SetConfig(c) })
+}
+
+// SetTargets puts a set of targets in force.
+func (s *Scheduler) SetTargets(all []routing.Target) {
+	s.do(func(time.Time) { s.line.SetTargets(all) })
+}
+
+// Report takes a peer's state.
+func (s *Scheduler) Report(peer ids.Instance, loads []admit.Load, backlogs []admit.Backlog, use map[ids.Workspace]share.Use) {
+	s.do(func(now time.Time) { s.line.Report(now, peer, loads, backlogs, use) })
+}
+
+// Own returns this router's state for reports to peers.
+func (s *Scheduler) Own() ([]admit.Load, []admit.Backlog, map[ids.Workspace]share.Use) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.line.Own(time.Now())
+}
--- /dev/null
+++ b/internal/edge/server.go
@@ -0,0 +1,222 @@
+package edge
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/umberhill/umberhill/internal/core/retry"
+	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/routing"
+	"github.com/umberhill/umberhill/internal/upstream"
+)
+
+const (
+	// unknownRetry is the Retry-After of a router that knows no configuration:
+	// about the time of a start.
+	unknownRetry = 500 * time.Millisecond
+	// budgetMargin is the part of the fleet's retry budget that is used, since
+	// routers do not know of each other's retries at once.
+	budgetMargin = 0.8
+	// defaultTimeout bounds a request for which neither the route nor the caller
+	// sets a time.
+	defaultTimeout = time.Minute
+)
+
+// Options of a Server.
+type Options struct {
+	Dialect   Dialect
+	Scheduler *Scheduler
+	Pool      *upstream.Pool
+	Log       RequestLog
+	Scope     tally.Scope
+	// RetryRatio and RetryExtra bound the requests that reach a service again,
+	// over the whole fleet: ratio x requests + extra in a window.
+	RetryRatio, RetryExtra float64
+}
+
+// Server answers callers' requests.
+type Server struct {
+	opts   Options
+	view   atomic.Pointer[view]
+	counts counters
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget
+	routers int
+}
+
+// view is the configuration in force.
+type view struct {
+	config *routing.Config
+	table  *routing.Table
+}
+
+// New returns a server that knows no configuration yet.
+func New(o Options) *Server {
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	return &Server{opts: o, counts: newCounters(o.Scope), budgets: make(map[string]*retry.Budget), routers: 1}
+}
+
+// SetConfig puts a configuration in force for requests that come from now on.
+func (s *Server) SetConfig(c *routing.Config) {
+	s.view.Store(&view{config: c, table: routing.NewTable(c.Routes)})
+}
+
+// SetRouters tells how many routers share the retry budget.
+func (s *Server) SetRouters(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n = max(n, 1); n == s.routers {
+		return
+	}
+	s.routers = n
+	for _, b := range s.budgets {
+		b.SetBurst(s.burst())
+	}
+}
+
+func (s *Server) burst() int { return int(budgetMargin * s.opts.RetryExtra / float64(s.routers)) }
+
+func (s *Server) budget(service string) *retry.Budget {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.budgets[service]
+	if b == nil {
+		b = retry.New(budgetMargin*s.opts.RetryRatio, s.burst())
+		s.budgets[service] = b
+	}
+	return b
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e := &exchange{server: s, w: w, r: r, arrived: time.Now(), meta: s.opts.Dialect.Meta(r.Header)}
+	e.entry = Entry{ID: e.meta.ID, Arrived: e.arrived}
+	defer e.finish()
+	if refusal := e.prepare(); refusal != nil {
+		e.refuse(refusal)
+		return
+	}
+	e.carry()
+}
+
+// prepare finds the route and the workspace and reads the body.
+func (e *exchange) prepare() *refusal {
+	v := e.server.view.Load()
+	if v == nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no_configuration", retryAfter: unknownRetry}
+	}
+	e.entry.Version = v.config.Version
+	e.route = v.table.Find(e.r.Host, e.r.URL.Path)
+	if e.route == nil {
+		return &refusal{status: http.StatusNotFound, reason: "no_route"}
+	}
+	e.entry.Route = e.route.Name
+	if v.config.KeysRequired && !e.route.Public {
+		ws, known := v.config.Keys[e.meta.Key]
+		if !known {
+			return &refusal{status: http.StatusUnauthorized, reason: "unknown_key"}
+		}
+		e.workspace = ws
+		e.entry.Workspace = ws
+	}
+	e.service = e.route.Pick(rand.Float64())
+	e.conf = v.config.Services[e.service]
+	e.deadline = e.arrived.Add(e.timeout())
+	return e.readBody(v.config.Limits.BodyBytes)
+}
+
+func (e *exchange) timeout() time.Duration {
+	limit := e.route.Timeout
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	if p := e.meta.Patience; p > 0 {
+		limit = min(limit, p)
+	}
+	return limit
+}
+
+func (e *exchange) readBody(limit int64) *refusal {
+	if e.r.ContentLength == 0 {
+		return nil
+	}
+	body := e.r.Body
+	if limit > 0 {
+		if e.r.ContentLength > limit {
+			return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
+		}
+		body = http.MaxBytesReader(e.w, body, limit)
+	}
+	var err error
+	if n := e.r.ContentLength; n > 0 {
+		e.body = make([]byte, n)
+		_, err = io.ReadFull(body, e.body)
+	} else {
+		e.body, err = io.ReadAll(body)
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &tooLarge):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
+	default:
+		return &refusal{status: http.StatusBadRequest, reason: "body_cut", detail: err.Error()}
+	}
+}
+
+// counters of a server.
+type counters struct {
+	served, refused, failed, retried, resumed, left tally.Counter
+	first, whole                                    tally.Timer
+}
+
+func newCounters(scope tally.Scope) counters {
+	return counters{
+		served:  scope.Counter("requests_served"),
+		refused: scope.Counter("requests_refused"),
+		failed:  scope.Counter("requests_failed"),
+		retried: scope.Counter("requests_retried"),
+		resumed: scope.Counter("streams_resumed"),
+		left:    scope.Counter("requests_left"),
+		first:   scope.Timer("first_event"),
+		whole:   scope.Timer("request"),
+	}
+}
+
+
+// Entry is a request's line in the log.
+type Entry struct {
+	ID        string
+	Arrived   time.Time
+	Version   uint64
+	Route     string
+	Workspace ids.Workspace
+	// Status of the answer, 0 where the caller left or got none.
+	Status int
+	// Outcome is "served", "refused", "failed", "cut" or "left".
+	Outcome string
+	// Reason of an outcome other than "served".
+	Reason   string
+	Attempts []AttemptEntry
+	// First is the time to the first byte of the answer.
+	First time.Duration
+	Took  time.Duration
+	// Events of a stream that were passed on.
+	Events int
+	// RetryAfter of a refusal.
+	RetryAfter time.Duration
+}
+
+// RequestLog takes the lines of requests. It must not block.
+type RequestLog interface{ Request(Entry) }
--- /dev/null
+++ b/internal/node/fleet.go
@@ -0,0 +1,249 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	fleetv1 "github.com/umberhill/umberhill/api/fleet/v1"
+	peerv1 "github.com/umberhill/umberhill/api/peer/v1"
+	"github.com/umberhill/umberhill/internal/core/admit"
+	"github.com/umberhill/umberhill/internal/core/share"
+	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/peer"
+	"github.com/umberhill/umberhill/internal/routing"
+	"github.com/umberhill/umberhill/internal/settings"
+)
+
+const (
+	// fleetName keeps links to programs of another kind out.
+	fleetName = "platform"
+	// reportInterval is how often routers tell each other their load.
+	reportInterval = 50 * time.Millisecond
+	// idleReports is how many unchanged reports are left out before one is sent
+	// again to show that it still holds.
+	idleReports = 10
+	// Heartbeats of the links: a peer that is silent for peerTimeout is dead.
+	peerHeartbeat = 300 * time.Millisecond
+	peerTimeout   = 1200 * time.Millisecond
+	// pullTimeout bounds fetching a configuration from a peer.
+	pullTimeout = time.Second
+	// methodConfig is the call that returns the configuration held.
+	methodConfig = "config"
+)
+
+// ConfigDecoder decodes a configuration that a peer passes on.
+type ConfigDecoder func(raw []byte) (*routing.Config, error)
+
+// fleet is the node's part in the exchange between routers.
+type fleet struct {
+	node   *Node
+	mesh   *peer.Mesh
+	decode ConfigDecoder
+	// behind gets the peers whose configuration is newer.
+	behind chan ids.Instance
+}
+
+// JoinFleet prepares the links to other routers; it must come before Run.
+func (n *Node) JoinFleet(decode ConfigDecoder) {
+	if n.settings.Peer == "" {
+		return
+	}
+	f := &fleet{node: n, decode: decode, behind: make(chan ids.Instance, 16)}
+	f.mesh = peer.New(peer.Options{
+		Fleet:       fleetName,
+		Self:        n.settings.Instance,
+		Incarnation: n.incarnation,
+		Domain:      n.settings.Domain,
+		Address:     n.settings.Peer,
+		Heartbeat:   peerHeartbeat,
+		Timeout:     peerTimeout,
+		Handler:     f,
+		Beat:        f.beat,
+		Logger:      n.logger,
+		Scope:       n.scope,
+	})
+	n.fleet = f
+}
+
+// SetPeers tells the routers of the fleet, this one may be among them.
+func (n *Node) SetPeers(peers []settings.Seed) {
+	if n.fleet == nil {
+		return
+	}
+	n.fleet.mesh.SetPeers(peers)
+	n.server.SetRouters(len(peers))
+}
+
+func (n *Node) startFleet(ctx context.Context) {
+	f := n.fleet
+	if f == nil {
+		return
+	}
+	n.duties.Go(func() {
+		if err := f.mesh.Run(ctx); err != nil {
+			n.logger.WithError(err).Error("links to other routers ended")
+		}
+	})
+	n.duties.Go(func() { f.report(ctx) })
+	n.duties.Go(func() { f.pull(ctx) })
+}
+
+func (f *fleet) beat() *peerv1.Heartbeat {
+	beat := &peerv1.Heartbeat{Draining: f.node.draining.Load()}
+	if c := f.node.Config(); c != nil {
+		beat.Revision = c.Version
+	}
+	return beat
+}
+
+// report sends this router's load to all peers.
+func (f *fleet) report(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	same := 0
+	var last *fleetv1.Report
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		report := f.own()
+		if empty(report) && empty(last) && same < idleReports {
+			same++
+			continue
+		}
+		same, last = 0, report
+		env := &peerv1.Envelope{Body: &peerv1.Envelope_Fleet{Fleet: report}}
+		for _, p := range f.mesh.Live() {
+			f.mesh.Send(p.Instance, env)
+		}
+	}
+}
+
+func empty(r *fleetv1.Report) bool {
+	return len(r.GetTargets()) == 0 && len(r.GetBacklogs()) == 0 && len(r.GetWorkspaces()) == 0
+}
+
+func (f *fleet) own() *fleetv1.Report {
+	loads, backlogs, use := f.node.scheduler.Own()
+	r := new(fleetv1.Report)
+	for _, l := range loads {
+		r.Targets = append(r.Targets, &fleetv1.TargetLoad{
+			Target:  string(l.Target),
+			Running: uint32(l.Running),
+			Pending: uint32(max(0, l.Pending)),
+			Memory:  uint32(max(0, l.Memory)),
+		})
+	}
+	for _, b := range backlogs {
+		r.Backlogs = append(r.Backlogs, &fleetv1.Backlog{
+			Service: b.Service, Requests: uint32(b.Requests), Tokens: uint32(b.Tokens),
+		})
+	}
+	for ws, u := range use {
+		r.Workspaces = append(r.Workspaces, &fleetv1.WorkspaceUse{
+			Workspace: string(ws), Asked: uint64(u.Asked), Started: uint64(u.Started),
+		})
+	}
+	return r
+}
+
+// Receive implements peer.Handler.
+func (f *fleet) Receive(from peer.Peer, env *peerv1.Envelope) {
+	switch body := env.GetBody().(type) {
+	case *peerv1.Envelope_Fleet:
+		f.take(from.Instance, body.Fleet)
+	case *peerv1.Envelope_Heartbeat:
+		if c := f.node.Config(); c == nil || body.Heartbeat.GetRevision() > c.Version {
+			f.fallBehind(from.Instance, body.Heartbeat.GetRevision())
+		}
+	}
+}
+
+func (f *fleet) fallBehind(from ids.Instance, revision uint64) {
+	if revision == 0 {
+		return
+	}
+	select {
+	case f.behind <- from:
+	default:
+	}
+}
+
+func (f *fleet) take(from ids.Instance, r *fleetv1.Report) {
+	loads := make([]admit.Load, 0, len(r.GetTargets()))
+	for _, t := range r.GetTargets() {
+		loads = append(loads, admit.Load{
+			Target:  ids.Target(t.GetTarget()),
+			Running: int(t.GetRunning()),
+			Pending: int(t.GetPending()),
+			Memory:  int(t.GetMemory()),
+		})
+	}
+	backlogs := make([]admit.Backlog, 0, len(r.GetBacklogs()))
+	for _, b := range r.GetBacklogs() {
+		backlogs = append(backlogs, admit.Backlog{
+			Service: b.GetService(), Requests: int(b.GetRequests()), Tokens: int(b.GetTokens()),
+		})
+	}
+	use := make(map[ids.Workspace]share.Use, len(r.GetWorkspaces()))
+	for _, w := range r.GetWorkspaces() {
+		use[ids.Workspace(w.GetWorkspace())] = share.Use{Asked: float64(w.GetAsked()), Started: float64(w.GetStarted())}
+	}
+	f.node.scheduler.Report(from, loads, backlogs, use)
+}
+
+// Changed implements peer.Handler.
+func (f *fleet) Changed(live []peer.Peer) {
+	names := make([]ids.Instance, 0, len(live))
+	for _, p := range live {
+		names = append(names, p.Instance)
+	}
+	f.node.logger.WithField("peers", names).Info("live routers changed")
+}
+
+// Serve implements peer.Handler.
+func (f *fleet) Serve(_ context.Context, _ peer.Peer, method string, _ []byte) ([]byte, error) {
+	if method != methodConfig {
+		return nil, errors.Newf("unknown method %q", method)
+	}
+	c := f.node.Config()
+	if c == nil {
+		return nil, errors.New("no configuration yet")
+	}
+	return c.Raw, nil
+}
+
+// pull fetches newer configurations from peers, which may reach the platform's
+// store while this router does not.
+func (f *fleet) pull(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case from := <-f.behind:
+			f.pullFrom(ctx, from)
+		}
+	}
+}
+
+func (f *fleet) pullFrom(ctx context.Context, from ids.Instance) {
+	log := f.node.logger.WithFields(logrus.Fields{"step": "pull configuration", "peer": from})
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	raw, err := f.mesh.Call(ctx, from, methodConfig, nil)
+	if err != nil {
+		log.WithError(err).Warn("a peer's configuration could not be fetched")
+		return
+	}
+	c, err := f.decode(raw)
+	if err != nil {
+		log.WithError(err).Warn("a peer's configuration could not be decoded")
+		return
+	}
+	f.node.SetConfig(c, string(from))
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,297 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/umberhill/umberhill/internal/core/admit"
+	"github.com/umberhill/umberhill/internal/edge"
+	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/obs"
+	"github.com/umberhill/umberhill/internal/routing"
+	"github.com/umberhill/umberhill/internal/upstream"
+)
+
+const (
+	// heapShare is the part of the memory limit from which garbage is collected
+	// more often rather than let the heap grow.
+	heapShare = 0.6
+	// gcPercent lets the heap grow more between collections than Go's default:
+	// the live heap is small against the memory limit.
+	gcPercent = 400
+	// Connections to targets.
+	dialTimeout   = 400 * time.Millisecond
+	idleTimeout   = 20 * time.Second
+	unackedFor    = 2 * time.Second
+	maxIdleConns  = 64
+	sweepInterval = time.Second
+	// Callers' connections.
+	readHeaderTimeout = 15 * time.Second
+	callerIdle        = 90 * time.Second
+	maxHeaderBytes    = 64 << 10
+	// stopLead is how long a stopping router still takes new connections, so
+	// that the balancer has seen its readiness go off.
+	stopLead = 2200 * time.Millisecond
+	// stopReserve is the part of the grace period kept for the end of the process.
+	stopReserve = 400 * time.Millisecond
+)
+
+// Settings of a node.
+type Settings struct {
+	Instance ids.Instance
+	Domain   ids.Domain
+	// Callers, Ready, Peer and Metrics are the IPs and ports to listen on. Peer
+	// and Metrics may be empty.
+	Callers, Ready, Peer, Metrics string
+	// MemoryMB is the memory limit of the process, 0 for none.
+	MemoryMB int
+	// DrainWithin bounds how long a leaving target may still get requests.
+	DrainWithin time.Duration
+	// Grace is the time from a planned stop until the process is killed.
+	Grace time.Duration
+	// RetryRatio and RetryExtra bound the fleet's retries in a window.
+	RetryRatio, RetryExtra float64
+	// ShareWindow is the window over which fair shares are kept.
+	ShareWindow time.Duration
+}
+
+// Node is one router.
+type Node struct {
+	settings    Settings
+	incarnation ids.Incarnation
+	logger      *logrus.Entry
+	scope       tally.Scope
+	metrics     http.Handler
+	metricsEnd  io.Closer
+
+	scheduler *edge.Scheduler
+	pool      *upstream.Pool
+	server    *edge.Server
+	log       *requestLog
+	fleet     *fleet
+
+	mu      sync.Mutex
+	config  *routing.Config
+	targets *routing.Targets
+
+	draining atomic.Bool
+	duties   conc.WaitGroup
+}
+
+// New builds a node; Run starts it.
+func New(s Settings, dialect edge.Dialect, logger *logrus.Logger) *Node {
+	now := time.Now()
+	n := &Node{settings: s, incarnation: ids.Incarnation(now.UnixNano()), targets: routing.NewTargets(nil)}
+	n.logger = logger.WithFields(logrus.Fields{"instance": s.Instance, "domain": s.Domain})
+	n.scope, n.metrics, n.metricsEnd = obs.NewScope(nil)
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryMB<<20)))
+		debug.SetGCPercent(gcPercent)
+	}
+	n.scheduler = edge.NewScheduler(admit.Options{
+		Domain: s.Domain,
+		Window: s.ShareWindow,
+		Seed:   uint64(n.incarnation),
+	})
+	n.pool = upstream.NewPool(upstream.Options{
+		DialTimeout: dialTimeout,
+		Idle:        idleTimeout,
+		Unacked:     unackedFor,
+		MaxIdle:     maxIdleConns,
+	})
+	n.log = newRequestLog(n.logger)
+	n.server = edge.New(edge.Options{
+		Dialect:    dialect,
+		Scheduler:  n.scheduler,
+		Pool:       n.pool,
+		Log:        n.log,
+		Scope:      n.scope,
+		RetryRatio: s.RetryRatio,
+		RetryExtra: s.RetryExtra,
+	})
+	return n
+}
+
+// Logger is the node's logger.
+func (n *Node) Logger() *logrus.Entry { return n.logger }
+
+// SetConfig puts a configuration in force if it is newer than the one held, and
+// tells whether it was.
+func (n *Node) SetConfig(c *routing.Config, source string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.config != nil && c.Version <= n.config.Version {
+		return false
+	}
+	n.config = c
+	n.scheduler.SetConfig(c)
+	n.server.SetConfig(c)
+	n.logger.WithFields(logrus.Fields{
+		"version": c.Version, "routes": len(c.Routes), "services": len(c.Services), "source": source,
+	}).Info("configuration in force")
+	return true
+}
+
+// Config returns the configuration in force, or nil.
+func (n *Node) Config() *routing.Config {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.config
+}
+
+// SetTargets puts a list of targets in force.
+func (n *Node) SetTargets(all []routing.Target) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	old := n.targets
+	n.targets = routing.NewTargets(all)
+	n.scheduler.SetTargets(all)
+	n.logTargets(old)
+}
+
+func (n *Node) logTargets(old *routing.Targets) {
+	for _, t := range n.targets.All() {
+		was, known := old.Get(t.ID)
+		if !known || was != t {
+			n.logger.WithFields(logrus.Fields{
+				"target": t.ID, "service": t.Service, "address": t.Address, "leaving": t.Leaving, "born": t.Born,
+			}).Info("target listed")
+		}
+	}
+	for _, t := range old.All() {
+		if _, still := n.targets.Get(t.ID); !still {
+			n.logger.WithFields(logrus.Fields{"target": t.ID, "service": t.Service}).Info("target gone")
+		}
+	}
+}
+
+// ready tells whether the node can serve new connections.
+func (n *Node) ready() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.draining.Load() && n.config != nil && n.targets.Len() > 0
+}
+
+// Run serves until ctx ends, then stops as planned: readiness goes off, new
+// connections are taken until the balancer has seen it, and running requests
+// finish within the grace period.
+func (n *Node) Run(ctx context.Context) error {
+	defer n.metricsEnd.Close()
+	callers, err := listen("callers", n.settings.Callers)
+	if err != nil {
+		return err
+	}
+	ready, err := listen("readiness", n.settings.Ready)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler:           http.HandlerFunc(n.serveCaller),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       callerIdle,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	duties, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	n.serve(&http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: readHeaderTimeout}, ready)
+	n.serve(server, callers)
+	n.duties.Go(func() { n.scheduler.Run(duties) })
+	n.duties.Go(func() { n.log.run(duties) })
+	n.duties.Go(func() { n.sweep(duties) })
+	if err := n.startMetrics(); err != nil {
+		return err
+	}
+	n.startFleet(duties)
+	n.logger.WithField("callers", n.settings.Callers).Info("router started")
+	<-ctx.Done()
+	n.stop(server)
+	end()
+	n.logger.Info("router stopped")
+	n.log.flush()
+	return nil
+}
+
+func listen(what, address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	return l, errors.Wrapf(err, "listen for %s on %s", what, address)
+}
+
+func (n *Node) serve(s *http.Server, l net.Listener) {
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			n.logger.WithError(err).WithField("address", l.Addr().String()).Error("listener failed")
+		}
+	}()
+}
+
+func (n *Node) startMetrics() error {
+	if n.settings.Metrics == "" {
+		return nil
+	}
+	l, err := listen("metrics", n.settings.Metrics)
+	if err != nil {
+		return err
+	}
+	n.serve(&http.Server{Handler: n.metrics, ReadHeaderTimeout: readHeaderTimeout}, l)
+	return nil
+}
+
+// serveCaller passes a request on. While the router stops, its answers ask
+// callers to close their connections.
+func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if n.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	n.server.ServeHTTP(w, r)
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// sweep closes idle connections to targets that are gone or were idle for too long.
+func (n *Node) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			n.pool.Close()
+			return
+		case <-ticker.C:
+			n.mu.Lock()
+			targets := n.targets
+			n.mu.Unlock()
+			n.pool.Retain(func(e upstream.Endpoint) bool {
+				t, ok := targets.Get(e.Target)
+				return ok && t.Born == e.Born && t.Address == e.Address
+			})
+		}
+	}
+}
+
+func (n *Node) stop(server *http.Server) {
+	n.logger.Info("router stopping")
+	n.draining.Store(true)
+	deadline := time.Now().Add(max(n.settings.Grace-stopReserve, stopLead))
+	time.Sleep(stopLead)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		n.logger.WithError(err).Warn("requests were still running at the end of the grace period")
+		_ = server.Close()
+	}
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -19,6 +19,7 @@
 	maxHeartbeat  = 256
 	maxSched      = 256 << 10
 	maxQuarantine = 256 << 10
+	maxFleet      = 256 << 10
 	// MaxFrame bounds any frame. A configuration push carries objects of up to
 	// a megabyte each; a sender splits what does not fit.
 	MaxFrame = 1<<20 + 64<<10
@@ -43,6 +44,7 @@
 	kindSched:      maxSched,
 	kindConfig:     MaxFrame,
 	kindQuarantine: maxQuarantine,
+	kindFleet:      maxFleet,
 	kindCall:       MaxCall,
 	kindUnknown:    maxHello,
 }
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -18,6 +18,7 @@
 	kindSched
 	kindConfig
 	kindQuarantine
+	kindFleet
 	kindCall
 	kinds
 )
@@ -29,6 +30,7 @@
 	kindSched:      "sched",
 	kindConfig:     "config",
 	kindQuarantine: "quarantine",
+	kindFleet:      "fleet",
 	kindCall:       "call",
 }
 
@@ -44,6 +46,8 @@
 		return kindConfig
 	case *peerv1.Envelope_Quarantine:
 		return kindQuarantine
+	case *peerv1.Envelope_Fleet:
+		return kindFleet
 	default:
 		return kindUnknown
 	}
--- /dev/null
+++ b/internal/routing/config.go
@@ -0,0 +1,137 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/umberhill/umberhill/internal/ids"
+)
+
+// Kind says what may be repeated on a route.
+type Kind int
+
+// The kinds. Where a kind is unknown, Once is the safe choice.
+const (
+	// Once may run at most once for each request.
+	Once Kind = iota
+	// Idempotent may run more than once.
+	Idempotent
+	// Stream answers with server-sent events; it runs at most once unless it is
+	// resumable.
+	Stream
+)
+
+// Config is one version of the configuration.
+type Config struct {
+	// Version rises with each change by the operator.
+	Version uint64
+	// Routes in the operator's order.
+	Routes []Route
+	// Services by name.
+	Services map[string]*Service
+	// Keys maps an API key to its workspace. It is empty where no keys are used.
+	Keys map[string]ids.Workspace
+	// KeysRequired is set where requests on routes that are not public need a key.
+	KeysRequired bool
+	// Limits of what callers may send.
+	Limits Limits
+	// Raw is the encoded form, for other routers.
+	Raw []byte
+}
+
+// Limits bound callers' requests.
+type Limits struct {
+	// HeaderBytes and BodyBytes bound a request's size.
+	HeaderBytes int
+	BodyBytes   int64
+	// HeaderTimeout bounds the reading of a request's header, IdleTimeout an
+	// idle connection.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+	// TokensPerSecond is about what all engines produce together: each token
+	// read counts once, each token generated twice. Zero where not known.
+	TokensPerSecond float64
+}
+
+// Route says how requests of a host and path are handled.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is how long a request may be kept.
+	Timeout time.Duration
+	// Objective is the time within which an answer, or a stream's first event,
+	// is on time.
+	Objective time.Duration
+	// GapObjective is the longest pause between events of a stream on time.
+	GapObjective time.Duration
+	// Priority of the route, 0 the highest.
+	Priority int
+	// Split divides the requests over services by weight.
+	Split []Weighted
+	// MaxAttempts is the number of targets that may run one request.
+	MaxAttempts int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another target.
+	Resumable bool
+}
+
+// Weighted is a service's part of a route.
+type Weighted struct {
+	Service string
+	Weight  float64
+}
+
+// Service is a set of targets that serve the same work.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConns is the number of connections that a target accepts from all
+	// routers together.
+	MaxConns int
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is the number of requests in a batch.
+	Slots int
+	// MemoryTokens is the KV cache's size in tokens.
+	MemoryTokens int
+	// EventTokens is the number of tokens in one event of a stream.
+	EventTokens int
+}
+
+// May tells whether the route may send to the service.
+func (r *Route) May(service string) bool {
+	for _, w := range r.Split {
+		if w.Service == service && w.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Pick returns the service at a point of the split, x in [0, 1).
+func (r *Route) Pick(x float64) string {
+	var sum float64
+	for _, w := range r.Split {
+		sum += w.Weight
+	}
+	x *= sum
+	for _, w := range r.Split {
+		if x < w.Weight {
+			return w.Service
+		}
+		x -= w.Weight
+	}
+	if len(r.Split) == 0 {
+		return ""
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// Repeatable tells whether a request may run a second time from its start.
+func (r *Route) Repeatable() bool { return r.Kind == Idempotent }
