--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -1,9 +1,10 @@
 // Package roster keeps the list of targets as the platform tells it, through
-// outages of the platform's store. It is a deterministic state machine without
-// I/O or clock.
+// outages of the platform's store and from peers that still reach it. It is a
+// deterministic state machine without I/O or clock.
 //
 // Targets whose entries lapse while the store is away are kept until it has
-// been back for long enough for them to enter themselves again.
+// been back for long enough for them to enter themselves again. News that is
+// older than what is known changes nothing.
 package roster
 
 import (
@@ -13,58 +14,130 @@
 	"github.com/umberhill/umberhill/internal/routing"
 )
 
-// Settle is how long after the store's return an entry may still be missing
-// though its target lives: entries are back within about two seconds.
-const Settle = 2500 * time.Millisecond
+const (
+	// Settle is how long after the store's return an entry may still be missing
+	// though its target lives: entries are back within about two seconds.
+	Settle = 2500 * time.Millisecond
+	// tombLife is how long the end of an entry is remembered against older news.
+	tombLife = time.Minute
+)
+
+// Entry is a target as it stands in the store.
+type Entry struct {
+	routing.Target
+	// Revision of the entry's last change.
+	Revision uint64
+}
+
+// Change is news of one entry.
+type Change struct {
+	Entry
+	// Gone is set where the entry has ended, or no longer names a target.
+	Gone bool
+}
 
 // Roster is the list of targets.
 type Roster struct {
-	entries map[ids.Target]*entry
-	away    bool
+	entries map[ids.Target]*state
+	tombs   map[ids.Target]tomb
+	// asOf is the store's revision at which the list last changed.
+	asOf uint64
+	away bool
 	// backAt is when the store returned last; zero where it never was away.
 	backAt time.Time
 }
 
-type entry struct {
-	target   routing.Target
-	revision uint64
+type state struct {
+	Entry
 	// missing is set while the entry is gone from the store but kept.
 	missing bool
 }
 
+type tomb struct {
+	revision uint64
+	at       time.Time
+}
+
 // New returns an empty roster.
-func New() *Roster { return &Roster{entries: make(map[ids.Target]*entry)} }
+func New() *Roster {
+	return &Roster{entries: make(map[ids.Target]*state), tombs: make(map[ids.Target]tomb)}
+}
+
+// AsOf is the store's revision at which the list last changed.
+func (r *Roster) AsOf() uint64 { return r.asOf }
+
+// Apply takes changes in their order, and the revision up to which they go.
+func (r *Roster) Apply(now time.Time, changes []Change, asOf uint64) {
+	for _, c := range changes {
+		if c.Gone {
+			r.end(now, c.ID, c.Revision, r.settling(now))
+		} else {
+			r.put(c.Entry)
+		}
+	}
+	r.asOf = max(r.asOf, asOf)
+}
+
+// Replace takes the full list of a revision from the store. One that is older
+// than what is known changes nothing.
+func (r *Roster) Replace(now time.Time, list []Entry, asOf uint64) {
+	r.replace(now, list, asOf, r.settling(now))
+}
+
+// Merge takes a peer's full list. Where the peer is settled, an entry that it
+// lacks has ended, although this router may not reach the store itself.
+func (r *Roster) Merge(now time.Time, list []Entry, asOf uint64, settled bool) {
+	r.replace(now, list, asOf, !settled)
+}
+
+// IsSettled tells whether the store answers and missing entries have ended.
+func (r *Roster) IsSettled(now time.Time) bool { return !r.settling(now) }
+
+func (r *Roster) replace(now time.Time, list []Entry, asOf uint64, keep bool) {
+	if asOf < r.asOf {
+		return
+	}
+	listed := make(map[ids.Target]bool, len(list))
+	for _, e := range list {
+		listed[e.ID] = true
+		r.put(e)
+	}
+	for id := range r.entries {
+		if !listed[id] {
+			r.end(now, id, asOf, keep)
+		}
+	}
+	r.asOf = asOf
+}
 
-// Put takes an entry that stands in the store. An older revision than the one
-// known changes nothing.
-func (r *Roster) Put(t routing.Target, revision uint64) {
-	if known := r.entries[t.ID]; known != nil && revision < known.revision {
+func (r *Roster) put(e Entry) {
+	if known := r.entries[e.ID]; known != nil && e.Revision < known.Revision {
+		return
+	}
+	if t, ended := r.tombs[e.ID]; ended && e.Revision <= t.revision {
 		return
 	}
-	r.entries[t.ID] = &entry{target: t, revision: revision}
+	r.entries[e.ID] = &state{Entry: e}
 }
 
-// Delete takes the end of an entry.
-func (r *Roster) Delete(now time.Time, id ids.Target, revision uint64) {
+func (r *Roster) end(now time.Time, id ids.Target, revision uint64, keep bool) {
 	known := r.entries[id]
-	if known == nil || revision < known.revision {
+	if known == nil || revision < known.Revision {
 		return
 	}
-	if r.settling(now) {
+	if keep {
 		known.missing = true
 		return
 	}
-	delete(r.entries, id)
+	r.drop(now, id, revision)
 }
 
-// Drop forgets a target whose entry no longer names one.
-func (r *Roster) Drop(id ids.Target) { delete(r.entries, id) }
-
-// Replace takes a full list, as of a revision.
-func (r *Roster) Replace(now time.Time, list map[ids.Target]uint64, asOf uint64) {
-	for id := range r.entries {
-		if _, there := list[id]; !there {
-			r.Delete(now, id, asOf)
+func (r *Roster) drop(now time.Time, id ids.Target, revision uint64) {
+	delete(r.entries, id)
+	r.tombs[id] = tomb{revision: revision, at: now}
+	for old, t := range r.tombs {
+		if now.Sub(t.at) > tombLife {
+			delete(r.tombs, old)
 		}
 	}
 }
@@ -72,14 +145,12 @@
 // Lost tells that the store does not answer.
 func (r *Roster) Lost() { r.away = true }
 
-// Back tells that the store answers. It reports whether it was away.
-func (r *Roster) Back(now time.Time) bool {
-	if !r.away {
-		return false
+// Back tells that the store answers.
+func (r *Roster) Back(now time.Time) {
+	if r.away {
+		r.away = false
+		r.backAt = now
 	}
-	r.away = false
-	r.backAt = now
-	return true
 }
 
 func (r *Roster) settling(now time.Time) bool {
@@ -95,18 +166,30 @@
 	dropped := false
 	for id, e := range r.entries {
 		if e.missing {
-			delete(r.entries, id)
+			r.drop(now, id, e.Revision)
 			dropped = true
 		}
 	}
 	return dropped
 }
 
-// Targets returns the list.
+// Entries returns the list, without the entries that are missing in the store:
+// what peers are told.
+func (r *Roster) Entries() []Entry {
+	out := make([]Entry, 0, len(r.entries))
+	for _, e := range r.entries {
+		if !e.missing {
+			out = append(out, e.Entry)
+		}
+	}
+	return out
+}
+
+// Targets returns the list in force, missing entries included.
 func (r *Roster) Targets() []routing.Target {
 	out := make([]routing.Target, 0, len(r.entries))
 	for _, e := range r.entries {
-		out = append(out, e.target)
+		out = append(out, e.Target)
 	}
 	return out
 }
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -5,32 +5,53 @@
 	"time"
 
 	"github.com/umberhill/umberhill/internal/core/roster"
-	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/routing"
 )
 
 var start = time.Unix(1000, 0)
 
+func entry(revision uint64, leaving bool) roster.Entry {
+	return roster.Entry{Target: routing.Target{ID: "a", Leaving: leaving}, Revision: revision}
+}
+
 func one() *roster.Roster {
 	r := roster.New()
-	r.Put(routing.Target{ID: "a"}, 5)
+	r.Apply(start, []roster.Change{{Entry: entry(5, false)}}, 5)
 	return r
 }
 
-func TestDeletionTakesEffectAtOnceWhileTheStoreIsUp(t *testing.T) {
+func gone(revision uint64) []roster.Change {
+	return []roster.Change{{Entry: entry(revision, false), Gone: true}}
+}
+
+func TestEndTakesEffectAtOnceWhileTheStoreIsUp(t *testing.T) {
 	r := one()
-	r.Delete(start, "a", 6)
+	r.Apply(start, gone(6), 6)
 	if len(r.Targets()) != 0 {
 		t.Error("the target is still there")
 	}
 }
 
-func TestStaleDeletionAndEntryChangeNothing(t *testing.T) {
+func TestOldNewsChangesNothing(t *testing.T) {
 	r := one()
-	r.Delete(start, "a", 4)
-	r.Put(routing.Target{ID: "a", Leaving: true}, 4)
+	r.Apply(start, gone(4), 4)
+	r.Apply(start, []roster.Change{{Entry: entry(4, true)}}, 4)
+	r.Replace(start, nil, 4)
 	if got := r.Targets(); len(got) != 1 || got[0].Leaving {
-		t.Errorf("targets %v after stale news", got)
+		t.Errorf("targets %v after old news", got)
+	}
+}
+
+func TestOldEntryDoesNotReturnAfterAPeersNewerList(t *testing.T) {
+	r := one()
+	r.Replace(start, nil, 9)
+	r.Apply(start, []roster.Change{{Entry: entry(7, false)}}, 7)
+	if len(r.Targets()) != 0 {
+		t.Error("an entry older than the list that lacks it came back")
+	}
+	r.Apply(start, []roster.Change{{Entry: entry(10, false)}}, 10)
+	if len(r.Targets()) != 1 {
+		t.Error("a newer entry was not taken")
 	}
 }
 
@@ -38,9 +59,9 @@
 	r := one()
 	r.Lost()
 	r.Back(start)
-	r.Replace(start, map[ids.Target]uint64{}, 9)
+	r.Replace(start, nil, 9)
 	if r.Settled(start.Add(time.Second)) || len(r.Targets()) != 1 {
-		t.Error("dropped before the targets could return")
+		t.Error("dropped before the target could return")
 	}
 	if !r.Settled(start.Add(roster.Settle)) || len(r.Targets()) != 0 {
 		t.Error("kept though it has not returned")
@@ -51,10 +72,21 @@
 	r := one()
 	r.Lost()
 	r.Back(start)
-	r.Delete(start, "a", 9)
-	r.Put(routing.Target{ID: "a"}, 10)
+	r.Apply(start, gone(9), 9)
+	r.Apply(start, []roster.Change{{Entry: entry(10, false)}}, 10)
 	r.Settled(start.Add(time.Minute))
 	if len(r.Targets()) != 1 {
 		t.Error("a target that returned was dropped")
 	}
 }
+
+func TestPeersListEndsAnEntryOnlyWhereThePeerIsSettled(t *testing.T) {
+	for _, settled := range []bool{true, false} {
+		r := one()
+		r.Lost()
+		r.Merge(start, nil, 9, settled)
+		if kept := len(r.Targets()) == 1; kept == settled {
+			t.Errorf("kept is %v after the list of a peer with settled=%v", kept, settled)
+		}
+	}
+}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	fleetv1 "github.com/umberhill/umberhill/api/fleet/v1"
 	peerv1 "github.com/umberhill/umberhill/api/peer/v1"
@@ -30,8 +31,13 @@
 	peerTimeout   = 1200 * time.Millisecond
 	// pullTimeout bounds fetching a configuration from a peer.
 	pullTimeout = time.Second
-	// methodConfig is the call that returns the configuration held.
-	methodConfig = "config"
+	// pullDelay is how long a router that is behind waits for its own news of
+	// the store before it asks a peer.
+	pullDelay = 250 * time.Millisecond
+	// methodConfig and methodTargets are the calls that return the
+	// configuration and the list of targets held.
+	methodConfig  = "config"
+	methodTargets = "targets"
 )
 
 // ConfigDecoder decodes a configuration that a peer passes on.
@@ -42,8 +48,16 @@
 	node   *Node
 	mesh   *peer.Mesh
 	decode ConfigDecoder
-	// behind gets the peers whose configuration is newer.
-	behind chan ids.Instance
+	// behind gets the peers that hold something newer.
+	behind chan behind
+}
+
+// behind says that a peer holds a newer configuration or list of targets.
+type behind struct {
+	peer   ids.Instance
+	method string
+	// revision that the peer holds.
+	revision uint64
 }
 
 // JoinFleet prepares the links to other routers; it must come before Run.
@@ -51,7 +65,7 @@
 	if n.settings.Peer == "" {
 		return
 	}
-	f := &fleet{node: n, decode: decode, behind: make(chan ids.Instance, 16)}
+	f := &fleet{node: n, decode: decode, behind: make(chan behind, 16)}
 	f.mesh = peer.New(peer.Options{
 		Fleet:       fleetName,
 		Self:        n.settings.Instance,
@@ -130,7 +144,7 @@
 
 func (f *fleet) own() *fleetv1.Report {
 	loads, backlogs, use := f.node.scheduler.Own()
-	r := new(fleetv1.Report)
+	r := &fleetv1.Report{TargetsAsOf: f.node.targetsAsOf.Load()}
 	for _, l := range loads {
 		r.Targets = append(r.Targets, &fleetv1.TargetLoad{
 			Target:  string(l.Target),
@@ -157,20 +171,31 @@
 	switch body := env.GetBody().(type) {
 	case *peerv1.Envelope_Fleet:
 		f.take(from.Instance, body.Fleet)
+		f.compare(behind{peer: from.Instance, method: methodTargets, revision: body.Fleet.GetTargetsAsOf()})
 	case *peerv1.Envelope_Heartbeat:
-		if c := f.node.Config(); c == nil || body.Heartbeat.GetRevision() > c.Version {
-			f.fallBehind(from.Instance, body.Heartbeat.GetRevision())
-		}
+		f.compare(behind{peer: from.Instance, method: methodConfig, revision: body.Heartbeat.GetRevision()})
+	}
+}
+
+// held is the revision of what this router holds itself.
+func (f *fleet) held(method string) uint64 {
+	if method == methodTargets {
+		return f.node.targetsAsOf.Load()
 	}
+	if c := f.node.Config(); c != nil {
+		return c.Version
+	}
+	return 0
 }
 
-func (f *fleet) fallBehind(from ids.Instance, revision uint64) {
-	if revision == 0 {
+func (f *fleet) compare(b behind) {
+	if b.revision <= f.held(b.method) {
 		return
 	}
 	select {
-	case f.behind <- from:
+	case f.behind <- b:
 	default:
+		// The next report tells again.
 	}
 }
 
@@ -207,43 +232,72 @@
 }
 
 // Serve implements peer.Handler.
-func (f *fleet) Serve(_ context.Context, _ peer.Peer, method string, _ []byte) ([]byte, error) {
-	if method != methodConfig {
-		return nil, errors.Newf("unknown method %q", method)
-	}
-	c := f.node.Config()
-	if c == nil {
+func (f *fleet) Serve(ctx context.Context, _ peer.Peer, method string, _ []byte) ([]byte, error) {
+	switch method {
+	case methodConfig:
+		if c := f.node.Config(); c != nil {
+			return c.Raw, nil
+		}
 		return nil, errors.New("no configuration yet")
+	case methodTargets:
+		list := f.node.directory.list(ctx)
+		if list == nil {
+			return nil, errors.New("no list of targets")
+		}
+		return proto.Marshal(list)
 	}
-	return c.Raw, nil
+	return nil, errors.Newf("unknown method %q", method)
 }
 
-// pull fetches newer configurations from peers, which may reach the platform's
-// store while this router does not.
+// pull fetches from peers what is newer than what this router holds: they may
+// reach the platform's store while this router does not.
 func (f *fleet) pull(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case from := <-f.behind:
-			f.pullFrom(ctx, from)
+		case b := <-f.behind:
+			f.pullFrom(ctx, b)
 		}
 	}
 }
 
-func (f *fleet) pullFrom(ctx context.Context, from ids.Instance) {
-	log := f.node.logger.WithFields(logrus.Fields{"step": "pull configuration", "peer": from})
+func (f *fleet) pullFrom(ctx context.Context, b behind) {
+	wait := time.NewTimer(pullDelay)
+	defer wait.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-wait.C:
+	}
+	if b.revision <= f.held(b.method) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	raw, err := f.mesh.Call(ctx, from, methodConfig, nil)
+	raw, err := f.mesh.Call(ctx, b.peer, b.method, nil)
+	if err == nil {
+		err = f.accept(b, raw)
+	}
 	if err != nil {
-		log.WithError(err).Warn("a peer's configuration could not be fetched")
-		return
+		f.node.logger.WithError(err).WithFields(logrus.Fields{"step": "pull " + b.method, "peer": b.peer}).
+			Warn("a peer's newer state could not be taken")
+	}
+}
+
+func (f *fleet) accept(b behind, raw []byte) error {
+	if b.method == methodTargets {
+		list := new(fleetv1.TargetList)
+		if err := proto.Unmarshal(raw, list); err != nil {
+			return errors.Wrap(err, "decode the list of targets")
+		}
+		f.node.directory.merge(list)
+		return nil
 	}
 	c, err := f.decode(raw)
 	if err != nil {
-		log.WithError(err).Warn("a peer's configuration could not be decoded")
-		return
+		return err
 	}
-	f.node.SetConfig(c, string(from))
+	f.node.SetConfig(c, string(b.peer))
+	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,6 +85,10 @@
 	config  *routing.Config
 	targets *routing.Targets
 
+	directory *Targets
+	// targetsAsOf is the store's revision at which the targets last changed.
+	targetsAsOf atomic.Uint64
+
 	draining atomic.Bool
 	duties   conc.WaitGroup
 }
@@ -111,6 +115,7 @@
 		MaxIdle:     maxIdleConns,
 	})
 	n.log = newRequestLog(n.logger)
+	n.directory = newTargets(n)
 	n.server = edge.New(edge.Options{
 		Dialect:    dialect,
 		Scheduler:  n.scheduler,
@@ -150,8 +155,11 @@
 	return n.config
 }
 
-// SetTargets puts a list of targets in force.
-func (n *Node) SetTargets(all []routing.Target) {
+// Targets returns the controller of the targets' list.
+func (n *Node) Targets() *Targets { return n.directory }
+
+// setTargets puts a list of targets in force.
+func (n *Node) setTargets(all []routing.Target) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	old := n.targets
@@ -208,6 +216,7 @@
 	n.serve(server, callers)
 	n.duties.Go(func() { n.scheduler.Run(duties) })
 	n.duties.Go(func() { n.log.run(duties) })
+	n.duties.Go(func() { n.directory.run(duties) })
 	n.duties.Go(func() { n.sweep(duties) })
 	if err := n.startMetrics(); err != nil {
 		return err
