Shared parts of prompts go back to the engine that holds them; fair shares of what is really started

Ruled out: eviction as the cause (most were read again within seconds elsewhere). Change: reports carry the shared parts sent lately; reading one again costs 0.1 ms a token in the choice, so requests wait for the engine that has it while they can be on time; a part that nobody holds goes where all routers agree. Ranks: owed, fair by what is really started, beyond.

--- a/internal/core/admit/line.go
+++ b/internal/core/admit/line.go
@@ -150,14 +150,18 @@
 	if s.engine() {
 		l.window.Ask(now, r.Workspace, r.tokens())
 	}
-	within := l.within(now, s, &r)
-	c, found := s.choose(now, &r, l.opts.Domain, within)
+	rank := l.rank(now, s, &r)
+	c, found := s.choose(now, &r, l.opts.Domain, rank)
 	if !found {
 		return Verdict{ID: r.ID, Refused: NoTarget, RetryAfter: l.spread(noTargetRetry)}
 	}
+	if rank == share.Beyond && !c.room {
+		// Where it may not wait, any target that has room is as good.
+		c, _ = s.chooseRoom(now, &r, l.opts.Domain)
+	}
 	wait := s.lineWait(now)
 	c.inputs.LineWait = wait
-	if c.room && (s.line.len() == 0 || within) {
+	if c.room && !s.line.before(rank) {
 		return l.send(now, s, &r, c)
 	}
 	return l.hold(now, s, &r, c, wait)
@@ -169,13 +173,13 @@
 	starts := now.Add(wait + c.inputs.Predicted)
 	latest := r.Arrived.Add(time.Duration(startShare * float64(r.Objective)))
 	switch {
-	case !c.inputs.Within:
+	case c.inputs.Rank == share.Beyond:
 		v.Refused = BeyondShare
 	case starts.After(latest), s.line.len() >= maxLine:
 		v.Refused = Saturated
 	default:
 		v.Waiting = true
-		s.line.add(&entry{req: r, within: true, give: giveUp(r)})
+		s.line.add(&entry{req: r, rank: c.inputs.Rank, give: giveUp(r)})
 		return v
 	}
 	v.RetryAfter = l.spread(max(wait, retryFirst))
@@ -187,8 +191,11 @@
 	return r.Arrived.Add(max(r.Objective, time.Duration(patience*float64(r.Deadline.Sub(r.Arrived)))))
 }
 
-func (l *Line) within(now time.Time, s *service, r *Request) bool {
-	return !s.engine() || l.window.Within(now, r.Workspace, r.tokens(), l.throughput)
+func (l *Line) rank(now time.Time, s *service, r *Request) share.Rank {
+	if !s.engine() {
+		return share.Owed
+	}
+	return l.window.Rank(now, r.Workspace, r.tokens(), l.throughput)
 }
 
 func (l *Line) spread(d time.Duration) time.Duration {
@@ -206,7 +213,7 @@
 	t.health.sent(r.ID)
 	if s.engine() {
 		l.window.Start(now, r.Workspace, r.tokens())
-		t.cache.touch(now, r.Parts)
+		t.cache.send(now, r.Parts)
 	}
 	return Verdict{ID: r.ID, Target: t.Target, Inputs: c.inputs}
 }
@@ -283,7 +290,7 @@
 }
 
 func (l *Line) pollService(now time.Time, s *service, out []Verdict) []Verdict {
-	s.line.order(now, func(r *Request) bool { return l.within(now, s, r) })
+	s.line.order(now, func(r *Request) share.Rank { return l.rank(now, s, r) })
 	kept := s.line.waiting[:0]
 	waiting := s.line.waiting
 	for _, e := range waiting {
@@ -300,7 +307,7 @@
 }
 
 func (l *Line) decide(now time.Time, s *service, e *entry) (Verdict, bool) {
-	c, found := s.choose(now, e.req, l.opts.Domain, e.within)
+	c, found := s.choose(now, e.req, l.opts.Domain, e.rank)
 	if found && c.room {
 		return l.send(now, s, e.req, c), true
 	}
@@ -321,6 +328,9 @@
 		said[load.Target] = true
 		if t := l.targets[load.Target]; t != nil {
 			t.peers[peer] = peerLoad{at: now, Load: load}
+			for _, key := range load.Cached {
+				t.cache.touch(now, key)
+			}
 		}
 	}
 	for id, t := range l.targets {
@@ -339,12 +349,14 @@
 	l.window.Report(now, peer, use)
 }
 
-// Own returns this router's load, backlog and use for reports to peers.
+// Own returns this router's load, backlog and use for a report to all peers.
+// News of cached parts are in one report only.
 func (l *Line) Own(now time.Time) ([]Load, []Backlog, map[ids.Workspace]share.Use) {
 	var loads []Load
 	for id, t := range l.targets {
-		if t.running > 0 {
-			loads = append(loads, Load{Target: id, Running: t.running, Pending: t.pending, Memory: t.memory})
+		news := t.cache.takeNews()
+		if t.running > 0 || len(news) > 0 {
+			loads = append(loads, Load{Target: id, Running: t.running, Pending: t.pending, Memory: t.memory, Cached: news})
 		}
 	}
 	var backlogs []Backlog
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/umberhill/umberhill/internal/core/share"
 )
 
 // line holds the requests of one service that wait at this router.
@@ -12,8 +14,8 @@
 }
 
 type entry struct {
-	req    *Request
-	within bool
+	req  *Request
+	rank share.Rank
 	// give is when the request is refused if it still waits.
 	give time.Time
 }
@@ -39,15 +41,20 @@
 	return true
 }
 
-// order sorts the line: workspaces within their share first, of those the ones
-// that can still be on time, then the earliest objective.
-func (l *line) order(now time.Time, within func(*Request) bool) {
+// before tells whether requests wait that go before one of a rank.
+func (l *line) before(rank share.Rank) bool {
+	return slices.ContainsFunc(l.waiting, func(e *entry) bool { return e.rank < rank })
+}
+
+// order sorts the line by the workspaces' ranks, of the same rank the ones that
+// can still be on time first, then by the earliest objective.
+func (l *line) order(now time.Time, rank func(*Request) share.Rank) {
 	for _, e := range l.waiting {
-		e.within = within(e.req)
+		e.rank = rank(e.req)
 	}
 	slices.SortStableFunc(l.waiting, func(a, b *entry) int {
-		if a.within != b.within {
-			return boolFirst(a.within)
+		if a.rank != b.rank {
+			return cmp.Compare(a.rank, b.rank)
 		}
 		aLate, bLate := now.After(a.req.onTime()), now.After(b.req.onTime())
 		if aLate != bLate {
--- a/internal/core/admit/request.go
+++ b/internal/core/admit/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/umberhill/umberhill/internal/core/share"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/routing"
 )
@@ -80,8 +81,8 @@
 	Running, Pending, Uncached int
 	// Predicted is the expected time to the first event from the sending on.
 	Predicted time.Duration
-	// Within is set where the workspace was within its share.
-	Within bool
+	// Rank of the workspace by its fair share.
+	Rank share.Rank
 	// LineWait is the expected time in the line.
 	LineWait time.Duration
 }
@@ -113,6 +114,8 @@
 	Pending int
 	// Memory are the tokens of those requests.
 	Memory int
+	// Cached are keys of shared parts that the router sent there lately.
+	Cached []uint64
 }
 
 // Backlog is what waits in a router's line for a service.
--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/umberhill/umberhill/internal/core/share"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/routing"
 )
@@ -13,9 +14,6 @@
 	// readyShare is the part of the tightest latency objective that the tokens
 	// not yet read at an engine may take.
 	readyShare = 0.5
-	// beyondShare is the part of an engine's bounds up to which it takes
-	// requests of workspaces that have had their fair share.
-	beyondShare = 0.6
 	// memoryShare is the part of an engine's memory that requests may fill, so
 	// that running ones are not preempted as they grow.
 	memoryShare = 0.85
@@ -30,10 +28,20 @@
 	// busyPenalty is what a full batch adds to the expected latency of an
 	// engine, whose steps take longer the more requests run.
 	busyPenalty = 60 * time.Millisecond
+	// rereadCost is what each token of a shared part adds that another engine
+	// holds already: reading it again takes engines' time from others.
+	rereadCost = 100 * time.Microsecond
+	// strayCost is what each token of a shared part that no engine holds adds at
+	// engines other than the one that routers agree on.
+	strayCost = 20 * time.Microsecond
 	// tightestLife is how long the tightest objective seen holds.
 	tightestLife = 10 * time.Second
 )
 
+// rankShare is the part of an engine's bounds up to which it takes requests of
+// workspaces by their rank, so that there is room for those that are owed more.
+var rankShare = [...]float64{share.Owed: 1, share.Fair: 0.85, share.Beyond: 0.6}
+
 // service is the state of one service.
 type service struct {
 	name    string
@@ -78,36 +86,60 @@
 	ahead    int
 }
 
-// choose returns the cheapest target that has room, or the cheapest without
-// room, or nothing where no target can be used.
-func (s *service) choose(now time.Time, r *Request, self ids.Domain, within bool) (candidate, bool) {
+// choose returns the cheapest target, which may be one to wait for, or nothing
+// where no target can be used.
+func (s *service) choose(now time.Time, r *Request, self ids.Domain, rank share.Rank) (candidate, bool) {
+	return s.cheapest(now, r, self, rank, func(a, b candidate) bool { return a.cost < b.cost })
+}
+
+// chooseRoom returns the cheapest target that has room for a workspace that has
+// had its share, or else the cheapest.
+func (s *service) chooseRoom(now time.Time, r *Request, self ids.Domain) (candidate, bool) {
+	return s.cheapest(now, r, self, share.Beyond, func(a, b candidate) bool {
+		if a.room != b.room {
+			return a.room
+		}
+		return a.cost < b.cost
+	})
+}
+
+func (s *service) cheapest(now time.Time, r *Request, self ids.Domain, rank share.Rank, less func(a, b candidate) bool) (candidate, bool) {
 	var best candidate
 	found := false
+	first := s.firstHome(now, r)
 	for _, t := range s.targets {
 		if !t.usable(now, r) {
 			continue
 		}
-		c := s.weigh(now, t, r, self, within)
-		if !found || better(c, best) {
+		c := s.weigh(now, t, r, self, rank, first)
+		if !found || less(c, best) {
 			best, found = c, true
 		}
 	}
 	return best, found
 }
 
-func better(a, b candidate) bool {
-	if a.room != b.room {
-		return a.room
+// firstHome is the engine at which all routers agree to read a prompt's shared
+// parts first, or nil where an engine holds them already.
+func (s *service) firstHome(now time.Time, r *Request) *target {
+	if !s.engine() || len(r.Parts) < 2 {
+		return nil
 	}
-	return a.cost < b.cost
+	key := r.Parts[len(r.Parts)-2].Key
+	for _, t := range s.targets {
+		if !t.Leaving && t.cache.hold(now, key) {
+			return nil
+		}
+	}
+	return home(s.targets, key)
 }
 
-func (s *service) weigh(now time.Time, t *target, r *Request, self ids.Domain, within bool) candidate {
+func (s *service) weigh(now time.Time, t *target, r *Request, self ids.Domain, rank share.Rank, first *target) candidate {
 	var c candidate
 	if s.engine() {
-		c = s.weighEngine(now, t, r, within)
+		c = s.weighEngine(now, t, r, rank, first)
 	} else {
-		c = s.weighPlain(now, t, within)
+		c = s.weighPlain(now, t, rank)
 	}
 	c.target = t
 	c.cost += t.health.penalty(now)
@@ -117,9 +149,10 @@
 	return c
 }
 
-func (s *service) weighEngine(now time.Time, t *target, r *Request, within bool) candidate {
+func (s *service) weighEngine(now time.Time, t *target, r *Request, rank share.Rank, first *target) candidate {
 	running, pending, memory := t.load(now)
-	uncached := t.uncached(now, r, func(key uint64) *target { return home(s.targets, key) })
+	held, sharedMissing := t.cached(now, r)
+	uncached := r.Prompt - held
 	ahead := pending + uncached
 	slow := t.slowness(now)
 	predicted := time.Duration(float64(s.fit.predict(ahead)) * slow)
@@ -128,12 +161,21 @@
 		cost:     predicted + busyPenalty*time.Duration(running)/time.Duration(slots),
 		uncached: uncached,
 		ahead:    ahead,
-		inputs:   Inputs{Running: running, Pending: pending, Uncached: uncached, Predicted: predicted, Within: within},
+		inputs:   Inputs{Running: running, Pending: pending, Uncached: uncached, Predicted: predicted, Rank: rank},
+	}
+	switch {
+	case first == nil:
+		c.cost += rereadCost * time.Duration(sharedMissing)
+	case first != t:
+		c.cost += strayCost * time.Duration(sharedMissing)
+	}
+	if running >= slots {
+		c.cost += s.fit.duration() * time.Duration(running+1-slots) / time.Duration(slots)
 	}
-	part := 1.0
-	if !within {
-		part = beyondShare
+	if now.Add(predicted).After(r.onTime()) {
+		c.cost += r.Objective
 	}
+	part := rankShare[rank]
 	unread := float64(s.fit.tokensIn(s.tightest)) * readyShare * part / slow
 	need := float64(memory+r.Prompt) + outputShare*float64(r.Output)
 	c.room = float64(running+1) <= float64(slots)*part &&
@@ -142,7 +184,7 @@
 	return c
 }
 
-func (s *service) weighPlain(now time.Time, t *target, within bool) candidate {
+func (s *service) weighPlain(now time.Time, t *target, rank share.Rank) candidate {
 	running, _, _ := t.load(now)
 	slots := max(1, t.Slots)
 	took := time.Duration(float64(s.fit.duration()) * t.slowness(now))
@@ -153,7 +195,7 @@
 	return candidate{
 		cost:   predicted + took*time.Duration(running)/time.Duration(4*slots),
 		room:   running < slots+int(queuedShare*float64(slots)),
-		inputs: Inputs{Running: running, Predicted: predicted, Within: within},
+		inputs: Inputs{Running: running, Predicted: predicted, Rank: rank},
 	}
 }
 
--- a/internal/core/admit/target.go
+++ b/internal/core/admit/target.go
@@ -14,13 +14,11 @@
 	reportLife = 1500 * time.Millisecond
 	// slowWeight is the weight of one observation in a target's slowness.
 	slowWeight = 0.1
-	// slowHalfLife is the time in which a slowness without observations halves.
+	// slowHalfLife is the time in which a difference from the others halves where
+	// nothing is observed.
 	slowHalfLife = 5 * time.Second
 	// slowMost bounds the slowness.
 	slowMost = 20
-	// homes is the number of engines at which a shared part is expected to be
-	// cached although this router did not send it there.
-	homes = 1
 )
 
 // flight is a request at a target.
@@ -80,26 +78,26 @@
 	return running, pending, memory
 }
 
-// uncached returns the tokens of a prompt that the engine must read. Parts are
-// cached only where all parts before them are.
-func (t *target) uncached(now time.Time, r *Request, homeOf func(uint64) *target) int {
-	cached := 0
+// cached returns the tokens of a prompt that the engine need not read, and those
+// of its shared parts that it must. A part is cached only where all parts before
+// it are.
+func (t *target) cached(now time.Time, r *Request) (held, sharedMissing int) {
+	missing := false
 	for i, p := range r.Parts {
-		shared := i < len(r.Parts)-1
-		if !t.cache.hold(now, p.Key) && (!shared || homeOf(p.Key) != t) {
-			break
+		missing = missing || !t.cache.hold(now, p.Key)
+		switch {
+		case !missing:
+			held += p.Tokens
+		case i < len(r.Parts)-1:
+			sharedMissing += p.Tokens
 		}
-		cached += p.Tokens
 	}
-	return max(0, r.Prompt-cached)
+	return min(held, r.Prompt), sharedMissing
 }
 
 func (t *target) slowness(now time.Time) float64 {
-	if t.slow <= 1 {
-		return t.slow
-	}
 	halves := now.Sub(t.slowAt).Seconds() / slowHalfLife.Seconds()
-	return 1 + (t.slow-1)/(1+halves)
+	return 1 + (t.slow-1)/(1+max(0, halves))
 }
 
 func (t *target) observeSlowness(now time.Time, took, expected time.Duration) {
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -18,6 +18,9 @@
 	// peerLife is how long a peer's last report counts, so that a router that
 	// is cut off does not keep its workspaces' use in the sum for good.
 	peerLife = 2 * time.Second
+	// growth lets the level of what is really started rise where engines have
+	// room for more.
+	growth = 1.05
 )
 
 // Use is what a workspace asked for and was given within the window, in tokens:
@@ -35,9 +38,9 @@
 	own   map[ids.Workspace]*series
 	peers map[ids.Instance]peerUse
 
-	// The level is computed at most once a bucket.
-	levelAt time.Time
-	level   float64
+	// The levels of the ranks are computed at most once a bucket.
+	levelAt    time.Time
+	owed, fair float64
 }
 
 type peerUse struct {
@@ -89,18 +92,35 @@
 	w.peers[peer] = peerUse{at: now, use: use}
 }
 
-// Within tells whether a workspace may start tokens more without exceeding its
-// fair share of capacity, in tokens a second. Unknown capacity bounds nothing.
-func (w *Window) Within(now time.Time, ws ids.Workspace, tokens, capacity float64) bool {
+// Rank says how a workspace stands to its fair share. Lower ranks go first.
+type Rank int
+
+// The ranks.
+const (
+	// Owed: within its max-min share of the stated capacity.
+	Owed Rank = iota
+	// Fair: within its max-min share of what the engines really start, which may
+	// be more than stated.
+	Fair
+	// Beyond: it has had its share; only idle capacity is left to it.
+	Beyond
+)
+
+// Rank tells how a workspace would stand with tokens more started. Capacity is
+// the stated one in tokens a second; where it is not known all are owed.
+func (w *Window) Rank(now time.Time, ws ids.Workspace, tokens, capacity float64) Rank {
 	if capacity <= 0 {
-		return true
+		return Owed
 	}
-	return w.fleetUse(now, ws).Started+tokens/2 <= w.fairLevel(now, capacity)
-}
-
-// Started returns what the fleet started for a workspace within the window.
-func (w *Window) Started(now time.Time, ws ids.Workspace) float64 {
-	return w.fleetUse(now, ws).Started
+	w.refresh(now, capacity)
+	after := w.fleetUse(now, ws).Started + tokens/2
+	switch {
+	case after <= w.owed:
+		return Owed
+	case after <= w.fair:
+		return Fair
+	}
+	return Beyond
 }
 
 func (w *Window) fleetUse(now time.Time, ws ids.Workspace) Use {
@@ -120,10 +140,11 @@
 	return sum
 }
 
-// fairLevel is the largest share L with sum(min(asked, L)) <= capacity.
-func (w *Window) fairLevel(now time.Time, capacity float64) float64 {
-	if now.Sub(w.levelAt) < bucketSpan && w.level > 0 {
-		return w.level
+// refresh computes the levels: the largest share L with sum(min(asked, L)) not
+// above the capacity, that stated and that which was really started.
+func (w *Window) refresh(now time.Time, capacity float64) {
+	if !w.levelAt.IsZero() && now.Sub(w.levelAt) < bucketSpan {
+		return
 	}
 	names := make(map[ids.Workspace]bool)
 	for ws := range w.own {
@@ -135,12 +156,16 @@
 		}
 	}
 	asked := make([]float64, 0, len(names))
+	started := 0.0
 	for ws := range names {
-		asked = append(asked, w.fleetUse(now, ws).Asked)
+		use := w.fleetUse(now, ws)
+		asked = append(asked, max(use.Asked, use.Started))
+		started += use.Started
 	}
-	w.level = Level(asked, capacity*w.span.Seconds())
+	stated := capacity * w.span.Seconds()
+	w.owed = Level(asked, stated)
+	w.fair = max(w.owed, Level(asked, growth*started))
 	w.levelAt = now
-	return w.level
 }
 
 // Level returns the max-min fair level: the largest L such that the sum of
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -36,14 +36,33 @@
 	w.Ask(now, "calm", 2_000)
 	w.Report(now, "peer", map[ids.Workspace]share.Use{"flood": {Asked: 10_000, Started: 9_000}})
 	const capacity = 10_000 // 40,000 in the window: 38,000 are left to the flood
-	if w.Within(now, "flood", 5_000, capacity) {
+	if got := w.Rank(now, "flood", 5_000, capacity); got == share.Owed {
 		t.Error("a workspace that started 39,000 of 38,000 counts as within its share")
 	}
-	if !w.Within(now, "calm", 2_000, capacity) {
-		t.Error("a workspace that started nothing counts as beyond its share")
+	if got := w.Rank(now, "calm", 2_000, capacity); got != share.Owed {
+		t.Errorf("a workspace that started nothing has rank %d", got)
 	}
 	later := now.Add(5 * time.Second)
-	if !w.Within(later, "flood", 5_000, capacity) {
-		t.Error("use older than the window still counts")
+	if got := w.Rank(later, "flood", 5_000, capacity); got != share.Owed {
+		t.Errorf("rank %d although the use is older than the window", got)
+	}
+}
+
+// Two workspaces ask for far more than the stated capacity and engines start
+// more than stated: what is above must be even, too.
+func TestWhatIsStartedBeyondTheStatedCapacityIsShared(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := share.New(4 * time.Second)
+	for _, ws := range []ids.Workspace{"ahead", "behind"} {
+		w.Ask(now, ws, 1_000_000)
+	}
+	w.Start(now, "ahead", 700_000)
+	w.Start(now, "behind", 200_000)
+	const capacity = 25_000 // 50,000 each in the window
+	if got := w.Rank(now, "ahead", 1_000, capacity); got != share.Beyond {
+		t.Errorf("the workspace that is ahead has rank %d", got)
+	}
+	if got := w.Rank(now, "behind", 1_000, capacity); got != share.Fair {
+		t.Errorf("the workspace that is behind has rank %d", got)
 	}
 }
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -76,7 +76,7 @@
 		conn.Close()
 		return unknown, err
 	}
-	resp, err := conn.Receive(a.r.Method)
+	resp, err := conn.Receive(a.r.Method) //nolint:bodyclose // the body ends with the connection, which the pool or Close takes
 	if err != nil {
 		conn.Close()
 		a.result = admit.Unreachable
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -194,7 +194,6 @@
 	}
 }
 
-
 // Entry is a request's line in the log.
 type Entry struct {
 	ID        string
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -151,6 +151,7 @@
 			Running: uint32(l.Running),
 			Pending: uint32(max(0, l.Pending)),
 			Memory:  uint32(max(0, l.Memory)),
+			Cached:  l.Cached,
 		})
 	}
 	for _, b := range backlogs {
@@ -207,6 +208,7 @@
 			Running: int(t.GetRunning()),
 			Pending: int(t.GetPending()),
 			Memory:  int(t.GetMemory()),
+			Cached:  t.GetCached(),
 		})
 	}
 	backlogs := make([]admit.Backlog, 0, len(r.GetBacklogs()))
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -124,7 +124,7 @@
 	Uncached  int    `json:"uncached_tokens"`
 	Predicted int64  `json:"predicted_ms"`
 	LineWait  int64  `json:"line_wait_ms"`
-	Within    bool   `json:"within_share"`
+	Rank      int    `json:"rank"`
 }
 
 func attempts(entries []edge.AttemptEntry) []attemptFields {
@@ -142,7 +142,7 @@
 			Uncached:  a.Inputs.Uncached,
 			Predicted: a.Inputs.Predicted.Milliseconds(),
 			LineWait:  a.Inputs.LineWait.Milliseconds(),
-			Within:    a.Inputs.Within,
+			Rank:      int(a.Inputs.Rank),
 		})
 	}
 	return out
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -41,7 +41,7 @@
 	ticker := time.NewTicker(settleCheck)
 	defer ticker.Stop()
 	for {
-		changed := false
+		var changed bool
 		select {
 		case <-ctx.Done():
 			return
