--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,9 +40,6 @@
 	readHeaderTimeout = 15 * time.Second
 	callerIdle        = 90 * time.Second
 	maxHeaderBytes    = 64 << 10
-	// stopLead is how long a stopping router still takes new connections, so
-	// that the balancer has seen its readiness go off.
-	stopLead = 2200 * time.Millisecond
 	// stopReserve is the part of the grace period kept for the end of the process.
 	stopReserve = 400 * time.Millisecond
 )
@@ -58,6 +55,9 @@
 	MemoryMB int
 	// DrainWithin bounds how long a leaving target may still get requests.
 	DrainWithin time.Duration
+	// StopLead is how long a stopping router still takes new connections, so that
+	// the balancer has seen its readiness go off.
+	StopLead time.Duration
 	// Grace is the time from a planned stop until the process is killed.
 	Grace time.Duration
 	// RetryRatio and RetryExtra bound the fleet's retries in a window.
@@ -295,8 +295,8 @@
 func (n *Node) stop(server *http.Server) {
 	n.logger.Info("router stopping")
 	n.draining.Store(true)
-	deadline := time.Now().Add(max(n.settings.Grace-stopReserve, stopLead))
-	time.Sleep(stopLead)
+	deadline := time.Now().Add(max(n.settings.Grace-stopReserve, n.settings.StopLead))
+	time.Sleep(n.settings.StopLead)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
