roster: a target that leaves right after this router's return to the store is dropped in time

Change: an entry that ended after an outage is kept no longer than the time in which a leaving target must be left alone, less what acting on it takes. Test: TestTargetThatLeavesRightAfterAnOutageIsDroppedInTime, failed before.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -18,6 +18,8 @@
 	// Settle is how long after the store's return an entry may still be missing
 	// though its target lives: entries are back within about two seconds.
 	Settle = 2500 * time.Millisecond
+	// margin is what news of a target's end takes to be seen and acted on.
+	margin = 500 * time.Millisecond
 	// tombLife is how long the end of an entry is remembered against older news.
 	tombLife = time.Minute
 )
@@ -38,6 +40,8 @@
 
 // Roster is the list of targets.
 type Roster struct {
+	// keep is how long a target whose entry ended after an outage is kept.
+	keep    time.Duration
 	entries map[ids.Target]*state
 	tombs   map[ids.Target]tomb
 	// asOf is the store's revision at which the list last changed.
@@ -49,8 +53,9 @@
 
 type state struct {
 	Entry
-	// missing is set while the entry is gone from the store but kept.
+	// missing is set while the entry is gone from the store but kept, since then.
 	missing bool
+	since   time.Time
 }
 
 type tomb struct {
@@ -58,9 +63,10 @@
 	at       time.Time
 }
 
-// New returns an empty roster.
-func New() *Roster {
-	return &Roster{entries: make(map[ids.Target]*state), tombs: make(map[ids.Target]tomb)}
+// New returns an empty roster. A leaving target must get no more requests after
+// the time within: that bounds how long an entry that ended is kept.
+func New(within time.Duration) *Roster {
+	return &Roster{keep: min(Settle, max(0, within-margin)), entries: make(map[ids.Target]*state), tombs: make(map[ids.Target]tomb)}
 }
 
 // AsOf is the store's revision at which the list last changed.
@@ -126,7 +132,9 @@
 		return
 	}
 	if keep {
-		known.missing = true
+		if !known.missing {
+			known.missing, known.since = true, now
+		}
 		return
 	}
 	r.drop(now, id, revision)
@@ -157,15 +165,15 @@
 	return r.away || (!r.backAt.IsZero() && now.Sub(r.backAt) < Settle)
 }
 
-// Settled drops the entries that are still missing once the store has been back
-// for long enough, and tells whether any was dropped.
+// Settled drops the entries that have been missing for long enough since the
+// store is back, and tells whether any was dropped.
 func (r *Roster) Settled(now time.Time) bool {
-	if r.settling(now) {
+	if r.away {
 		return false
 	}
 	dropped := false
 	for id, e := range r.entries {
-		if e.missing {
+		if e.missing && now.Sub(later(e.since, r.backAt)) >= r.keep {
 			r.drop(now, id, e.Revision)
 			dropped = true
 		}
@@ -173,6 +181,13 @@
 	return dropped
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Entries returns the list, without the entries that are missing in the store:
 // what peers are told.
 func (r *Roster) Entries() []Entry {
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -10,12 +10,14 @@
 
 var start = time.Unix(1000, 0)
 
+const within = 2 * time.Second
+
 func entry(revision uint64, leaving bool) roster.Entry {
 	return roster.Entry{Target: routing.Target{ID: "a", Leaving: leaving}, Revision: revision}
 }
 
 func one() *roster.Roster {
-	r := roster.New()
+	r := roster.New(within)
 	r.Apply(start, []roster.Change{{Entry: entry(5, false)}}, 5)
 	return r
 }
@@ -60,10 +62,10 @@
 	r.Lost()
 	r.Back(start)
 	r.Replace(start, nil, 9)
-	if r.Settled(start.Add(time.Second)) || len(r.Targets()) != 1 {
+	if r.Settled(start.Add(1400*time.Millisecond)) || len(r.Targets()) != 1 {
 		t.Error("dropped before the target could return")
 	}
-	if !r.Settled(start.Add(roster.Settle)) || len(r.Targets()) != 0 {
+	if !r.Settled(start.Add(within)) || len(r.Targets()) != 0 {
 		t.Error("kept though it has not returned")
 	}
 }
@@ -90,3 +92,16 @@
 		}
 	}
 }
+
+// A router that was itself cut off from the store hears right after its return
+// of a target that left meanwhile or just now. Found by a hunt: pvdr-kochi,
+// trouble-1 --seed 367920495675.
+func TestTargetThatLeavesRightAfterAnOutageIsDroppedInTime(t *testing.T) {
+	r := one()
+	r.Lost()
+	r.Back(start)
+	r.Apply(start, gone(9), 9)
+	if r.Settled(start.Add(within - 200*time.Millisecond)); len(r.Targets()) != 0 {
+		t.Error("a target that left is still there when it must get no more requests")
+	}
+}
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -12,7 +12,7 @@
 
 const (
 	// settleCheck is how often lapsed entries are looked at.
-	settleCheck = 300 * time.Millisecond
+	settleCheck = 100 * time.Millisecond
 	// changesRing is the number of changes that may wait for the roster.
 	changesRing = 64
 )
@@ -29,7 +29,7 @@
 func newTargets(n *Node) *Targets {
 	return &Targets{
 		node:    n,
-		roster:  roster.New(),
+		roster:  roster.New(n.settings.DrainWithin),
 		changes: make(chan func(time.Time) bool, changesRing),
 		done:    make(chan struct{}),
 	}
