One router after the other reads the store again; watches wait long; the line costs less

And each event in the line weighed every waiting request at every target over every peer's report. Ruled out: fewer kinds to watch (two are needed). Peers' loads and uses are kept as sums; at most 24 waiting requests are looked at, every 2 ms at most.

--- a/internal/core/admit/line.go
+++ b/internal/core/admit/line.go
@@ -25,6 +25,9 @@
 	// startShare is the part of the objective that must be left for a request
 	// to be taken into the line.
 	startShare = 0.9
+	// maxLooks bounds the requests at the head of a line for which a target is
+	// looked for at a time.
+	maxLooks = 24
 	// maxLine bounds the requests that wait for one service.
 	maxLine = 2000
 )
@@ -293,8 +296,8 @@
 	s.line.order(now, func(r *Request) share.Rank { return l.rank(now, s, r) })
 	kept := s.line.waiting[:0]
 	waiting := s.line.waiting
-	for _, e := range waiting {
-		v, decided := l.decide(now, s, e)
+	for i, e := range waiting {
+		v, decided := l.decide(now, s, e, i < maxLooks)
 		if decided {
 			out = append(out, v)
 			continue
@@ -306,7 +309,11 @@
 	return out
 }
 
-func (l *Line) decide(now time.Time, s *service, e *entry) (Verdict, bool) {
+// decide looks for a target for a waiting request, or only at its time.
+func (l *Line) decide(now time.Time, s *service, e *entry, look bool) (Verdict, bool) {
+	if !look && now.Before(e.give) {
+		return Verdict{}, false
+	}
 	c, found := s.choose(now, e.req, l.opts.Domain, e.rank)
 	if found && c.room {
 		return l.send(now, s, e.req, c), true
@@ -327,15 +334,15 @@
 	for _, load := range loads {
 		said[load.Target] = true
 		if t := l.targets[load.Target]; t != nil {
-			t.peers[peer] = peerLoad{at: now, Load: load}
+			t.hear(now, peer, load, false)
 			for _, key := range load.Cached {
 				t.cache.touch(now, key)
 			}
 		}
 	}
 	for id, t := range l.targets {
-		if !said[id] {
-			delete(t.peers, peer)
+		if _, had := t.peers[peer]; had && !said[id] {
+			t.hear(now, peer, Load{}, true)
 		}
 	}
 	for _, s := range l.services {
--- a/internal/core/admit/target.go
+++ b/internal/core/admit/target.go
@@ -12,6 +12,8 @@
 const (
 	// reportLife is how long a peer's report of its load counts.
 	reportLife = 1500 * time.Millisecond
+	// sumLife is how long a sum of reports holds without a look at their age.
+	sumLife = 250 * time.Millisecond
 	// slowWeight is the weight of one observation in a target's slowness.
 	slowWeight = 0.1
 	// slowHalfLife is the time in which a difference from the others halves where
@@ -41,6 +43,9 @@
 	// running, pending and memory are this router's own load there.
 	running, pending, memory int
 	peers                    map[ids.Instance]peerLoad
+	// sum of the peers' loads, as of sumAt.
+	sum   Load
+	sumAt time.Time
 
 	cache  prefixCache
 	health health
@@ -65,17 +70,41 @@
 
 // load returns the fleet's load at the target.
 func (t *target) load(now time.Time) (running, pending, memory int) {
-	running, pending, memory = t.running, t.pending, t.memory
+	if now.Sub(t.sumAt) > sumLife {
+		t.addUp(now)
+	}
+	return t.running + t.sum.Running, t.pending + t.sum.Pending, t.memory + t.sum.Memory
+}
+
+// addUp sums the peers' loads and forgets those that are too old.
+func (t *target) addUp(now time.Time) {
+	t.sum, t.sumAt = Load{}, now
 	for peer, l := range t.peers {
 		if now.Sub(l.at) > reportLife {
 			delete(t.peers, peer)
 			continue
 		}
-		running += l.Running
-		pending += l.Pending
-		memory += l.Memory
+		t.sum.add(l.Load, 1)
 	}
-	return running, pending, memory
+}
+
+// hear takes a peer's load; none removes it.
+func (t *target) hear(now time.Time, peer ids.Instance, l Load, none bool) {
+	if old, known := t.peers[peer]; known {
+		t.sum.add(old.Load, -1)
+	}
+	if none {
+		delete(t.peers, peer)
+		return
+	}
+	t.peers[peer] = peerLoad{at: now, Load: l}
+	t.sum.add(l, 1)
+}
+
+func (l *Load) add(o Load, sign int) {
+	l.Running += sign * o.Running
+	l.Pending += sign * o.Pending
+	l.Memory += sign * o.Memory
 }
 
 // cached returns the tokens of a prompt that the engine need not read, and those
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -37,6 +37,8 @@
 	epoch time.Time
 	own   map[ids.Workspace]*series
 	peers map[ids.Instance]peerUse
+	// heard is the sum of the peers' use.
+	heard map[ids.Workspace]Use
 
 	// The levels of the ranks are computed at most once a bucket.
 	levelAt    time.Time
@@ -60,6 +62,7 @@
 		span:  max(span, bucketSpan),
 		own:   make(map[ids.Workspace]*series),
 		peers: make(map[ids.Instance]peerUse),
+		heard: make(map[ids.Workspace]Use),
 	}
 }
 
@@ -89,7 +92,29 @@
 
 // Report takes a peer's use.
 func (w *Window) Report(now time.Time, peer ids.Instance, use map[ids.Workspace]Use) {
+	w.forget(peer)
 	w.peers[peer] = peerUse{at: now, use: use}
+	for ws, u := range use {
+		w.hear(ws, u, 1)
+	}
+}
+
+func (w *Window) forget(peer ids.Instance) {
+	for ws, u := range w.peers[peer].use {
+		w.hear(ws, u, -1)
+	}
+	delete(w.peers, peer)
+}
+
+func (w *Window) hear(ws ids.Workspace, u Use, sign float64) {
+	sum := w.heard[ws]
+	sum.Asked += sign * u.Asked
+	sum.Started += sign * u.Started
+	if sum.Asked <= 0 && sum.Started <= 0 {
+		delete(w.heard, ws)
+		return
+	}
+	w.heard[ws] = sum
 }
 
 // Rank says how a workspace stands to its fair share. Lower ranks go first.
@@ -128,15 +153,9 @@
 	if _, ok := w.own[ws]; ok {
 		sum = w.series(now, ws).sum
 	}
-	for peer, p := range w.peers {
-		if now.Sub(p.at) > peerLife {
-			delete(w.peers, peer)
-			continue
-		}
-		use := p.use[ws]
-		sum.Asked += use.Asked
-		sum.Started += use.Started
-	}
+	heard := w.heard[ws]
+	sum.Asked += heard.Asked
+	sum.Started += heard.Started
 	return sum
 }
 
@@ -146,14 +165,17 @@
 	if !w.levelAt.IsZero() && now.Sub(w.levelAt) < bucketSpan {
 		return
 	}
+	for peer, p := range w.peers {
+		if now.Sub(p.at) > peerLife {
+			w.forget(peer)
+		}
+	}
 	names := make(map[ids.Workspace]bool)
 	for ws := range w.own {
 		names[ws] = true
 	}
-	for _, p := range w.peers {
-		for ws := range p.use {
-			names[ws] = true
-		}
+	for ws := range w.heard {
+		names[ws] = true
 	}
 	asked := make([]float64, 0, len(names))
 	started := 0.0
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -15,6 +15,10 @@
 // after each event that makes room.
 const pollInterval = 10 * time.Millisecond
 
+// pollGap is the least time between two looks at the line, so that events in
+// quick succession do not cost a look each.
+const pollGap = 2 * time.Millisecond
+
 // Scheduler guards the state machine of the line and wakes those who wait.
 type Scheduler struct {
 	mu      sync.Mutex
@@ -22,6 +26,8 @@
 	lastID  admit.ID
 	waiting map[admit.ID]chan admit.Verdict
 	wake    chan struct{}
+	// polled is when the line was last looked at.
+	polled time.Time
 }
 
 // NewScheduler returns a scheduler whose Run must be started.
@@ -58,6 +64,11 @@
 	if len(s.waiting) == 0 {
 		return
 	}
+	if now.Sub(s.polled) < pollGap {
+		s.poke()
+		return
+	}
+	s.polled = now
 	for _, v := range s.line.Poll(now) {
 		s.decide(v)
 	}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -25,15 +25,17 @@
 	reportInterval = 50 * time.Millisecond
 	// idleReports is how many unchanged reports are left out before one is sent
 	// again to show that it still holds.
-	idleReports = 10
+	idleReports = 4
 	// Heartbeats of the links: a peer that is silent for peerTimeout is dead.
 	peerHeartbeat = 300 * time.Millisecond
 	peerTimeout   = 1200 * time.Millisecond
+	// maxAge bounds the age of the last reading of the store that is told.
+	maxAge = time.Hour
 	// pullTimeout bounds fetching a configuration from a peer.
 	pullTimeout = time.Second
 	// pullDelay is how long a router that is behind waits for its own news of
 	// the store before it asks a peer.
-	pullDelay = 250 * time.Millisecond
+	pullDelay = 100 * time.Millisecond
 	// methodConfig and methodTargets are the calls that return the
 	// configuration and the list of targets held.
 	methodConfig  = "config"
@@ -144,7 +146,11 @@
 
 func (f *fleet) own() *fleetv1.Report {
 	loads, backlogs, use := f.node.scheduler.Own()
-	r := &fleetv1.Report{TargetsAsOf: f.node.targetsAsOf.Load()}
+	r := &fleetv1.Report{
+		TargetsAsOf:   f.held(methodTargets),
+		ConfigVersion: f.held(methodConfig),
+		VerifiedAgeMs: uint32(min(f.node.fresh.age(time.Now()), maxAge).Milliseconds()),
+	}
 	for _, l := range loads {
 		r.Targets = append(r.Targets, &fleetv1.TargetLoad{
 			Target:  string(l.Target),
@@ -173,8 +179,8 @@
 	case *peerv1.Envelope_Fleet:
 		f.take(from.Instance, body.Fleet)
 		f.compare(behind{peer: from.Instance, method: methodTargets, revision: body.Fleet.GetTargetsAsOf()})
-	case *peerv1.Envelope_Heartbeat:
-		f.compare(behind{peer: from.Instance, method: methodConfig, revision: body.Heartbeat.GetRevision()})
+		f.compare(behind{peer: from.Instance, method: methodConfig, revision: body.Fleet.GetConfigVersion()})
+		f.node.fresh.heard(time.Now(), time.Duration(body.Fleet.GetVerifiedAgeMs())*time.Millisecond)
 	}
 }
 
@@ -265,6 +271,9 @@
 }
 
 func (f *fleet) pullFrom(ctx context.Context, b behind) {
+	if b.revision <= f.held(b.method) {
+		return
+	}
 	wait := time.NewTimer(pullDelay)
 	defer wait.Stop()
 	select {
--- /dev/null
+++ b/internal/node/fresh_test.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/ids"
+)
+
+func TestFreshnessIsThatOfTheNewestReading(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var f freshness
+	f.heard(now, 500*time.Millisecond)
+	f.heard(now, 900*time.Millisecond)
+	if got := f.age(now.Add(time.Second)); got != 1500*time.Millisecond {
+		t.Errorf("age %v", got)
+	}
+}
+
+func TestEachFleetHasOneRouterThatReadsFirst(t *testing.T) {
+	var all []ids.Instance
+	for i := range 8 {
+		all = append(all, ids.Instance(fmt.Sprintf("router-%d", i)))
+	}
+	first := 0
+	for i, self := range all {
+		var others []ids.Instance
+		others = append(others, all[:i]...)
+		others = append(others, all[i+1:]...)
+		if rankOf(self, others) == 0 {
+			first++
+		}
+	}
+	if first != 1 {
+		t.Errorf("%d routers have the first rank", first)
+	}
+	if rankOf("alone", nil) != 0 {
+		t.Error("a router without peers must read the store itself")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,6 +89,9 @@
 	// targetsAsOf is the store's revision at which the targets last changed.
 	targetsAsOf atomic.Uint64
 
+	fresh    freshness
+	verifier Verifier
+
 	draining atomic.Bool
 	duties   conc.WaitGroup
 }
@@ -218,6 +221,7 @@
 	n.duties.Go(func() { n.log.run(duties) })
 	n.duties.Go(func() { n.directory.run(duties) })
 	n.duties.Go(func() { n.sweep(duties) })
+	n.duties.Go(func() { n.verify(duties) })
 	if err := n.startMetrics(); err != nil {
 		return err
 	}
