--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -175,13 +175,14 @@
 
 // Receive implements peer.Handler.
 func (f *fleet) Receive(from peer.Peer, env *peerv1.Envelope) {
-	switch body := env.GetBody().(type) {
-	case *peerv1.Envelope_Fleet:
-		f.take(from.Instance, body.Fleet)
-		f.compare(behind{peer: from.Instance, method: methodTargets, revision: body.Fleet.GetTargetsAsOf()})
-		f.compare(behind{peer: from.Instance, method: methodConfig, revision: body.Fleet.GetConfigVersion()})
-		f.node.fresh.heard(time.Now(), time.Duration(body.Fleet.GetVerifiedAgeMs())*time.Millisecond)
+	report := env.GetFleet()
+	if report == nil {
+		return
 	}
+	f.take(from.Instance, report)
+	f.compare(behind{peer: from.Instance, method: methodTargets, revision: report.GetTargetsAsOf()})
+	f.compare(behind{peer: from.Instance, method: methodConfig, revision: report.GetConfigVersion()})
+	f.node.fresh.heard(time.Now(), time.Duration(report.GetVerifiedAgeMs())*time.Millisecond)
 }
 
 // held is the revision of what this router holds itself.
