One client for object services: the users' store is a Wire of internal/platform

Cause: platform/store.go repeated what internal/platform does (one send for each call, bounds, typed errors, counters). Change: the client encodes and decodes by a Wire; the product's own protocol is one, platform/wire.go the other. Both get keep-alive probes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,6 +134,9 @@
 // Logger is the node's logger.
 func (n *Node) Logger() *logrus.Entry { return n.logger }
 
+// Scope is the node's metrics scope.
+func (n *Node) Scope() tally.Scope { return n.scope }
+
 // SetConfig puts a configuration in force if it is newer than the one held, and
 // tells whether it was.
 func (n *Node) SetConfig(c *routing.Config, source string) bool {
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -13,13 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/umberhill/umberhill/internal/api"
 )
 
-// appliedHeader is "no" where a write was certainly not applied.
-const appliedHeader = "Umberhill-Applied"
-
 // maxRetryAfter bounds what the service may ask for.
 const maxRetryAfter = time.Hour
 
@@ -30,6 +24,13 @@
 	maxHeaderBytes  = 64 << 10
 )
 
+// Keep-alive probes find a connection to a service that is cut off within about
+// two seconds, also while a watch waits on it.
+const (
+	probeInterval = 500 * time.Millisecond
+	probeCount    = 3
+)
+
 // newHTTPClient returns a client that sends each call at most once.
 //
 // http.Transport sends a request again on a dead kept-alive connection in two
@@ -38,11 +39,15 @@
 // that can be rewound. A write here has neither that header nor GetBody.
 // HTTP/2, which has rules of its own, is off, and so are redirects.
 func newHTTPClient(dialTimeout time.Duration) *http.Client {
+	dialer := &net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount},
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:            dialer.DialContext,
 			TLSHandshakeTimeout:    dialTimeout,
 			MaxIdleConnsPerHost:    maxIdleConns,
 			IdleConnTimeout:        idleConnTimeout,
@@ -53,26 +58,14 @@
 	}
 }
 
-// call is one call of the service.
-type call struct {
-	op     string
-	kind   api.Kind
-	name   string
-	method string
-	path   string
-	body   []byte
-	cond   Condition
-	limit  int64
-	wait   time.Duration
-}
-
-func (c call) step() string {
-	step := c.op
-	if c.kind != "" {
-		step += " " + string(c.kind)
+// step names a call in errors.
+func (c Call) step() string {
+	step := string(c.Op)
+	if c.Kind != "" {
+		step += " " + string(c.Kind)
 	}
-	if c.name != "" {
-		step += "/" + c.name
+	if c.Name != "" {
+		step += "/" + c.Name
 	}
 	return step
 }
@@ -80,15 +73,15 @@
 // answer is what came back of a call.
 type answer struct {
 	status     int
-	applied    string
+	header     http.Header
 	retryAfter time.Duration
 	body       []byte
 }
 
 // do sends the call once. connected tells whether a connection had been got,
 // without which no byte was sent.
-func (c *Client) do(ctx context.Context, cl call) (ans answer, connected bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout+cl.wait)
+func (c *Client) do(ctx context.Context, cl Call, limit int64) (ans answer, connected bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+cl.Wait)
 	defer cancel()
 	var got atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -103,122 +96,105 @@
 		return answer{}, got.Load(), err
 	}
 	defer resp.Body.Close()
-	ans = answer{
-		status:     resp.StatusCode,
-		applied:    resp.Header.Get(appliedHeader),
-		retryAfter: retryAfter(resp.Header),
-	}
-	ans.body, err = readAll(resp.Body, cl.limit)
+	ans = answer{status: resp.StatusCode, header: resp.Header, retryAfter: retryAfter(resp.Header)}
+	ans.body, err = readAll(resp.Body, limit)
 	return ans, true, err
 }
 
-func (c *Client) request(ctx context.Context, cl call) (*http.Request, error) {
+func (c *Client) request(ctx context.Context, cl Call) (*http.Request, error) {
+	encoded, err := c.wire.Encode(cl)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the call")
+	}
 	var body io.Reader
-	if cl.body != nil {
-		body = bytes.NewReader(cl.body)
+	if encoded.Body != nil {
+		body = bytes.NewReader(encoded.Body)
 	}
-	req, err := http.NewRequestWithContext(ctx, cl.method, c.base+cl.path, body)
+	req, err := http.NewRequestWithContext(ctx, encoded.Method, c.base+encoded.Path, body)
 	if err != nil {
 		return nil, err
 	}
 	req.GetBody = nil
-	if cl.body != nil {
+	for name, values := range encoded.Header {
+		req.Header[name] = values
+	}
+	if encoded.Body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
 	if c.token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.token)
 	}
-	if cl.cond.Absent {
-		req.Header.Set("If-None-Match", "*")
-	}
-	if cl.cond.Version > 0 {
-		req.Header.Set("If-Match", `"`+strconv.FormatUint(cl.cond.Version, 10)+`"`)
-	}
 	return req, nil
 }
 
 // read carries out a call that changes nothing.
-func (c *Client) read(ctx context.Context, cl call, out any) error {
-	cl.method = http.MethodGet
-	ans, _, err := c.do(ctx, cl)
+func (c *Client) read(ctx context.Context, cl Call, limit int64, decode func(body []byte) error) error {
+	ans, _, err := c.do(ctx, cl, limit)
 	if err == nil {
-		err = readResult(ans, out)
+		err = c.readResult(cl, ans, decode)
 	}
-	c.count(cl.op, err)
+	c.count(cl.Op, err)
 	if err == nil || errors.Is(err, ErrNotFound) || errors.Is(err, ErrCompacted) {
 		return err
 	}
 	return &ReadError{Step: cl.step(), Peer: c.base, Status: ans.status, RetryAfter: ans.retryAfter, Err: err}
 }
 
-func readResult(ans answer, out any) error {
-	switch ans.status {
-	case http.StatusOK:
-		return errors.Wrap(json.Unmarshal(ans.body, out), "bad answer")
-	case http.StatusNotFound:
+func (c *Client) readResult(cl Call, ans answer, decode func(body []byte) error) error {
+	switch c.wire.Fate(cl.Op, ans.status, ans.header) {
+	case Done:
+		return decode(ans.body)
+	case Missing:
 		return ErrNotFound
-	case http.StatusGone:
+	case Compacted:
 		return ErrCompacted
+	default:
+		return statusError(ans)
 	}
-	return statusError(ans)
 }
 
 // write carries out a call that changes an object.
-func (c *Client) write(ctx context.Context, cl call, out any) error {
-	cl.path = objectPath(cl.kind, cl.name)
-	cl.limit = maxObjectBytes
-	ans, connected, err := c.do(ctx, cl)
+func (c *Client) write(ctx context.Context, cl Call, decode func(body []byte) error) error {
+	ans, connected, err := c.do(ctx, cl, maxObjectBytes)
 	switch {
 	case err != nil && !connected:
 		err = &NotAppliedError{Step: cl.step(), Peer: c.base, Err: err}
 	case err != nil:
 		err = &UnsureError{Step: cl.step(), Peer: c.base, Err: err}
 	default:
-		err = c.writeResult(cl, ans, out)
+		err = c.writeResult(cl, ans, decode)
 	}
-	c.count(cl.op, err)
+	c.count(cl.Op, err)
 	return err
 }
 
-func (c *Client) writeResult(cl call, ans answer, out any) error {
-	switch {
-	case ans.status == http.StatusOK:
-		if err := json.Unmarshal(ans.body, out); err != nil {
-			return &UnsureError{Step: cl.step(), Peer: c.base, Err: errors.Wrap(err, "bad answer")}
+func (c *Client) writeResult(cl Call, ans answer, decode func(body []byte) error) error {
+	switch c.wire.Fate(cl.Op, ans.status, ans.header) {
+	case Done:
+		if err := decode(ans.body); err != nil {
+			return &UnsureError{Step: cl.step(), Peer: c.base, Err: err}
 		}
 		return nil
-	case ans.status == http.StatusPreconditionFailed:
+	case Conflicting:
 		return c.conflict(cl, ans)
-	case ans.status == http.StatusNotFound && cl.method == http.MethodDelete:
+	case Missing:
 		return ErrNotFound
-	case ans.applied == "no" || refusedBeforeWrite(ans.status):
+	case NotApplied:
 		return &NotAppliedError{
 			Step: cl.step(), Peer: c.base, Status: ans.status,
 			RetryAfter: ans.retryAfter, Err: statusError(ans),
 		}
+	default:
+		return &UnsureError{Step: cl.step(), Peer: c.base, Err: statusError(ans)}
 	}
-	return &UnsureError{Step: cl.step(), Peer: c.base, Err: statusError(ans)}
-}
-
-// refusedBeforeWrite tells the statuses by which the service refuses a write
-// that it looked at.
-func refusedBeforeWrite(status int) bool {
-	switch status {
-	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden,
-		http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusRequestEntityTooLarge:
-		return true
-	}
-	return false
 }
 
-func (c *Client) conflict(cl call, ans answer) error {
-	var body struct {
-		Current *Object `json:"current"`
-	}
-	if err := json.Unmarshal(ans.body, &body); err != nil {
-		return &NotAppliedError{Step: cl.step(), Peer: c.base, Status: ans.status, Err: errors.Wrap(err, "bad answer")}
+func (c *Client) conflict(cl Call, ans answer) error {
+	current, err := c.wire.Object(cl, ans.body)
+	if err != nil {
+		return &NotAppliedError{Step: cl.step(), Peer: c.base, Status: ans.status, Err: err}
 	}
-	return &ConflictError{Current: body.Current}
+	return &ConflictError{Current: current}
 }
 
 func statusError(ans answer) error { return errors.Newf("status %d", ans.status) }
@@ -244,8 +220,8 @@
 }
 
 // count adds the call to the counter platform_calls.
-func (c *Client) count(op string, err error) {
-	tags := map[string]string{"call": op, "result": resultOf(err)}
+func (c *Client) count(op Op, err error) {
+	tags := map[string]string{"call": string(op), "result": resultOf(err)}
 	c.scope.Tagged(tags).Counter("platform_calls").Inc(1)
 }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -1,5 +1,5 @@
-// Package platform is the client of the platform's object service, as
-// docs/PROTOCOLS.md describes it.
+// Package platform is the client of an object service. It speaks the protocol
+// of docs/PROTOCOLS.md, or another one by its Wire.
 //
 // A call is sent at most once: nothing here or in net/http sends a write again.
 // A write that fails is either certainly not applied (NotAppliedError,
@@ -10,8 +10,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
@@ -70,6 +68,8 @@
 	Token string
 	// Timeout of one call, watches apart. Default DefaultTimeout.
 	Timeout time.Duration
+	// Wire is the service's protocol. Default: that of docs/PROTOCOLS.md.
+	Wire Wire
 	// Scope counts the calls; none where nil.
 	Scope tally.Scope
 }
@@ -79,6 +79,7 @@
 	base    string
 	token   string
 	timeout time.Duration
+	wire    Wire
 	scope   tally.Scope
 	http    *http.Client
 }
@@ -91,7 +92,11 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
+	if o.Wire == nil {
+		o.Wire = ownWire{}
+	}
 	return &Client{
+		wire:    o.Wire,
 		base:    strings.TrimSuffix(o.URL, "/"),
 		token:   o.Token,
 		timeout: o.Timeout,
@@ -102,62 +107,79 @@
 
 // Get returns an object, or ErrNotFound.
 func (c *Client) Get(ctx context.Context, kind api.Kind, name string) (Object, error) {
+	cl := Call{Op: OpGet, Kind: kind, Name: name}
 	var out Object
-	err := c.read(ctx, call{op: "get", kind: kind, name: name, path: objectPath(kind, name), limit: maxObjectBytes}, &out)
+	err := c.read(ctx, cl, maxObjectBytes, func(body []byte) error {
+		obj, err := c.wire.Object(cl, body)
+		if err == nil && obj != nil {
+			out = *obj
+		}
+		return err
+	})
 	return out, err
 }
 
-// List returns the objects of a kind and the revision at which they stood.
+// List returns the objects of a kind and the revision at which they stood. What
+// changes between the pages of a long list comes again with a watch from there.
 func (c *Client) List(ctx context.Context, kind api.Kind) (objs []Object, revision uint64, err error) {
-	var out struct {
-		Revision uint64   `json:"revision"`
-		Objects  []Object `json:"objects"`
+	cl := Call{Op: OpList, Kind: kind}
+	for {
+		var page Page
+		err = c.read(ctx, cl, maxListBytes, func(body []byte) (err error) {
+			page, err = c.wire.Page(cl, body)
+			return err
+		})
+		if err != nil {
+			return nil, 0, err
+		}
+		if cl.After == "" {
+			revision = page.Revision
+		}
+		objs = append(objs, page.Objects...)
+		if page.Next == "" {
+			return objs, revision, nil
+		}
+		cl.After = page.Next
 	}
-	err = c.read(ctx, call{op: "list", kind: kind, path: objectPath(kind, ""), limit: maxListBytes}, &out)
-	return out.Objects, out.Revision, err
 }
 
 // Watch waits for changes of the kinds after the revision since, for as long as
 // wait. It returns ErrCompacted where since is too old.
 func (c *Client) Watch(ctx context.Context, kinds []api.Kind, since uint64, wait time.Duration) (WatchResult, error) {
-	names := make([]string, len(kinds))
-	for i, k := range kinds {
-		names[i] = string(k)
-	}
-	q := url.Values{}
-	q.Set("kinds", strings.Join(names, ","))
-	q.Set("since", strconv.FormatUint(since, 10))
-	q.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	cl := Call{Op: OpWatch, Kinds: kinds, Since: since, Wait: wait}
 	var out WatchResult
-	err := c.read(ctx, call{op: "watch", path: "/v1/watch?" + q.Encode(), limit: maxListBytes, wait: wait}, &out)
+	err := c.read(ctx, cl, maxListBytes, func(body []byte) (err error) {
+		out, err = c.wire.Events(cl, body)
+		return err
+	})
 	return out, err
 }
 
 // Put writes an object and returns it with its new version.
 func (c *Client) Put(ctx context.Context, kind api.Kind, name string, value json.RawMessage, cond Condition) (Object, error) {
+	cl := Call{Op: OpPut, Kind: kind, Name: name, Value: value, Condition: cond}
 	if len(value) > MaxValueBytes {
 		err := errors.Newf("value of %d bytes is over the limit of %d", len(value), MaxValueBytes)
-		return Object{}, &NotAppliedError{Step: "put " + string(kind) + "/" + name, Peer: c.base, Err: err}
+		return Object{}, &NotAppliedError{Step: cl.step(), Peer: c.base, Err: err}
 	}
 	var out Object
-	err := c.write(ctx, call{op: "put", kind: kind, name: name, method: http.MethodPut, body: value, cond: cond}, &out)
+	err := c.write(ctx, cl, func(body []byte) error {
+		obj, err := c.wire.Object(cl, body)
+		if err == nil && obj != nil {
+			out = *obj
+		}
+		return err
+	})
 	return out, err
 }
 
-// Delete removes an object and returns the revision of the deletion, or
-// ErrNotFound.
+// Delete removes an object and returns the revision of the deletion, 0 where the
+// service does not tell it, or ErrNotFound.
 func (c *Client) Delete(ctx context.Context, kind api.Kind, name string, cond Condition) (uint64, error) {
-	var out struct {
-		Version uint64 `json:"version"`
-	}
-	err := c.write(ctx, call{op: "delete", kind: kind, name: name, method: http.MethodDelete, cond: cond}, &out)
-	return out.Version, err
-}
-
-func objectPath(kind api.Kind, name string) string {
-	path := "/v1/objects/" + url.PathEscape(string(kind))
-	if name != "" {
-		path += "/" + url.PathEscape(name)
-	}
-	return path
+	var version uint64
+	err := c.write(ctx, Call{Op: OpDelete, Kind: kind, Name: name, Condition: cond}, func(body []byte) (err error) {
+		version, err = c.wire.Deleted(body)
+		return err
+	})
+	return version, err
 }
