A request that crashes three targets is stopped over the fleet

Change: the product's quarantine runs here without trials (many streams at a target that dies for another reason would each have to run alone): after three deaths the request is answered 502. A death is a connection that broke off and then a refused one.

--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -191,6 +191,16 @@
 	return Standing{Level: Suspect, Until: time.UnixMilli(last).Add(2 * t.duration)}
 }
 
+// Deaths counts the different deaths held against a fingerprint.
+func (t *Table) Deaths(fp uint64, now time.Time) int {
+	s := t.suspects[fp]
+	if s == nil {
+		return 0
+	}
+	n, _, _ := s.deaths(func(c Crash) bool { return t.expired(c.At, now) })
+	return n
+}
+
 // deaths counts the different deaths held against the suspect. One that it began
 // after the earlier death of the same target is another, however soon.
 func (s *suspect) deaths(skip func(Crash) bool) (n int, solo bool, last int64) {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -27,7 +27,9 @@
 	sent    time.Time
 	result  admit.Result
 	began   bool
-	entry   AttemptEntry
+	// brokeOff is set where the connection ended before the answer did.
+	brokeOff bool
+	entry    AttemptEntry
 }
 
 func (e *exchange) attempt(ctx context.Context, v admit.Verdict, waited time.Duration) ending {
@@ -38,6 +40,9 @@
 		e.entry.Attempts = append(e.entry.Attempts, a.entry)
 		e.server.opts.Scheduler.Ended(v.ID, a.result)
 	}()
+	if s := e.server.opts.Suspects; s != nil {
+		s.Started(uint64(v.ID), e.fingerprint, v.Target.ID, false)
+	}
 	end, err := a.run(ctx)
 	if err != nil {
 		a.entry.Error = err.Error()
@@ -47,6 +52,7 @@
 		a.result = admit.Left
 	}
 	a.entry.End = endingNames[end]
+	a.suspect(end)
 	if end == notRun || end == unknown || end == failedWhole {
 		e.exclude = append(e.exclude, v.Target.ID)
 	}
@@ -79,9 +85,9 @@
 	resp, err := conn.Receive(a.r.Method) //nolint:bodyclose // the body ends with the connection, which the pool or Close takes
 	if err != nil {
 		conn.Close()
-		a.result = admit.Unreachable
+		a.result, a.brokeOff = admit.Unreachable, true
 		if errors.Is(err, upstream.ErrGarbage) {
-			a.result = admit.Failed
+			a.result, a.brokeOff = admit.Failed, false
 		}
 		return unknown, err
 	}
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -34,6 +34,8 @@
 	conf      *routing.Service
 	workspace ids.Workspace
 	body      []byte
+	// fingerprint is the same for all tries of a caller's request.
+	fingerprint uint64
 
 	// exclude are targets that failed this request, ran how many may have begun
 	// to run it, and refused how many did not take it.
@@ -93,6 +95,11 @@
 func (e *exchange) carry() {
 	ctx, cancel := context.WithDeadline(e.r.Context(), e.deadline)
 	defer cancel()
+	if e.quarantined() {
+		// It would crash one more target; there is no use in coming back.
+		e.refuse(&refusal{status: http.StatusBadGateway, reason: "quarantined"})
+		return
+	}
 	e.server.budget(e.service).First()
 	for {
 		asked := time.Now()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/umberhill/umberhill/internal/core/retry"
 	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/quarantine"
 	"github.com/umberhill/umberhill/internal/routing"
 	"github.com/umberhill/umberhill/internal/upstream"
 )
@@ -36,11 +37,22 @@
 	Pool      *upstream.Pool
 	Log       RequestLog
 	Scope     tally.Scope
+	// Suspects isolates requests that crash targets; none where nil.
+	Suspects Suspects
 	// RetryRatio and RetryExtra bound the requests that reach a service again,
 	// over the whole fleet: ratio x requests + extra in a window.
 	RetryRatio, RetryExtra float64
 }
 
+// Suspects knows the requests that crash the targets that run them.
+type Suspects interface {
+	// Admit says whether a request with a fingerprint may run.
+	Admit(fingerprint uint64) quarantine.Verdict
+	// Started and Ended tell of each attempt.
+	Started(id, fingerprint uint64, target ids.Target, solo bool) bool
+	Ended(id uint64, how quarantine.End)
+}
+
 // Server answers callers' requests.
 type Server struct {
 	opts   Options
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -150,7 +150,7 @@
 
 func (a *attempt) broken(err error) (ending, error) {
 	a.conn.Close()
-	a.result = admit.Failed
+	a.result, a.brokeOff = admit.Failed, true
 	return unknown, errors.Wrap(err, "read the stream")
 }
 
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -10,6 +10,7 @@
 
 	fleetv1 "github.com/umberhill/umberhill/api/fleet/v1"
 	peerv1 "github.com/umberhill/umberhill/api/peer/v1"
+	quarantinev1 "github.com/umberhill/umberhill/api/quarantine/v1"
 	"github.com/umberhill/umberhill/internal/core/admit"
 	"github.com/umberhill/umberhill/internal/core/share"
 	"github.com/umberhill/umberhill/internal/ids"
@@ -173,8 +174,22 @@
 	return r
 }
 
+// tellSuspects tells all linked routers of requests that crash targets.
+func (n *Node) tellSuspects(m *quarantinev1.Message) {
+	if n.fleet == nil {
+		return
+	}
+	env := &peerv1.Envelope{Body: &peerv1.Envelope_Quarantine{Quarantine: m}}
+	for _, p := range n.fleet.mesh.Live() {
+		n.fleet.mesh.Send(p.Instance, env)
+	}
+}
+
 // Receive implements peer.Handler.
 func (f *fleet) Receive(from peer.Peer, env *peerv1.Envelope) {
+	if m := env.GetQuarantine(); m != nil {
+		f.node.suspects.Receive(from.Instance, m)
+	}
 	report := env.GetFleet()
 	if report == nil {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/umberhill/umberhill/internal/edge"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/obs"
+	"github.com/umberhill/umberhill/internal/quarantine"
 	"github.com/umberhill/umberhill/internal/routing"
 	"github.com/umberhill/umberhill/internal/upstream"
 )
@@ -40,6 +41,10 @@
 	readHeaderTimeout = 15 * time.Second
 	callerIdle        = 90 * time.Second
 	maxHeaderBytes    = 64 << 10
+	// tolerated is the number of targets that a request may crash, and
+	// quarantineTime how long it is refused then.
+	tolerated      = 3
+	quarantineTime = 5 * time.Minute
 	// stopReserve is the part of the grace period kept for the end of the process.
 	stopReserve = 400 * time.Millisecond
 )
@@ -85,6 +90,7 @@
 	config  *routing.Config
 	targets *routing.Targets
 
+	suspects  *quarantine.Controller
 	directory *Targets
 	// targetsAsOf is the store's revision at which the targets last changed.
 	targetsAsOf atomic.Uint64
@@ -119,11 +125,21 @@
 	})
 	n.log = newRequestLog(n.logger)
 	n.directory = newTargets(n)
+	n.suspects = quarantine.New(quarantine.Options{
+		Self:        s.Instance,
+		Incarnation: n.incarnation,
+		Send:        n.tellSuspects,
+		Duration:    quarantineTime,
+		Tolerate:    tolerated,
+		Logger:      n.logger,
+		Scope:       n.scope,
+	})
 	n.server = edge.New(edge.Options{
 		Dialect:    dialect,
 		Scheduler:  n.scheduler,
 		Pool:       n.pool,
 		Log:        n.log,
+		Suspects:   n.suspects,
 		Scope:      n.scope,
 		RetryRatio: s.RetryRatio,
 		RetryExtra: s.RetryExtra,
@@ -225,6 +241,11 @@
 	n.duties.Go(func() { n.directory.run(duties) })
 	n.duties.Go(func() { n.sweep(duties) })
 	n.duties.Go(func() { n.verify(duties) })
+	n.duties.Go(func() {
+		if err := n.suspects.Run(duties); err != nil {
+			n.logger.WithError(err).Error("quarantine ended")
+		}
+	})
 	if err := n.startMetrics(); err != nil {
 		return err
 	}
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -66,6 +66,10 @@
 	Alone func() bool
 	// Duration of a quarantine. Default DefaultDuration.
 	Duration time.Duration
+	// Tolerate is the number of targets' deaths after which a request is refused
+	// where suspects run like others, without trials: many streams at a target
+	// that dies for another reason would else have to run alone. 0 for trials.
+	Tolerate int
 	// Now is the wall clock. Default time.Now.
 	Now    func() time.Time
 	Logger *logrus.Entry
@@ -227,6 +231,12 @@
 	}
 	var v Verdict
 	msg := &quarantinev1.Message{}
+	if c.opts.Tolerate > 0 {
+		v = c.tolerant(fp, now)
+		c.mu.Unlock()
+		c.count(v)
+		return v
+	}
 	switch s.Level {
 	case quarantine.Clean:
 		v = Verdict{Run: true}
@@ -248,6 +258,14 @@
 	return v
 }
 
+// tolerant is the verdict without trials.
+func (c *Controller) tolerant(fp uint64, now time.Time) Verdict {
+	if c.table.Deaths(fp, now) < c.opts.Tolerate {
+		return Verdict{Run: true}
+	}
+	return Verdict{Refuse: true, Quarantined: true, RetryAfter: c.opts.Duration}
+}
+
 // askedTrial describes the own trial after Ask changed it.
 func (c *Controller) askedTrial(fp uint64) *quarantinev1.Trial {
 	for _, own := range c.trials.Own() {
@@ -303,7 +321,7 @@
 func (c *Controller) Started(id, fp uint64, target ids.Target, solo bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !solo && c.table.Standing(fp, c.opts.Now()).Level != quarantine.Clean {
+	if !solo && c.opts.Tolerate == 0 && c.table.Standing(fp, c.opts.Now()).Level != quarantine.Clean {
 		c.scope.Counter("stopped").Inc(1)
 		return false
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -89,6 +90,17 @@
 	return newConn(raw, e), nil
 }
 
+// Refuses tells whether nothing listens at an endpoint: its process is gone. No
+// answer at all is no evidence, since networks are cut, too.
+func (p *Pool) Refuses(ctx context.Context, e Endpoint) bool {
+	c, err := p.dial(ctx, e)
+	if err == nil {
+		c.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Put takes a connection back whose last answer has been read in full. It is
 // closed where it can't be used again.
 func (p *Pool) Put(c *Conn) {
