--- /dev/null
+++ b/internal/cli/explainlogs.go
@@ -0,0 +1,51 @@
+package cli
+
+import (
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/umberhill/umberhill/internal/explain"
+)
+
+// errNoLines says that a request has no line in the logs that were read.
+var errNoLines = errors.New("no line of the logs names this request")
+
+// explainLogs shows a request's lines in the logs of all routers, and the
+// beliefs that its decisions rested on.
+func explainLogs(c *cli.Command, id string, files []string) error {
+	var lines []explain.Line
+	for _, name := range files {
+		more, err := readLog(c, name)
+		if err != nil {
+			return errors.Wrapf(err, "log %s", name)
+		}
+		lines = append(lines, more...)
+	}
+	found := explain.Request(lines, id)
+	if len(found) == 0 {
+		return errNoLines
+	}
+	return show(c, found, func(w io.Writer) error {
+		for _, line := range found {
+			if _, err := io.WriteString(w, line.String()+"\n"); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func readLog(c *cli.Command, name string) ([]explain.Line, error) {
+	if name == "-" {
+		return explain.ReadLog(c.Root().Reader)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return explain.ReadLog(f)
+}
--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -51,8 +51,11 @@
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name: "explain", Usage: "say why a request waits or was refused", ArgsUsage: "REQUEST-ID|WORKSPACE",
-		Description: "Example:\n  umberhill explain 01J9ZK3M",
-		Action:      explainRequest,
+		Description: "Examples:\n  umberhill explain 01J9ZK3M\n  umberhill explain --logs router-1.log --logs router-2.log 01J9ZK3M",
+		Flags: []cli.Flag{&cli.StringSliceFlag{
+			Name: "logs", Usage: "read routers' logs from `FILE` instead of asking a router; - is standard input",
+		}},
+		Action: explainRequest,
 	}
 }
 
@@ -67,6 +70,9 @@
 	if err != nil {
 		return err
 	}
+	if files := c.StringSlice("logs"); len(files) > 0 {
+		return explainLogs(c, id, files)
+	}
 	cl, err := clientOf(c)
 	if err != nil {
 		return err
--- a/internal/core/admit/line.go
+++ b/internal/core/admit/line.go
@@ -50,6 +50,8 @@
 	services map[string]*service
 	targets  map[ids.Target]*target
 	flights  map[ID]*flight
+	// news are changes of what is believed of targets, until taken.
+	news []News
 	// throughput of all engines in tokens a second, 0 where not known.
 	throughput float64
 }
@@ -252,7 +254,11 @@
 	if !f.began {
 		t.pending -= f.uncached
 	}
+	was := t.health.refusals
 	t.health.result(now, id, result)
+	if (was == 0) != (t.health.refusals == 0) {
+		l.news = append(l.news, News{Target: t.ID, Reachable: t.health.refusals == 0, FailRate: t.health.rate(now)})
+	}
 	if s := l.services[f.req.Service]; s != nil && result == Served {
 		took := now.Sub(f.sent)
 		if !s.engine() {
@@ -262,6 +268,14 @@
 	}
 }
 
+// TakeNews returns the changes of what is believed of targets since the last
+// call.
+func (l *Line) TakeNews() []News {
+	news := l.news
+	l.news = nil
+	return news
+}
+
 // Withdraw takes a request out of the line and tells whether it was there.
 func (l *Line) Withdraw(id ID) bool {
 	for _, s := range l.services {
--- a/internal/core/admit/request.go
+++ b/internal/core/admit/request.go
@@ -105,6 +105,16 @@
 	Unreachable
 )
 
+// News is a change of what is believed of a target.
+type News struct {
+	Target ids.Target
+	// Reachable is false once connections to it fail: it is then left alone for
+	// a while and tried by one request at a time.
+	Reachable bool
+	// FailRate is the share of its requests that failed lately.
+	FailRate float64
+}
+
 // Load is what one router has at a target, for reports to peers.
 type Load struct {
 	Target ids.Target
--- a/internal/daemon/command/command.go
+++ b/internal/daemon/command/command.go
@@ -28,6 +28,9 @@
 	exitCut
 )
 
+// logLines is the number of log lines that may wait to be written.
+const logLines = 4096
+
 // errUsage marks a command line that can't be used.
 var errUsage = errors.New("usage")
 
@@ -65,7 +68,10 @@
 				Name:      "check",
 				Usage:     "check a settings file",
 				ArgsUsage: "SETTINGS",
-				Action:    check,
+				Flags: []cli.Flag{&cli.BoolFlag{
+					Name: "platform", Usage: "the file is the users' platform's",
+				}},
+				Action: check,
 			},
 			{
 				Name:   "version",
@@ -112,7 +118,9 @@
 	if err != nil {
 		return err
 	}
-	logger.SetOutput(os.Stdout)
+	out := obs.NewAsync(os.Stdout, logLines)
+	defer out.Close()
+	logger.SetOutput(out)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	return platform.Run(ctx, s, logger)
@@ -129,13 +137,25 @@
 }
 
 func check(_ context.Context, cmd *cli.Command) error {
-	if _, err := load(cmd); err != nil {
+	if cmd.Bool("platform") {
+		if err := checkPlatform(cmd); err != nil {
+			return err
+		}
+	} else if _, err := load(cmd); err != nil {
 		return err
 	}
 	_, err := fmt.Fprintln(output(cmd), "ok")
 	return err
 }
 
+func checkPlatform(cmd *cli.Command) error {
+	if cmd.Args().Len() != 1 {
+		return errors.Wrap(errUsage, "name one settings file")
+	}
+	_, err := platform.ReadSettings(cmd.Args().First())
+	return err
+}
+
 func version(_ context.Context, cmd *cli.Command) error {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"strconv"
 	"time"
-
-	"github.com/umberhill/umberhill/internal/core/admit"
 )
 
 // answer is a target's answer in one piece.
@@ -41,7 +39,6 @@
 	reason     string
 	detail     string
 	retryAfter time.Duration
-	inputs     *admit.Inputs
 }
 
 // refuse answers a request that no target answers.
@@ -63,9 +60,6 @@
 	} else {
 		e.server.counts.refused.Inc(1)
 	}
-	if f.inputs != nil {
-		e.entry.Attempts = append(e.entry.Attempts, AttemptEntry{Inputs: *f.inputs, End: "refused"})
-	}
 	e.w.WriteHeader(f.status)
 	if _, err := io.WriteString(e.w, f.reason+"\n"); err != nil {
 		e.entry.Reason += ": " + err.Error()
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -48,19 +48,6 @@
 	stream streamState
 }
 
-// AttemptEntry is one try at a target in the log.
-type AttemptEntry struct {
-	Target ids.Target
-	Inputs admit.Inputs
-	// Waited is the time in the line.
-	Waited time.Duration
-	// First is the time from the sending to the first event or the answer.
-	First time.Duration
-	Took  time.Duration
-	End   string
-	Error string
-}
-
 // ending is how one attempt ended.
 type ending int
 
@@ -103,11 +90,12 @@
 	e.server.budget(e.service).First()
 	for {
 		asked := time.Now()
-		v, decided := e.server.opts.Scheduler.Acquire(ctx, e.request())
+		v, decided := e.server.opts.Scheduler.Acquire(ctx, e.request(), e.queued)
 		if !decided {
 			e.timeUp()
 			return
 		}
+		e.decided(v, time.Since(asked))
 		if v.Refused != "" {
 			e.refuseVerdict(v)
 			return
@@ -185,7 +173,6 @@
 		status:     http.StatusServiceUnavailable,
 		reason:     string(v.Refused),
 		retryAfter: v.RetryAfter,
-		inputs:     &v.Inputs,
 	})
 }
 
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -28,11 +28,15 @@
 	wake    chan struct{}
 	// polled is when the line was last looked at.
 	polled time.Time
+	// news takes changes of what is believed of targets; it must not block.
+	news func(admit.News)
 }
 
-// NewScheduler returns a scheduler whose Run must be started.
-func NewScheduler(o admit.Options) *Scheduler {
+// NewScheduler returns a scheduler whose Run must be started. News, which must
+// not block, is told what changes in the beliefs on targets.
+func NewScheduler(o admit.Options, news func(admit.News)) *Scheduler {
 	return &Scheduler{
+		news:    news,
 		line:    admit.New(o),
 		waiting: make(map[admit.ID]chan admit.Verdict),
 		wake:    make(chan struct{}, 1),
@@ -61,6 +65,9 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	change(now)
+	for _, n := range s.line.TakeNews() {
+		s.news(n)
+	}
 	if len(s.waiting) == 0 {
 		return
 	}
@@ -92,9 +99,9 @@
 }
 
 // Acquire returns the verdict on a request, after a wait in the line where it
-// must. It reports false where ctx ended first. Each verdict with a target must
-// be followed by one Ended.
-func (s *Scheduler) Acquire(ctx context.Context, r admit.Request) (admit.Verdict, bool) {
+// must, which queued is told of. It reports false where ctx ended first. Each
+// verdict with a target must be followed by one Ended.
+func (s *Scheduler) Acquire(ctx context.Context, r admit.Request, queued func(admit.Verdict)) (admit.Verdict, bool) {
 	s.mu.Lock()
 	s.lastID++
 	r.ID = s.lastID
@@ -107,6 +114,7 @@
 	s.waiting[r.ID] = ch
 	s.poke()
 	s.mu.Unlock()
+	queued(v)
 	select {
 	case v = <-ch:
 		return v, true
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -35,7 +35,7 @@
 	Dialect   Dialect
 	Scheduler *Scheduler
 	Pool      *upstream.Pool
-	Log       RequestLog
+	Log       Log
 	Scope     tally.Scope
 	// Suspects isolates requests that crash targets; none where nil.
 	Suspects Suspects
@@ -190,7 +190,9 @@
 // counters of a server.
 type counters struct {
 	served, refused, failed, retried, resumed, left tally.Counter
-	first, whole                                    tally.Timer
+	// first is the time to the first byte of an answer, waited that in the line,
+	// whole that to the end.
+	first, waited, whole tally.Timer
 }
 
 func newCounters(scope tally.Scope) counters {
@@ -201,33 +203,8 @@
 		retried: scope.Counter("requests_retried"),
 		resumed: scope.Counter("streams_resumed"),
 		left:    scope.Counter("requests_left"),
-		first:   scope.Timer("first_event"),
-		whole:   scope.Timer("request"),
+		first:   scope.Timer("first_byte_time"),
+		waited:  scope.Timer("line_wait"),
+		whole:   scope.Timer("request_time"),
 	}
 }
-
-// Entry is a request's line in the log.
-type Entry struct {
-	ID        string
-	Arrived   time.Time
-	Version   uint64
-	Route     string
-	Workspace ids.Workspace
-	// Status of the answer, 0 where the caller left or got none.
-	Status int
-	// Outcome is "served", "refused", "failed", "cut" or "left".
-	Outcome string
-	// Reason of an outcome other than "served".
-	Reason   string
-	Attempts []AttemptEntry
-	// First is the time to the first byte of the answer.
-	First time.Duration
-	Took  time.Duration
-	// Events of a stream that were passed on.
-	Events int
-	// RetryAfter of a refusal.
-	RetryAfter time.Duration
-}
-
-// RequestLog takes the lines of requests. It must not block.
-type RequestLog interface{ Request(Entry) }
--- /dev/null
+++ b/internal/explain/logs_test.go
@@ -0,0 +1,47 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/umberhill/umberhill/internal/explain"
+)
+
+const logs = `  1.0 r1 {"instance":"r1","level":"info","msg":"configuration in force","time":"2026-12-03T10:00:01Z","version":4}
+{"instance":"r1","msg":"target listed","target":"e1","time":"2026-12-03T10:00:02Z"}
+{"instance":"r1","msg":"target left alone","target":"e1","time":"2026-12-03T10:00:09Z"}
+{"instance":"r2","msg":"configuration in force","time":"2026-12-03T10:00:01Z","version":3}
+{"instance":"r1","msg":"request ended","request":"a","outcome":"failed","time":"2026-12-03T10:00:05.2Z"}
+{"instance":"r1","msg":"request placed","request":"a","target":"e1","time":"2026-12-03T10:00:05.1Z"}
+{"instance":"r1","msg":"request placed","request":"b","target":"e1","time":"2026-12-03T10:00:06Z"}
+not json {
+{"instance":"r1","request":"a"}
+`
+
+func TestRequestFromLogs(t *testing.T) {
+	lines, err := explain.ReadLog(strings.NewReader(logs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, l := range explain.Request(lines, "a") {
+		got = append(got, l.Message)
+	}
+	want := "configuration in force, target listed, request placed, request ended"
+	if text := strings.Join(got, ", "); text != want {
+		t.Errorf("got  %s\nwant %s", text, want)
+	}
+	if got := explain.Request(lines, "unknown"); len(got) != 0 {
+		t.Errorf("an unknown request has %d lines", len(got))
+	}
+}
+
+func TestLineForPeople(t *testing.T) {
+	lines, err := explain.ReadLog(strings.NewReader(logs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := lines[0].String(); got != "10:00:01.000   r1                 configuration in force version=4" {
+		t.Errorf("%q", got)
+	}
+}
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -7,52 +7,64 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/umberhill/umberhill/internal/core/admit"
 	"github.com/umberhill/umberhill/internal/edge"
 )
 
 const (
-	// logRing is the number of request lines that may wait to be written.
-	logRing = 512
-	// servedPerSecond bounds the lines of requests that went well; the others
-	// are bounded by troublePerSecond.
-	servedPerSecond  = 20
-	troublePerSecond = 100
+	// logRing is the number of lines that may wait to be written.
+	logRing = 1024
+	// smoothPerSecond bounds the lines of requests that go well, troublePerSecond
+	// those of the others: a router carries some ten requests a second.
+	smoothPerSecond  = 100
+	troublePerSecond = 200
 )
 
-// requestLog writes a line for each request, bounded in rate. Requests that
-// failed or were refused go before served ones.
+// requestLog writes a line for each decision on a request and one for its end,
+// bounded in rate. What went wrong goes before what went well.
 type requestLog struct {
 	logger  *logrus.Entry
-	ring    chan edge.Entry
+	ring    chan any // edge.Decision or edge.Entry
 	dropped atomic.Int64
 
-	// served and trouble are the lines left in the current second.
-	served, trouble atomic.Int64
+	// smooth and trouble are the lines left in the current second.
+	smooth, trouble atomic.Int64
 }
 
 func newRequestLog(logger *logrus.Entry) *requestLog {
-	l := &requestLog{logger: logger, ring: make(chan edge.Entry, logRing)}
+	l := &requestLog{logger: logger, ring: make(chan any, logRing)}
 	l.refill()
 	return l
 }
 
 func (l *requestLog) refill() {
-	l.served.Store(servedPerSecond)
+	l.smooth.Store(smoothPerSecond)
 	l.trouble.Store(troublePerSecond)
 }
 
-// Request implements edge.RequestLog.
+// Decision implements edge.Log.
+func (l *requestLog) Decision(d edge.Decision) {
+	l.put(d, d.Step == "placed" && d.Attempt == 1)
+}
+
+// Request implements edge.Log.
 func (l *requestLog) Request(e edge.Entry) {
+	l.put(e, smooth(e))
+}
+
+func smooth(e edge.Entry) bool { return e.Outcome == "served" && len(e.Attempts) <= 1 }
+
+func (l *requestLog) put(line any, smooth bool) {
 	left := &l.trouble
-	if e.Outcome == "served" && len(e.Attempts) <= 1 {
-		left = &l.served
+	if smooth {
+		left = &l.smooth
 	}
 	if left.Add(-1) < 0 {
 		l.dropped.Add(1)
 		return
 	}
 	select {
-	case l.ring <- e:
+	case l.ring <- line:
 	default:
 		l.dropped.Add(1)
 	}
@@ -65,8 +77,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case e := <-l.ring:
-			l.write(e)
+		case line := <-l.ring:
+			l.write(line)
 		case <-ticker.C:
 			l.refill()
 			if n := l.dropped.Swap(0); n > 0 {
@@ -80,69 +92,95 @@
 func (l *requestLog) flush() {
 	for {
 		select {
-		case e := <-l.ring:
-			l.write(e)
+		case line := <-l.ring:
+			l.write(line)
 		default:
 			return
 		}
 	}
 }
 
-func (l *requestLog) write(e edge.Entry) {
-	fields := logrus.Fields{
+func (l *requestLog) write(line any) {
+	switch line := line.(type) {
+	case edge.Decision:
+		l.logger.WithFields(decisionFields(line)).Info("request " + line.Step)
+	case edge.Entry:
+		l.logger.WithFields(entryFields(line)).Info("request ended")
+	}
+}
+
+func decisionFields(d edge.Decision) logrus.Fields {
+	f := inputFields(d.Inputs)
+	f["request"], f["attempt"] = d.Request, d.Attempt
+	if d.Workspace != "" {
+		f["workspace"] = d.Workspace
+	}
+	if d.Target != "" {
+		f["target"] = d.Target
+	}
+	if d.Reason != "" {
+		f["reason"] = d.Reason
+	}
+	if d.Waited >= time.Millisecond {
+		f["waited_ms"] = d.Waited.Milliseconds()
+	}
+	return f
+}
+
+func inputFields(in admit.Inputs) logrus.Fields {
+	return logrus.Fields{
+		"running":         in.Running,
+		"pending_tokens":  in.Pending,
+		"uncached_tokens": in.Uncached,
+		"predicted_ms":    in.Predicted.Milliseconds(),
+		"line_wait_ms":    in.LineWait.Milliseconds(),
+		"rank":            int(in.Rank),
+	}
+}
+
+func entryFields(e edge.Entry) logrus.Fields {
+	f := logrus.Fields{
 		"request": e.ID, "route": e.Route, "version": e.Version, "status": e.Status,
 		"outcome": e.Outcome, "first_ms": e.First.Milliseconds(), "took_ms": e.Took.Milliseconds(),
 	}
 	if e.Workspace != "" {
-		fields["workspace"] = e.Workspace
+		f["workspace"] = e.Workspace
 	}
 	if e.Reason != "" {
-		fields["reason"] = e.Reason
+		f["reason"] = e.Reason
 	}
 	if e.Events > 0 {
-		fields["events"] = e.Events
+		f["events"] = e.Events
 	}
 	if e.RetryAfter > 0 {
-		fields["retry_after_ms"] = e.RetryAfter.Milliseconds()
+		f["retry_after_ms"] = e.RetryAfter.Milliseconds()
 	}
-	if len(e.Attempts) > 0 {
-		fields["attempts"] = attempts(e.Attempts)
+	if len(e.Attempts) > 0 && !smooth(e) {
+		f["attempts"] = attempts(e.Attempts)
 	}
-	l.logger.WithFields(fields).Info("request")
+	return f
 }
 
-// attemptFields is an attempt as it stands in the log.
-type attemptFields struct {
-	Target    string `json:"target,omitempty"`
-	End       string `json:"end"`
-	Error     string `json:"error,omitempty"`
-	WaitedMS  int64  `json:"waited_ms"`
-	FirstMS   int64  `json:"first_ms"`
-	TookMS    int64  `json:"took_ms"`
-	Running   int    `json:"running"`
-	Pending   int    `json:"pending_tokens"`
-	Uncached  int    `json:"uncached_tokens"`
-	Predicted int64  `json:"predicted_ms"`
-	LineWait  int64  `json:"line_wait_ms"`
-	Rank      int    `json:"rank"`
+// attempt is a try at a target as it stands in the log.
+type attempt struct {
+	Target   string `json:"target"`
+	End      string `json:"end"`
+	Error    string `json:"error,omitempty"`
+	WaitedMS int64  `json:"waited_ms"`
+	FirstMS  int64  `json:"first_ms"`
+	TookMS   int64  `json:"took_ms"`
 }
 
-func attempts(entries []edge.AttemptEntry) []attemptFields {
-	out := make([]attemptFields, 0, len(entries))
+func attempts(entries []edge.AttemptEntry) []attempt {
+	out := make([]attempt, 0, len(entries))
 	for _, a := range entries {
-		out = append(out, attemptFields{
-			Target:    string(a.Target),
-			End:       a.End,
-			Error:     a.Error,
-			WaitedMS:  a.Waited.Milliseconds(),
-			FirstMS:   a.First.Milliseconds(),
-			TookMS:    a.Took.Milliseconds(),
-			Running:   a.Inputs.Running,
-			Pending:   a.Inputs.Pending,
-			Uncached:  a.Inputs.Uncached,
-			Predicted: a.Inputs.Predicted.Milliseconds(),
-			LineWait:  a.Inputs.LineWait.Milliseconds(),
-			Rank:      int(a.Inputs.Rank),
+		out = append(out, attempt{
+			Target:   string(a.Target),
+			End:      a.End,
+			Error:    a.Error,
+			WaitedMS: a.Waited.Milliseconds(),
+			FirstMS:  a.First.Milliseconds(),
+			TookMS:   a.Took.Milliseconds(),
 		})
 	}
 	return out
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,7 +116,7 @@
 		Domain: s.Domain,
 		Window: s.ShareWindow,
 		Seed:   uint64(n.incarnation),
-	})
+	}, n.logReach)
 	n.pool = upstream.NewPool(upstream.Options{
 		DialTimeout: dialTimeout,
 		Idle:        idleTimeout,
@@ -206,6 +206,15 @@
 	}
 }
 
+// logReach notes that a target is left alone or back.
+func (n *Node) logReach(news admit.News) {
+	state := "target left alone"
+	if news.Reachable {
+		state = "target back"
+	}
+	n.logger.WithFields(logrus.Fields{"target": news.Target, "fail_rate": news.FailRate}).Info(state)
+}
+
 // ready tells whether the node can serve new connections.
 func (n *Node) ready() bool {
 	n.mu.Lock()
@@ -250,7 +259,10 @@
 		return err
 	}
 	n.startFleet(duties)
-	n.logger.WithField("callers", n.settings.Callers).Info("router started")
+	n.logger.WithFields(logrus.Fields{
+		"callers": n.settings.Callers, "peer": n.settings.Peer, "metrics": n.settings.Metrics,
+		"incarnation": uint64(n.incarnation),
+	}).Info("router started")
 	<-ctx.Done()
 	n.stop(server)
 	end()
