--- a/internal/core/admit/line.go
+++ b/internal/core/admit/line.go
@@ -175,7 +175,7 @@
 // hold puts a request into the line, or refuses it where it can't be in time.
 func (l *Line) hold(now time.Time, s *service, r *Request, c candidate, wait time.Duration) Verdict {
 	v := Verdict{ID: r.ID, Inputs: c.inputs}
-	starts := now.Add(wait + c.inputs.Predicted)
+	starts := now.Add(max(wait, c.wait) + c.inputs.Predicted)
 	latest := r.Arrived.Add(time.Duration(startShare * float64(r.Objective)))
 	switch {
 	case c.inputs.Rank == share.Beyond:
--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -78,8 +78,10 @@
 
 // candidate is a target with the cost of sending a request there.
 type candidate struct {
-	target   *target
-	cost     time.Duration
+	target *target
+	cost   time.Duration
+	// wait is the expected time until the target has a free slot.
+	wait     time.Duration
 	room     bool
 	inputs   Inputs
 	uncached int
@@ -170,7 +172,8 @@
 		c.cost += strayCost * time.Duration(sharedMissing)
 	}
 	if running >= slots {
-		c.cost += s.fit.duration() * time.Duration(running+1-slots) / time.Duration(slots)
+		c.wait = s.fit.duration() * time.Duration(running+1-slots) / time.Duration(slots)
+		c.cost += c.wait
 	}
 	if now.Add(predicted).After(r.onTime()) {
 		c.cost += r.Objective
