admit: looks at the line are paced by what they cost; floods are refused without a look each

Change: the pause after a look is 15 times as long as the look; where no target has room for workspaces beyond their share, that holds for 5 ms; they may come again when their share's window has room.

--- /dev/null
+++ b/internal/core/admit/bench_test.go
@@ -0,0 +1,64 @@
+package admit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/core/admit"
+	"github.com/umberhill/umberhill/internal/core/share"
+	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/routing"
+)
+
+// BenchmarkSubmit decides on requests at 112 engines with 16 peers' reports;
+// the workspace is within its share, or has had it while all engines are full.
+func BenchmarkSubmit(b *testing.B) {
+	for _, full := range []bool{false, true} {
+		b.Run(fmt.Sprintf("full=%v", full), func(b *testing.B) {
+			l := fleetOf(112, 16, full)
+			now := start
+			var id admit.ID
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				now = now.Add(time.Millisecond)
+				v := l.Submit(now, admit.Request{
+					ID: id, Service: "llm", Workspace: "flood",
+					Parts:  []admit.Part{{Key: uint64(id % 3), Tokens: 500}, {Key: uint64(id % 95), Tokens: 4800}, {Key: uint64(id) << 20, Tokens: 6000}},
+					Prompt: 11_300, Output: 400, Arrived: now, Deadline: now.Add(10 * time.Second), Objective: 800 * time.Millisecond,
+				})
+				if v.Target.ID != "" {
+					l.Began(now, id)
+					l.Ended(now, id, admit.Served)
+				}
+			}
+		})
+	}
+}
+
+func fleetOf(engines, peers int, full bool) *admit.Line {
+	l := admit.New(admit.Options{Domain: "z", Window: 4 * time.Second, Seed: 1})
+	l.SetConfig(&routing.Config{
+		Services: map[string]*routing.Service{"llm": {Name: "llm", Engine: &routing.Engine{Slots: 12, MemoryTokens: 400_000}}},
+		Limits:   routing.Limits{TokensPerSecond: 1e6},
+	})
+	var all []routing.Target
+	for i := range engines {
+		all = append(all, routing.Target{ID: ids.Target(fmt.Sprintf("e%d", i)), Service: "llm", Domain: "z", Slots: 12})
+	}
+	l.SetTargets(all)
+	for p := range peers {
+		var loads []admit.Load
+		for _, t := range all {
+			load := admit.Load{Target: t.ID, Running: 0, Pending: 10}
+			if full {
+				load.Running, load.Pending = 1, 1000
+			}
+			loads = append(loads, load)
+		}
+		use := map[ids.Workspace]share.Use{"flood": {Asked: 1e6, Started: 1e6}}
+		l.Report(start, ids.Instance(fmt.Sprintf("r%d", p)), loads, nil, use)
+	}
+	return l
+}
--- a/internal/core/admit/line.go
+++ b/internal/core/admit/line.go
@@ -25,6 +25,9 @@
 	// startShare is the part of the objective that must be left for a request
 	// to be taken into the line.
 	startShare = 0.9
+	// fullLife is how long the finding holds that no target has room for
+	// workspaces beyond their share, so that a flood costs no look each.
+	fullLife = 5 * time.Millisecond
 	// maxLooks bounds the requests at the head of a line for which a target is
 	// looked for at a time.
 	maxLooks = 24
@@ -156,14 +159,13 @@
 		l.window.Ask(now, r.Workspace, r.tokens())
 	}
 	rank := l.rank(now, s, &r)
+	if rank == share.Beyond {
+		return l.submitBeyond(now, s, &r)
+	}
 	c, found := s.choose(now, &r, l.opts.Domain, rank)
 	if !found {
 		return Verdict{ID: r.ID, Refused: NoTarget, RetryAfter: l.spread(noTargetRetry)}
 	}
-	if rank == share.Beyond && !c.room {
-		// Where it may not wait, any target that has room is as good.
-		c, _ = s.chooseRoom(now, &r, l.opts.Domain)
-	}
 	wait := s.lineWait(now)
 	c.inputs.LineWait = wait
 	if c.room && !s.line.before(rank) {
@@ -172,14 +174,31 @@
 	return l.hold(now, s, &r, c, wait)
 }
 
+// submitBeyond decides on a request of a workspace that has had its share: it
+// goes to any target that has room, and never waits.
+func (l *Line) submitBeyond(now time.Time, s *service, r *Request) Verdict {
+	var c candidate
+	if now.After(s.full) {
+		var found bool
+		if c, found = s.chooseRoom(now, r, l.opts.Domain); !found {
+			return Verdict{ID: r.ID, Refused: NoTarget, RetryAfter: l.spread(noTargetRetry)}
+		}
+		if c.room && s.line.len() == 0 {
+			return l.send(now, s, r, c)
+		}
+		s.full = now.Add(fullLife)
+	}
+	c.inputs.Rank = share.Beyond
+	back := l.window.Again(now, r.Workspace)
+	return Verdict{ID: r.ID, Refused: BeyondShare, RetryAfter: l.spread(back), Inputs: c.inputs}
+}
+
 // hold puts a request into the line, or refuses it where it can't be in time.
 func (l *Line) hold(now time.Time, s *service, r *Request, c candidate, wait time.Duration) Verdict {
 	v := Verdict{ID: r.ID, Inputs: c.inputs}
 	starts := now.Add(max(wait, c.wait) + c.inputs.Predicted)
 	latest := r.Arrived.Add(time.Duration(startShare * float64(r.Objective)))
 	switch {
-	case c.inputs.Rank == share.Beyond:
-		v.Refused = BeyondShare
 	case starts.After(latest), s.line.len() >= maxLine:
 		v.Refused = Saturated
 	default:
--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -53,6 +53,9 @@
 	tightest   time.Duration
 	tightestAt time.Time
 
+	// full is until when no target has room for workspaces beyond their share.
+	full time.Time
+
 	line    line
 	backlog map[ids.Instance]peerBacklog
 }
@@ -109,11 +112,15 @@
 	var best candidate
 	found := false
 	first := s.firstHome(now, r)
+	left := r.onTime().Sub(now)
 	for _, t := range s.targets {
 		if !t.usable(now, r) {
 			continue
 		}
-		c := s.weigh(now, t, r, self, rank, first)
+		c := s.weigh(now, t, r, rank, first, left)
+		if t.Domain != self {
+			c.cost += crossDomain
+		}
 		if !found || less(c, best) {
 			best, found = c, true
 		}
@@ -136,22 +143,21 @@
 	return home(s.targets, key)
 }
 
-func (s *service) weigh(now time.Time, t *target, r *Request, self ids.Domain, rank share.Rank, first *target) candidate {
+// weigh judges a target for a request of which left is the time in which its
+// answer must begin.
+func (s *service) weigh(now time.Time, t *target, r *Request, rank share.Rank, first *target, left time.Duration) candidate {
 	var c candidate
 	if s.engine() {
-		c = s.weighEngine(now, t, r, rank, first)
+		c = s.weighEngine(now, t, r, rank, first, left)
 	} else {
 		c = s.weighPlain(now, t, rank)
 	}
 	c.target = t
 	c.cost += t.health.penalty(now)
-	if t.Domain != self {
-		c.cost += crossDomain
-	}
 	return c
 }
 
-func (s *service) weighEngine(now time.Time, t *target, r *Request, rank share.Rank, first *target) candidate {
+func (s *service) weighEngine(now time.Time, t *target, r *Request, rank share.Rank, first *target, left time.Duration) candidate {
 	running, pending, memory := t.load(now)
 	held, sharedMissing := t.cached(now, r)
 	uncached := r.Prompt - held
@@ -175,7 +181,7 @@
 		c.wait = s.fit.duration() * time.Duration(running+1-slots) / time.Duration(slots)
 		c.cost += c.wait
 	}
-	if now.Add(predicted).After(r.onTime()) {
+	if predicted > left {
 		c.cost += r.Objective
 	}
 	part := rankShare[rank]
--- a/internal/core/admit/target.go
+++ b/internal/core/admit/target.go
@@ -125,6 +125,9 @@
 }
 
 func (t *target) slowness(now time.Time) float64 {
+	if t.slow == 1 {
+		return 1
+	}
 	halves := now.Sub(t.slowAt).Seconds() / slowHalfLife.Seconds()
 	return 1 + (t.slow-1)/(1+max(0, halves))
 }
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -159,6 +159,16 @@
 	return sum
 }
 
+// Again is the time after which a workspace beyond its share is about within it
+// again, as what was started leaves the window.
+func (w *Window) Again(now time.Time, ws ids.Workspace) time.Duration {
+	started := w.fleetUse(now, ws).Started
+	if started <= w.fair {
+		return 0
+	}
+	return time.Duration((1 - w.fair/started) * float64(w.span))
+}
+
 // refresh computes the levels: the largest share L with sum(min(asked, L)) not
 // above the capacity, that stated and that which was really started.
 func (w *Window) refresh(now time.Time, capacity float64) {
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -62,6 +62,9 @@
 	if got := w.Rank(now, "ahead", 1_000, capacity); got != share.Beyond {
 		t.Errorf("the workspace that is ahead has rank %d", got)
 	}
+	if got := w.Again(now, "ahead"); got < time.Second || got > 3*time.Second {
+		t.Errorf("the workspace that is ahead may come again after %v", got)
+	}
 	if got := w.Rank(now, "behind", 1_000, capacity); got != share.Fair {
 		t.Errorf("the workspace that is behind has rank %d", got)
 	}
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -19,6 +19,11 @@
 // quick succession do not cost a look each.
 const pollGap = 2 * time.Millisecond
 
+// pollDuty is how many times as long as a look at the line the pause after it
+// is at least: on a small instance with many targets looks cost a good part of
+// the processor.
+const pollDuty = 15
+
 // Scheduler guards the state machine of the line and wakes those who wait.
 type Scheduler struct {
 	mu      sync.Mutex
@@ -26,8 +31,8 @@
 	lastID  admit.ID
 	waiting map[admit.ID]chan admit.Verdict
 	wake    chan struct{}
-	// polled is when the line was last looked at.
-	polled time.Time
+	// nextPoll is when the line may be looked at again.
+	nextPoll time.Time
 	// news takes changes of what is believed of targets; it must not block.
 	news func(admit.News)
 }
@@ -71,14 +76,15 @@
 	if len(s.waiting) == 0 {
 		return
 	}
-	if now.Sub(s.polled) < pollGap {
+	if now.Before(s.nextPoll) {
 		s.poke()
 		return
 	}
-	s.polled = now
 	for _, v := range s.line.Poll(now) {
 		s.decide(v)
 	}
+	done := time.Now()
+	s.nextPoll = done.Add(max(pollGap, pollDuty*done.Sub(now)))
 	if len(s.waiting) > 0 {
 		s.poke()
 	}
