Large fleets report by hubs; a busy router sheds; callers that left are not sent on

Change: above 24 routers two hubs a domain add reports up and send the total back; routers fed by a hub do not watch the store, hubs take turns in reading it; engine requests are refused before their body is read where the router's goroutines are late or where one like it was just refused; a caller is looked at before a late send.

--- a/internal/cli/explainlogs.go
+++ b/internal/cli/explainlogs.go
@@ -46,6 +46,6 @@
 	if err != nil {
 		return nil, err
 	}
-	defer f.Close()
-	return explain.ReadLog(f)
+	lines, err := explain.ReadLog(f)
+	return lines, errors.CombineErrors(err, f.Close())
 }
--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -263,3 +263,26 @@
 		t.Errorf("verdict %+v", v)
 	}
 }
+
+func TestRequestLikeOneJustRefusedIsHopelessForAMoment(t *testing.T) {
+	b := newBed(t, 1, 0)
+	big := func() admit.Request {
+		b.lastID++
+		return admit.Request{
+			ID: b.lastID, Service: "llm", Workspace: "a", Parts: []admit.Part{{Key: uint64(b.lastID), Tokens: 4000}},
+			Prompt: 4000, Arrived: start, Deadline: start.Add(patience), Objective: objective,
+		}
+	}
+	if _, hopeless := b.Hopeless(start, big()); hopeless {
+		t.Error("hopeless although nothing was refused")
+	}
+	for b.Submit(start, big()).Refused == "" {
+	}
+	v, hopeless := b.Hopeless(start.Add(time.Millisecond), big())
+	if !hopeless || v.Refused == "" || v.RetryAfter <= 0 {
+		t.Errorf("verdict %+v right after one like it was refused", v)
+	}
+	if _, hopeless := b.Hopeless(start.Add(50*time.Millisecond), big()); hopeless {
+		t.Error("still hopeless long after")
+	}
+}
--- a/internal/core/admit/line.go
+++ b/internal/core/admit/line.go
@@ -142,7 +142,7 @@
 func (l *Line) service(name string) *service {
 	s := l.services[name]
 	if s == nil {
-		s = &service{name: name, backlog: make(map[ids.Instance]peerBacklog)}
+		s = &service{name: name, backlog: make(map[ids.Instance]peerBacklog), saturated: make(map[time.Duration]saturation)}
 		l.services[name] = s
 	}
 	return s
@@ -174,6 +174,31 @@
 	return l.hold(now, s, &r, c, wait)
 }
 
+// Hopeless tells whether a request is refused without a look at the targets,
+// because one like it just was: its workspace has had its share and no target had
+// room for such, or it could not have been in time either.
+func (l *Line) Hopeless(now time.Time, r Request) (Verdict, bool) {
+	s := l.services[r.Service]
+	if s == nil || !s.engine() {
+		return Verdict{}, false
+	}
+	sat := s.saturated[r.Objective]
+	full, late := now.Before(s.full), now.Before(sat.until)
+	if !full && !late {
+		return Verdict{}, false
+	}
+	rank := l.rank(now, s, &r)
+	switch {
+	case full && rank == share.Beyond:
+		l.window.Ask(now, r.Workspace, r.tokens())
+		return l.submitBeyond(now, s, &r), true
+	case late && rank >= sat.rank:
+		l.window.Ask(now, r.Workspace, r.tokens())
+		return Verdict{ID: r.ID, Refused: Saturated, RetryAfter: l.spread(sat.back), Inputs: Inputs{Rank: rank, LineWait: sat.back}}, true
+	}
+	return Verdict{}, false
+}
+
 // submitBeyond decides on a request of a workspace that has had its share: it
 // goes to any target that has room, and never waits.
 func (l *Line) submitBeyond(now time.Time, s *service, r *Request) Verdict {
@@ -206,7 +231,8 @@
 		s.line.add(&entry{req: r, rank: c.inputs.Rank, give: giveUp(r)})
 		return v
 	}
-	v.RetryAfter = l.spread(max(wait, retryFirst))
+	s.saturated[r.Objective] = saturation{until: now.Add(fullLife), rank: c.inputs.Rank, back: wait}
+	v.RetryAfter = l.spread(wait)
 	return v
 }
 
@@ -389,6 +415,33 @@
 	l.window.Report(now, peer, use)
 }
 
+// fleetPeer stands for all other routers where their sum is reported.
+const fleetPeer ids.Instance = "the fleet"
+
+// ReportTotal takes the sum of the fleet, in which this router's own state is
+// included as it was a moment ago.
+func (l *Line) ReportTotal(now time.Time, loads []Load, backlogs []Backlog, use map[ids.Workspace]share.Use) {
+	for i := range loads {
+		if t := l.targets[loads[i].Target]; t != nil {
+			loads[i].Running = max(0, loads[i].Running-t.running)
+			loads[i].Pending = max(0, loads[i].Pending-t.pending)
+			loads[i].Memory = max(0, loads[i].Memory-t.memory)
+		}
+	}
+	for i := range backlogs {
+		if s := l.services[backlogs[i].Service]; s != nil {
+			backlogs[i].Requests = max(0, backlogs[i].Requests-s.line.len())
+			backlogs[i].Tokens = max(0, backlogs[i].Tokens-s.line.tokens())
+		}
+	}
+	for ws, own := range l.window.Own(now) {
+		if u, ok := use[ws]; ok {
+			use[ws] = share.Use{Asked: max(0, u.Asked-own.Asked), Started: max(0, u.Started-own.Started)}
+		}
+	}
+	l.Report(now, fleetPeer, loads, backlogs, use)
+}
+
 // Own returns this router's load, backlog and use for a report to all peers.
 // News of cached parts are in one report only.
 func (l *Line) Own(now time.Time) ([]Load, []Backlog, map[ids.Workspace]share.Use) {
--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -53,6 +53,9 @@
 	tightest   time.Duration
 	tightestAt time.Time
 
+	// saturated is until when requests of an objective are refused as one was a
+	// moment ago, if their rank is no better.
+	saturated map[time.Duration]saturation
 	// full is until when no target has room for workspaces beyond their share.
 	full time.Time
 
@@ -60,6 +63,12 @@
 	backlog map[ids.Instance]peerBacklog
 }
 
+type saturation struct {
+	until time.Time
+	rank  share.Rank
+	back  time.Duration
+}
+
 type peerBacklog struct {
 	at time.Time
 	Backlog
--- a/internal/daemon/command/command.go
+++ b/internal/daemon/command/command.go
@@ -119,11 +119,10 @@
 		return err
 	}
 	out := obs.NewAsync(os.Stdout, logLines)
-	defer out.Close()
 	logger.SetOutput(out)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return platform.Run(ctx, s, logger)
+	return errors.CombineErrors(platform.Run(ctx, s, logger), out.Close())
 }
 
 // cutOnSecond ends the process at the first signal after the one that ended
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -19,6 +19,9 @@
 	eventType = "text/event-stream"
 )
 
+// errLeft says that the caller left before anything was sent.
+var errLeft = errors.New("the caller has left")
+
 // attempt is one try at a target.
 type attempt struct {
 	*exchange
@@ -47,6 +50,7 @@
 	if err != nil {
 		a.entry.Error = err.Error()
 	}
+	e.left = errors.Is(err, errLeft)
 	if end != delivered && ctx.Err() != nil {
 		end = over
 		a.result = admit.Left
@@ -68,6 +72,10 @@
 		return notRun, err
 	}
 	a.conn = conn
+	if a.callerLeft() {
+		a.server.opts.Pool.Put(conn)
+		return over, errLeft
+	}
 	stop := context.AfterFunc(ctx, conn.Break)
 	defer stop()
 	if err := conn.Send(a.outgoing()); err != nil {
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -42,6 +42,8 @@
 	exclude []ids.Target
 	ran     int
 	refused int
+	// left is set where the caller was found to have left.
+	left bool
 	// held is a target's own failure, passed on if no further try is better.
 	held *answer
 	// stream is set once events were passed on.
@@ -178,7 +180,7 @@
 
 // timeUp ends a request whose caller left or whose time has passed.
 func (e *exchange) timeUp() {
-	if e.r.Context().Err() != nil {
+	if e.left || e.r.Context().Err() != nil {
 		e.entry.Outcome = "left"
 		e.server.counts.left.Inc(1)
 		return
--- /dev/null
+++ b/internal/edge/pressure.go
@@ -0,0 +1,91 @@
+package edge
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"runtime/metrics"
+	"sync/atomic"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/core/pressure"
+)
+
+const (
+	// pressureTick is the interval at which delays are observed.
+	pressureTick = 50 * time.Millisecond
+	// latencies is the runtime's histogram of the time that goroutines were
+	// ready before they ran: a timer's own lateness does not show it, since the
+	// runtime lets woken timers go first.
+	latencies = "/sched/latencies:seconds"
+	// latePart is the quantile of the delays that is observed.
+	latePart = 0.9
+	// busyRetryFirst and busyRetrySpread make the Retry-After of a busy router:
+	// soon, since a caller comes back at another one.
+	busyRetryFirst  = 100 * time.Millisecond
+	busyRetrySpread = 200 * time.Millisecond
+)
+
+// Pressure knows which share of the requests this router must refuse to keep up.
+type Pressure struct{ share atomic.Uint64 }
+
+// Run observes the delays of goroutines until ctx ends.
+func (p *Pressure) Run(ctx context.Context) {
+	var gauge pressure.Gauge
+	sample := []metrics.Sample{{Name: latencies}}
+	var last []uint64
+	ticker := time.NewTicker(pressureTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		metrics.Read(sample)
+		if sample[0].Value.Kind() != metrics.KindFloat64Histogram {
+			return
+		}
+		h := sample[0].Value.Float64Histogram()
+		share := gauge.Observe(lateQuantile(h, last))
+		last = append(last[:0], h.Counts...)
+		p.share.Store(math.Float64bits(share))
+	}
+}
+
+// lateQuantile returns the quantile latePart of what came to a histogram since
+// the counts last.
+func lateQuantile(h *metrics.Float64Histogram, last []uint64) time.Duration {
+	var total uint64
+	since := func(i int) uint64 {
+		if i < len(last) {
+			return h.Counts[i] - last[i]
+		}
+		return h.Counts[i]
+	}
+	for i := range h.Counts {
+		total += since(i)
+	}
+	left := uint64(latePart * float64(total))
+	for i := range h.Counts {
+		n := since(i)
+		if n > left {
+			return time.Duration(max(0, h.Buckets[i]) * float64(time.Second))
+		}
+		left -= n
+	}
+	return 0
+}
+
+// Share is the share to refuse.
+func (p *Pressure) Share() float64 { return math.Float64frombits(p.share.Load()) }
+
+// refuses decides on one request.
+func (p *Pressure) refuses() bool {
+	share := p.Share()
+	return share > 0 && rand.Float64() < share
+}
+
+func busyRetry() time.Duration {
+	return busyRetryFirst + time.Duration(rand.Float64()*float64(busyRetrySpread))
+}
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -129,6 +129,14 @@
 	}
 }
 
+// Hopeless tells whether a request would be refused as those of its workspace
+// just were, without a look at the targets.
+func (s *Scheduler) Hopeless(r admit.Request) (admit.Verdict, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.line.Hopeless(time.Now(), r)
+}
+
 // leave takes a request out of the line, or gives its target back unused.
 func (s *Scheduler) leave(id admit.ID, ch chan admit.Verdict) (admit.Verdict, bool) {
 	s.mu.Lock()
@@ -168,6 +176,11 @@
 	s.do(func(now time.Time) { s.line.Report(now, peer, loads, backlogs, use) })
 }
 
+// ReportTotal takes the sum of the fleet, this router's state included.
+func (s *Scheduler) ReportTotal(loads []admit.Load, backlogs []admit.Backlog, use map[ids.Workspace]share.Use) {
+	s.do(func(now time.Time) { s.line.ReportTotal(now, loads, backlogs, use) })
+}
+
 // Own returns this router's state for reports to peers.
 func (s *Scheduler) Own() ([]admit.Load, []admit.Backlog, map[ids.Workspace]share.Use) {
 	s.mu.Lock()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -37,6 +37,8 @@
 	Pool      *upstream.Pool
 	Log       Log
 	Scope     tally.Scope
+	// Pressure tells what this router can't carry; nothing where nil.
+	Pressure *Pressure
 	// Suspects isolates requests that crash targets; none where nil.
 	Suspects Suspects
 	// RetryRatio and RetryExtra bound the requests that reach a service again,
@@ -144,9 +146,28 @@
 	e.service = e.route.Pick(rand.Float64())
 	e.conf = v.config.Services[e.service]
 	e.deadline = e.arrived.Add(e.timeout())
+	if f := e.shed(); f != nil {
+		return f
+	}
 	return e.readBody(v.config.Limits.BodyBytes)
 }
 
+// shed refuses a request before its body is read, where this router falls behind
+// or where nothing could come of it. Plain services cost little and are spared.
+func (e *exchange) shed() *refusal {
+	if e.conf == nil || e.conf.Engine == nil {
+		return nil
+	}
+	if p := e.server.opts.Pressure; p != nil && p.refuses() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "router_busy", retryAfter: busyRetry()}
+	}
+	v, hopeless := e.server.opts.Scheduler.Hopeless(e.request())
+	if !hopeless {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: string(v.Refused), retryAfter: v.RetryAfter}
+}
+
 func (e *exchange) timeout() time.Duration {
 	limit := e.route.Timeout
 	if limit <= 0 {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +13,7 @@
 	peerv1 "github.com/umberhill/umberhill/api/peer/v1"
 	quarantinev1 "github.com/umberhill/umberhill/api/quarantine/v1"
 	"github.com/umberhill/umberhill/internal/core/admit"
+	"github.com/umberhill/umberhill/internal/core/hub"
 	"github.com/umberhill/umberhill/internal/core/share"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/peer"
@@ -22,8 +24,10 @@
 const (
 	// fleetName keeps links to programs of another kind out.
 	fleetName = "platform"
-	// reportInterval is how often routers tell each other their load.
+	// reportInterval is how often routers of a full mesh tell each other their
+	// load, hubInterval how often hubs and their routers do.
 	reportInterval = 50 * time.Millisecond
+	hubInterval    = 80 * time.Millisecond
 	// idleReports is how many unchanged reports are left out before one is sent
 	// again to show that it still holds.
 	idleReports = 4
@@ -51,6 +55,8 @@
 	node   *Node
 	mesh   *peer.Mesh
 	decode ConfigDecoder
+	plan   atomic.Pointer[hub.Plan]
+	sums   sums
 	// behind gets the peers that hold something newer.
 	behind chan behind
 }
@@ -68,7 +74,8 @@
 	if n.settings.Peer == "" {
 		return
 	}
-	f := &fleet{node: n, decode: decode, behind: make(chan behind, 16)}
+	f := &fleet{node: n, decode: decode, behind: make(chan behind, 16), sums: newSums()}
+	f.plan.Store(&hub.Plan{Direct: true})
 	f.mesh = peer.New(peer.Options{
 		Fleet:       fleetName,
 		Self:        n.settings.Instance,
@@ -85,13 +92,38 @@
 	n.fleet = f
 }
 
-// SetPeers tells the routers of the fleet, this one may be among them.
-func (n *Node) SetPeers(peers []settings.Seed) {
+// Router is a router of the fleet's list.
+type Router struct {
+	hub.Router
+	// Address at which it accepts links.
+	Address string
+}
+
+// SetRouters tells the routers of the fleet, this one may be among them.
+func (n *Node) SetRouters(list []Router) {
 	if n.fleet == nil {
 		return
 	}
-	n.fleet.mesh.SetPeers(peers)
-	n.server.SetRouters(len(peers))
+	n.fleet.setRouters(list)
+	n.server.SetRouters(len(list))
+}
+
+func (f *fleet) setRouters(list []Router) {
+	all := make([]hub.Router, 0, len(list))
+	byName := make(map[ids.Instance]Router, len(list))
+	for _, r := range list {
+		all = append(all, r.Router)
+		byName[r.Instance] = r
+	}
+	s := f.node.settings
+	plan := hub.Choose(hub.Router{Instance: s.Instance, Domain: s.Domain, Capacity: s.Capacity}, all)
+	f.plan.Store(&plan)
+	seeds := make([]settings.Seed, 0, len(plan.Links))
+	for _, name := range plan.Links {
+		r := byName[name]
+		seeds = append(seeds, settings.Seed{Instance: string(name), Address: r.Address, Domain: string(r.Domain)})
+	}
+	f.mesh.SetPeers(seeds)
 }
 
 func (n *Node) startFleet(ctx context.Context) {
@@ -116,26 +148,49 @@
 	return beat
 }
 
-// report sends this router's load to all peers.
+// report tells this router's load, and as a hub the sums.
 func (f *fleet) report(ctx context.Context) {
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(reportInterval)
+	defer timer.Stop()
 	same := 0
 	var last *fleetv1.Report
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		plan := f.plan.Load()
+		timer.Reset(interval(plan))
 		report := f.own()
-		if empty(report) && empty(last) && same < idleReports {
+		if empty(report) && empty(last) && same < idleReports && !plan.Hub {
 			same++
 			continue
 		}
 		same, last = 0, report
-		env := &peerv1.Envelope{Body: &peerv1.Envelope_Fleet{Fleet: report}}
-		for _, p := range f.mesh.Live() {
+		if plan.Direct {
+			f.tell(report, func(peer.Peer) bool { return true })
+			continue
+		}
+		f.tell(report, func(p peer.Peer) bool { return plan.IsHub(f.node.settings.Domain, p.Instance) })
+		if plan.Hub {
+			f.tellSums(plan, report)
+		}
+	}
+}
+
+func interval(p *hub.Plan) time.Duration {
+	if p.Direct {
+		return reportInterval
+	}
+	return hubInterval
+}
+
+// tell sends a report to the live peers that are meant.
+func (f *fleet) tell(r *fleetv1.Report, meant func(peer.Peer) bool) {
+	env := &peerv1.Envelope{Body: &peerv1.Envelope_Fleet{Fleet: r}}
+	for _, p := range f.mesh.Live() {
+		if meant(p) {
 			f.mesh.Send(p.Instance, env)
 		}
 	}
@@ -147,11 +202,8 @@
 
 func (f *fleet) own() *fleetv1.Report {
 	loads, backlogs, use := f.node.scheduler.Own()
-	r := &fleetv1.Report{
-		TargetsAsOf:   f.held(methodTargets),
-		ConfigVersion: f.held(methodConfig),
-		VerifiedAgeMs: uint32(min(f.node.fresh.age(time.Now()), maxAge).Milliseconds()),
-	}
+	r := new(fleetv1.Report)
+	f.stamp(r)
 	for _, l := range loads {
 		r.Targets = append(r.Targets, &fleetv1.TargetLoad{
 			Target:  string(l.Target),
@@ -174,6 +226,13 @@
 	return r
 }
 
+// stamp says which state of the store the sender holds.
+func (f *fleet) stamp(r *fleetv1.Report) {
+	r.TargetsAsOf = f.held(methodTargets)
+	r.ConfigVersion = f.held(methodConfig)
+	r.VerifiedAgeMs = uint32(min(f.node.fresh.age(time.Now()), maxAge).Milliseconds())
+}
+
 // tellSuspects tells all linked routers of requests that crash targets.
 func (n *Node) tellSuspects(m *quarantinev1.Message) {
 	if n.fleet == nil {
@@ -189,12 +248,13 @@
 func (f *fleet) Receive(from peer.Peer, env *peerv1.Envelope) {
 	if m := env.GetQuarantine(); m != nil {
 		f.node.suspects.Receive(from.Instance, m)
+		f.pass(from, env)
 	}
 	report := env.GetFleet()
 	if report == nil {
 		return
 	}
-	f.take(from.Instance, report)
+	f.sort(from, report)
 	f.compare(behind{peer: from.Instance, method: methodTargets, revision: report.GetTargetsAsOf()})
 	f.compare(behind{peer: from.Instance, method: methodConfig, revision: report.GetConfigVersion()})
 	f.node.fresh.heard(time.Now(), time.Duration(report.GetVerifiedAgeMs())*time.Millisecond)
@@ -222,10 +282,17 @@
 	}
 }
 
-func (f *fleet) take(from ids.Instance, r *fleetv1.Report) {
-	loads := make([]admit.Load, 0, len(r.GetTargets()))
+// decoded is a report in the types of the line.
+type decoded struct {
+	loads    []admit.Load
+	backlogs []admit.Backlog
+	use      map[ids.Workspace]share.Use
+}
+
+func decode(r *fleetv1.Report) decoded {
+	d := decoded{use: make(map[ids.Workspace]share.Use, len(r.GetWorkspaces()))}
 	for _, t := range r.GetTargets() {
-		loads = append(loads, admit.Load{
+		d.loads = append(d.loads, admit.Load{
 			Target:  ids.Target(t.GetTarget()),
 			Running: int(t.GetRunning()),
 			Pending: int(t.GetPending()),
@@ -233,17 +300,15 @@
 			Cached:  t.GetCached(),
 		})
 	}
-	backlogs := make([]admit.Backlog, 0, len(r.GetBacklogs()))
 	for _, b := range r.GetBacklogs() {
-		backlogs = append(backlogs, admit.Backlog{
+		d.backlogs = append(d.backlogs, admit.Backlog{
 			Service: b.GetService(), Requests: int(b.GetRequests()), Tokens: int(b.GetTokens()),
 		})
 	}
-	use := make(map[ids.Workspace]share.Use, len(r.GetWorkspaces()))
 	for _, w := range r.GetWorkspaces() {
-		use[ids.Workspace(w.GetWorkspace())] = share.Use{Asked: float64(w.GetAsked()), Started: float64(w.GetStarted())}
+		d.use[ids.Workspace(w.GetWorkspace())] = share.Use{Asked: float64(w.GetAsked()), Started: float64(w.GetStarted())}
 	}
-	f.node.scheduler.Report(from, loads, backlogs, use)
+	return d
 }
 
 // Changed implements peer.Handler.
--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -22,6 +22,10 @@
 	verifyRanks = 3
 	// verifyTick is how often the age is looked at.
 	verifyTick = 50 * time.Millisecond
+	// watchPause is between the watches of a router that others rely on or that
+	// has no hub, fedPause between those of one that a hub will soon feed.
+	watchPause = 100 * time.Millisecond
+	fedPause   = 700 * time.Millisecond
 	// verifyPause follows a failed reading.
 	verifyPause = 300 * time.Millisecond
 )
@@ -51,6 +55,28 @@
 	return now.Sub(f.verified)
 }
 
+// Fed tells whether hubs keep this router up to date, so that it need not watch
+// the store itself.
+func (n *Node) Fed() bool {
+	if n.fleet == nil {
+		return false
+	}
+	plan := n.fleet.plan.Load()
+	return !plan.Direct && !plan.Hub && n.fresh.age(time.Now()) < verifyAfter+verifyRanks*verifyStep
+}
+
+// WatchPause is the least time between two watches of the store, so that changes
+// in quick succession do not cost a call each.
+func (n *Node) WatchPause() time.Duration {
+	if n.fleet == nil {
+		return watchPause
+	}
+	if plan := n.fleet.plan.Load(); plan.Direct || plan.Hub {
+		return watchPause
+	}
+	return fedPause
+}
+
 // SetVerifier sets how the store is read again; it must come before Run.
 func (n *Node) SetVerifier(v Verifier) { n.verifier = v }
 
@@ -86,9 +112,16 @@
 	if n.fleet == nil {
 		return 0
 	}
+	plan := n.fleet.plan.Load()
+	if !plan.Direct && !plan.Hub {
+		return verifyRanks
+	}
 	var live []ids.Instance
 	for _, p := range n.fleet.mesh.Live() {
-		live = append(live, p.Instance)
+		// A hub's routers leave the duty to the hubs.
+		if plan.Direct || plan.IsHub(p.Domain, p.Instance) {
+			live = append(live, p.Instance)
+		}
 	}
 	return rankOf(n.settings.Instance, live)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,8 @@
 	Callers, Ready, Peer, Metrics string
 	// MemoryMB is the memory limit of the process, 0 for none.
 	MemoryMB int
+	// Capacity is the share of processors that the process has.
+	Capacity float64
 	// DrainWithin bounds how long a leaving target may still get requests.
 	DrainWithin time.Duration
 	// StopLead is how long a stopping router still takes new connections, so that
@@ -91,6 +93,7 @@
 	targets *routing.Targets
 
 	suspects  *quarantine.Controller
+	pressure  edge.Pressure
 	directory *Targets
 	// targetsAsOf is the store's revision at which the targets last changed.
 	targetsAsOf atomic.Uint64
@@ -140,6 +143,7 @@
 		Pool:       n.pool,
 		Log:        n.log,
 		Suspects:   n.suspects,
+		Pressure:   &n.pressure,
 		Scope:      n.scope,
 		RetryRatio: s.RetryRatio,
 		RetryExtra: s.RetryExtra,
@@ -240,6 +244,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdle,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       edge.WithConn,
 	}
 	duties, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
@@ -250,6 +255,7 @@
 	n.duties.Go(func() { n.directory.run(duties) })
 	n.duties.Go(func() { n.sweep(duties) })
 	n.duties.Go(func() { n.verify(duties) })
+	n.duties.Go(func() { n.pressure.Run(duties) })
 	n.duties.Go(func() {
 		if err := n.suspects.Run(duties); err != nil {
 			n.logger.WithError(err).Error("quarantine ended")
@@ -272,7 +278,10 @@
 }
 
 func listen(what, address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+	// Without probes a new connection costs fewer system calls; idle ones are
+	// closed by their timeout.
+	config := net.ListenConfig{KeepAlive: -1}
+	l, err := config.Listen(context.Background(), "tcp", address)
 	return l, errors.Wrapf(err, "listen for %s on %s", what, address)
 }
 
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -36,20 +37,30 @@
 // quiet tells whether an idle connection is open and has nothing to read: bytes
 // that came after the last answer belong to no request.
 func (c *Conn) quiet() bool {
-	sc, ok := c.raw.(syscall.Conn)
+	_, err := peek(c.raw)
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// Ended tells whether the other side of a connection has closed it, also where
+// the goroutine that reads from it has not yet run.
+func Ended(conn net.Conn) bool {
+	n, err := peek(conn)
+	return err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
+}
+
+// peek looks at a connection's next byte without waiting for one.
+func peek(conn net.Conn) (n int, err error) {
+	sc, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, unix.EAGAIN
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	controlErr := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, rerr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = rerr == unix.EAGAIN
-		return true
+		n, _, err = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && quiet
+	return n, errors.CombineErrors(err, controlErr)
 }
