umberhill-bench replay: load patterns against the decisions; more unread tokens, dearer re-reading

Change found with it: unread tokens up to 0.7 of the tightest objective (0.5 before), 0.2 ms for each token read again (0.1).

--- a/internal/bench/command.go
+++ b/internal/bench/command.go
@@ -23,6 +23,7 @@
 			measureCommand(out),
 			soakCommand(out),
 			loadCommand(out),
+			replayCommand(out),
 		},
 	}
 }
--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -13,7 +13,7 @@
 const (
 	// readyShare is the part of the tightest latency objective that the tokens
 	// not yet read at an engine may take.
-	readyShare = 0.5
+	readyShare = 0.7
 	// memoryShare is the part of an engine's memory that requests may fill, so
 	// that running ones are not preempted as they grow.
 	memoryShare = 0.85
@@ -30,7 +30,7 @@
 	busyPenalty = 60 * time.Millisecond
 	// rereadCost is what each token of a shared part adds that another engine
 	// holds already: reading it again takes engines' time from others.
-	rereadCost = 100 * time.Microsecond
+	rereadCost = 200 * time.Microsecond
 	// strayCost is what each token of a shared part that no engine holds adds at
 	// engines other than the one that routers agree on.
 	strayCost = 20 * time.Microsecond
--- /dev/null
+++ b/internal/replay/pattern.go
@@ -0,0 +1,182 @@
+package replay
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/core/admit"
+	"github.com/umberhill/umberhill/internal/ids"
+)
+
+// Kind is a kind of request of a pattern.
+type Kind struct {
+	Name string
+	// PerSecond is its rate at the pattern's full load.
+	PerSecond float64
+	// Subjects share a part of Shared tokens each; Own tokens follow.
+	Subjects    int
+	Shared, Own int
+	Output      int
+	Objective   time.Duration
+	Deadline    time.Duration
+}
+
+// Pattern is a seeded load.
+type Pattern struct {
+	Name string
+	// Answers what it is for.
+	About      string
+	Length     time.Duration
+	Routers    int
+	Engines    int
+	Workspaces int
+	Spec       EngineSpec
+	Kinds      []Kind
+	// Load is the part of the full rate at a time.
+	Load func(at time.Duration) float64
+	// Flood is how many times its usual the first workspace sends at a time.
+	Flood func(at time.Duration) float64
+	// HotSubject is the share of a kind's requests that are of one subject.
+	HotSubject float64
+	// Down tells whether an engine is away at a time.
+	Down func(engine int, at time.Duration) bool
+	// TokensPerSecond is what is stated of all engines together.
+	TokensPerSecond float64
+}
+
+// request is a caller's request in the model.
+type request struct {
+	admit.Request
+	kind     *Kind
+	at       time.Duration // first asked
+	router   int
+	tries    int
+	firstTry bool
+}
+
+func (r *request) size() int { return r.Prompt + r.Output }
+
+const (
+	second = time.Second
+	// length of the patterns.
+	length = 30 * second
+	// spreadOwn is the spread of the sizes (log-normal sigma).
+	spreadOwn = 0.8
+)
+
+func mixed() []Kind {
+	return []Kind{
+		{Name: "digest", PerSecond: 40, Subjects: 95, Shared: 5000, Own: 6000, Output: 380, Objective: 800 * time.Millisecond, Deadline: 15 * second},
+		{Name: "chat", PerSecond: 90, Subjects: 140, Shared: 200, Own: 600, Output: 290, Objective: 300 * time.Millisecond, Deadline: 15 * second},
+		{Name: "query", PerSecond: 60, Subjects: 145, Shared: 570, Own: 1800, Output: 22, Objective: 400 * time.Millisecond, Deadline: 3 * second},
+	}
+}
+
+func base(name, about string) Pattern {
+	return Pattern{
+		Name: name, About: about, Length: length, Routers: 8, Engines: 9, Workspaces: 16, Kinds: mixed(),
+		Spec: EngineSpec{
+			Slots: 64, MemoryTokens: 650_000, Step: 4 * time.Millisecond, PerRequest: 25 * time.Microsecond,
+			TokensPerMs: 65, Chunk: 1024, EventTokens: 5,
+		},
+		Load:            func(time.Duration) float64 { return 0.6 },
+		TokensPerSecond: 270_000,
+	}
+}
+
+func between(from, to time.Duration, inside, outside float64) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at >= from && at < to {
+			return inside
+		}
+		return outside
+	}
+}
+
+// Patterns returns the load patterns by their order in reports.
+func Patterns() []Pattern {
+	calm := base("calm", "less than the engines carry")
+	overload := base("overload", "steadily more than the engines carry")
+	overload.Load = func(time.Duration) float64 { return 1.3 }
+	burst := base("burst", "twice the load for some seconds")
+	burst.Load = between(8*second, 14*second, 1.6, 0.7)
+	flood := base("flood", "one workspace sends many times its usual")
+	flood.Load = func(time.Duration) float64 { return 0.7 }
+	flood.Flood = between(5*second, 20*second, 20, 1)
+	hot := base("hot-key", "a third of the requests are of one subject")
+	hot.HotSubject = 0.33
+	hot.Load = func(time.Duration) float64 { return 0.8 }
+	loss := base("engine-loss", "a third of the engines go for some seconds")
+	loss.Load = func(time.Duration) float64 { return 0.8 }
+	loss.Down = func(engine int, at time.Duration) bool { return engine < 3 && at >= 8*second && at < 16*second }
+	return []Pattern{calm, overload, burst, flood, hot, loss}
+}
+
+// generate draws a pattern's requests in the order of their times.
+func (p *Pattern) generate(random *rand.Rand) []*request {
+	var out []*request
+	const tick = 5 * time.Millisecond
+	weights := make([]float64, p.Workspaces)
+	for i := range weights {
+		weights[i] = 1 / float64(i+2)
+	}
+	for at := time.Duration(0); at < p.Length; at += tick {
+		for k := range p.Kinds {
+			kind := &p.Kinds[k]
+			for ws, w := range p.at(weights, at) {
+				mean := kind.PerSecond * p.Load(at) * w * tick.Seconds()
+				for range poisson(random, mean) {
+					out = append(out, p.draw(random, kind, ws, at))
+				}
+			}
+		}
+	}
+	return out
+}
+
+// at returns each workspace's part of the load; a flood comes on top.
+func (p *Pattern) at(weights []float64, at time.Duration) []float64 {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	out := make([]float64, len(weights))
+	for i, w := range weights {
+		out[i] = w / sum
+	}
+	if p.Flood != nil {
+		out[0] *= p.Flood(at)
+	}
+	return out
+}
+
+func (p *Pattern) draw(random *rand.Rand, kind *Kind, ws int, at time.Duration) *request {
+	subject := random.IntN(kind.Subjects)
+	if random.Float64() < p.HotSubject {
+		subject = 0
+	}
+	own := max(16, int(float64(kind.Own)*math.Exp(spreadOwn*random.NormFloat64()-spreadOwn*spreadOwn/2)))
+	output := max(1, int(float64(kind.Output)*(0.5+random.Float64())))
+	shared := uint64(len(kind.Name))<<40 | uint64(kind.Shared)<<20 | uint64(subject)
+	r := &request{kind: kind, at: at, router: random.IntN(p.Routers), firstTry: true}
+	r.Request = admit.Request{
+		Service:   "llm",
+		Workspace: ids.Workspace(rune('a' + ws)),
+		Parts:     []admit.Part{{Key: shared, Tokens: kind.Shared}, {Key: random.Uint64(), Tokens: own}},
+		Prompt:    kind.Shared + own,
+		Output:    output,
+		Objective: kind.Objective,
+	}
+	return r
+}
+
+// poisson draws a number with a small mean.
+func poisson(random *rand.Rand, mean float64) int {
+	limit, n, product := math.Exp(-mean), 0, random.Float64()
+	for product > limit {
+		n++
+		product *= random.Float64()
+	}
+	return n
+}
