--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -64,6 +64,8 @@
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
 	routers int
+	// ratio and extra bound the fleet's retries.
+	ratio, extra float64
 }
 
 // view is the configuration in force.
@@ -77,7 +79,7 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	return &Server{opts: o, counts: newCounters(o.Scope), budgets: make(map[string]*retry.Budget), routers: 1}
+	return &Server{opts: o, counts: newCounters(o.Scope), budgets: make(map[string]*retry.Budget), routers: 1, ratio: o.RetryRatio, extra: o.RetryExtra}
 }
 
 // SetConfig puts a configuration in force for requests that come from now on.
@@ -98,14 +100,25 @@
 	}
 }
 
-func (s *Server) burst() int { return int(budgetMargin * s.opts.RetryExtra / float64(s.routers)) }
+// SetRetries changes the bounds of the fleet's retries.
+func (s *Server) SetRetries(ratio, extra float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ratio == s.ratio && extra == s.extra {
+		return
+	}
+	s.ratio, s.extra = ratio, extra
+	clear(s.budgets)
+}
+
+func (s *Server) burst() int { return int(budgetMargin * s.extra / float64(s.routers)) }
 
 func (s *Server) budget(service string) *retry.Budget {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.budgets[service]
 	if b == nil {
-		b = retry.New(budgetMargin*s.opts.RetryRatio, s.burst())
+		b = retry.New(budgetMargin*s.ratio, s.burst())
 		s.budgets[service] = b
 	}
 	return b
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,6 +89,7 @@
 	fleet     *fleet
 
 	mu      sync.Mutex
+	grace   time.Duration
 	config  *routing.Config
 	targets *routing.Targets
 
@@ -108,7 +109,7 @@
 // New builds a node; Run starts it.
 func New(s Settings, dialect edge.Dialect, logger *logrus.Logger) *Node {
 	now := time.Now()
-	n := &Node{settings: s, incarnation: ids.Incarnation(now.UnixNano()), targets: routing.NewTargets(nil)}
+	n := &Node{settings: s, incarnation: ids.Incarnation(now.UnixNano()), targets: routing.NewTargets(nil), grace: s.Grace}
 	n.logger = logger.WithFields(logrus.Fields{"instance": s.Instance, "domain": s.Domain})
 	n.scope, n.metrics, n.metricsEnd = obs.NewScope(nil)
 	if s.MemoryMB > 0 {
@@ -154,6 +155,19 @@
 // Logger is the node's logger.
 func (n *Node) Logger() *logrus.Entry { return n.logger }
 
+// Reload takes the settings that may change while the node runs: the bounds of
+// retries and of a planned stop. Names and addresses need a restart.
+func (n *Node) Reload(s Settings) {
+	n.mu.Lock()
+	n.grace = s.Grace
+	n.mu.Unlock()
+	n.server.SetRetries(s.RetryRatio, s.RetryExtra)
+	old := n.settings
+	if s.Instance != old.Instance || s.Domain != old.Domain || s.Callers != old.Callers || s.Ready != old.Ready || s.Peer != old.Peer {
+		n.logger.Warn("the settings' names or addresses have changed; that needs a restart")
+	}
+}
+
 // Scope is the node's metrics scope.
 func (n *Node) Scope() tally.Scope { return n.scope }
 
@@ -344,7 +358,10 @@
 func (n *Node) stop(server *http.Server) {
 	n.logger.Info("router stopping")
 	n.draining.Store(true)
-	deadline := time.Now().Add(max(n.settings.Grace-stopReserve, n.settings.StopLead))
+	n.mu.Lock()
+	grace := n.grace
+	n.mu.Unlock()
+	deadline := time.Now().Add(max(grace-stopReserve, n.settings.StopLead))
 	time.Sleep(n.settings.StopLead)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -110,7 +110,7 @@
 	if encoded.Body != nil {
 		body = bytes.NewReader(encoded.Body)
 	}
-	req, err := http.NewRequestWithContext(ctx, encoded.Method, c.base+encoded.Path, body)
+	req, err := http.NewRequestWithContext(ctx, encoded.Method, c.url()+encoded.Path, body)
 	if err != nil {
 		return nil, err
 	}
@@ -137,7 +137,7 @@
 	if err == nil || errors.Is(err, ErrNotFound) || errors.Is(err, ErrCompacted) {
 		return err
 	}
-	return &ReadError{Step: cl.step(), Peer: c.base, Status: ans.status, RetryAfter: ans.retryAfter, Err: err}
+	return &ReadError{Step: cl.step(), Peer: c.url(), Status: ans.status, RetryAfter: ans.retryAfter, Err: err}
 }
 
 func (c *Client) readResult(cl Call, ans answer, decode func(body []byte) error) error {
@@ -158,9 +158,9 @@
 	ans, connected, err := c.do(ctx, cl, maxObjectBytes)
 	switch {
 	case err != nil && !connected:
-		err = &NotAppliedError{Step: cl.step(), Peer: c.base, Err: err}
+		err = &NotAppliedError{Step: cl.step(), Peer: c.url(), Err: err}
 	case err != nil:
-		err = &UnsureError{Step: cl.step(), Peer: c.base, Err: err}
+		err = &UnsureError{Step: cl.step(), Peer: c.url(), Err: err}
 	default:
 		err = c.writeResult(cl, ans, decode)
 	}
@@ -172,7 +172,7 @@
 	switch c.wire.Fate(cl.Op, ans.status, ans.header) {
 	case Done:
 		if err := decode(ans.body); err != nil {
-			return &UnsureError{Step: cl.step(), Peer: c.base, Err: err}
+			return &UnsureError{Step: cl.step(), Peer: c.url(), Err: err}
 		}
 		return nil
 	case Conflicting:
@@ -181,18 +181,18 @@
 		return ErrNotFound
 	case NotApplied:
 		return &NotAppliedError{
-			Step: cl.step(), Peer: c.base, Status: ans.status,
+			Step: cl.step(), Peer: c.url(), Status: ans.status,
 			RetryAfter: ans.retryAfter, Err: statusError(ans),
 		}
 	default:
-		return &UnsureError{Step: cl.step(), Peer: c.base, Err: statusError(ans)}
+		return &UnsureError{Step: cl.step(), Peer: c.url(), Err: statusError(ans)}
 	}
 }
 
 func (c *Client) conflict(cl Call, ans answer) error {
 	current, err := c.wire.Object(cl, ans.body)
 	if err != nil {
-		return &NotAppliedError{Step: cl.step(), Peer: c.base, Status: ans.status, Err: err}
+		return &NotAppliedError{Step: cl.step(), Peer: c.url(), Status: ans.status, Err: err}
 	}
 	return &ConflictError{Current: current}
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -76,7 +77,7 @@
 
 // Client calls the service. It is safe for concurrent use.
 type Client struct {
-	base    string
+	base    atomic.Pointer[string]
 	token   string
 	timeout time.Duration
 	wire    Wire
@@ -95,16 +96,25 @@
 	if o.Wire == nil {
 		o.Wire = ownWire{}
 	}
-	return &Client{
+	c := &Client{
 		wire:    o.Wire,
-		base:    strings.TrimSuffix(o.URL, "/"),
 		token:   o.Token,
 		timeout: o.Timeout,
 		scope:   o.Scope,
 		http:    newHTTPClient(o.Timeout),
 	}
+	c.SetURL(o.URL)
+	return c
 }
 
+// SetURL changes the service's URL for the calls to come.
+func (c *Client) SetURL(url string) {
+	base := strings.TrimSuffix(url, "/")
+	c.base.Store(&base)
+}
+
+func (c *Client) url() string { return *c.base.Load() }
+
 // Get returns an object, or ErrNotFound.
 func (c *Client) Get(ctx context.Context, kind api.Kind, name string) (Object, error) {
 	cl := Call{Op: OpGet, Kind: kind, Name: name}
@@ -160,7 +170,7 @@
 	cl := Call{Op: OpPut, Kind: kind, Name: name, Value: value, Condition: cond}
 	if len(value) > MaxValueBytes {
 		err := errors.Newf("value of %d bytes is over the limit of %d", len(value), MaxValueBytes)
-		return Object{}, &NotAppliedError{Step: cl.step(), Peer: c.base, Err: err}
+		return Object{}, &NotAppliedError{Step: cl.step(), Peer: c.url(), Err: err}
 	}
 	var out Object
 	err := c.write(ctx, cl, func(body []byte) error {
