--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -34,6 +34,8 @@
 	conf      *routing.Service
 	workspace ids.Workspace
 	body      []byte
+	// reserved are the bytes held for the body.
+	reserved int64
 	// fingerprint is the same for all tries of a caller's request.
 	fingerprint uint64
 
@@ -205,6 +207,7 @@
 
 // finish writes the request's line.
 func (e *exchange) finish() {
+	e.server.bodies.give(e.reserved)
 	e.entry.Took = time.Since(e.arrived)
 	e.entry.Events = e.stream.events
 	if e.entry.Outcome == "served" {
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -1,14 +1,12 @@
 package edge
 
 import (
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/umberhill/umberhill/internal/core/retry"
@@ -41,6 +39,8 @@
 	Pressure *Pressure
 	// Suspects isolates requests that crash targets; none where nil.
 	Suspects Suspects
+	// MaxBodies bounds the bytes of all bodies held at a time, 0 for no bound.
+	MaxBodies int64
 	// RetryRatio and RetryExtra bound the requests that reach a service again,
 	// over the whole fleet: ratio x requests + extra in a window.
 	RetryRatio, RetryExtra float64
@@ -60,6 +60,7 @@
 	opts   Options
 	view   atomic.Pointer[view]
 	counts counters
+	bodies bodies
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -79,7 +80,9 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	return &Server{opts: o, counts: newCounters(o.Scope), budgets: make(map[string]*retry.Budget), routers: 1, ratio: o.RetryRatio, extra: o.RetryExtra}
+	s := &Server{opts: o, counts: newCounters(o.Scope), budgets: make(map[string]*retry.Budget), routers: 1, ratio: o.RetryRatio, extra: o.RetryExtra}
+	s.bodies.limit = o.MaxBodies
+	return s
 }
 
 // SetConfig puts a configuration in force for requests that come from now on.
@@ -192,35 +195,6 @@
 	return limit
 }
 
-func (e *exchange) readBody(limit int64) *refusal {
-	if e.r.ContentLength == 0 {
-		return nil
-	}
-	body := e.r.Body
-	if limit > 0 {
-		if e.r.ContentLength > limit {
-			return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
-		}
-		body = http.MaxBytesReader(e.w, body, limit)
-	}
-	var err error
-	if n := e.r.ContentLength; n > 0 {
-		e.body = make([]byte, n)
-		_, err = io.ReadFull(body, e.body)
-	} else {
-		e.body, err = io.ReadAll(body)
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return nil
-	case errors.As(err, &tooLarge):
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
-	default:
-		return &refusal{status: http.StatusBadRequest, reason: "body_cut", detail: err.Error()}
-	}
-}
-
 // counters of a server.
 type counters struct {
 	served, refused, failed, retried, resumed, left tally.Counter
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,9 @@
 	// heapShare is the part of the memory limit from which garbage is collected
 	// more often rather than let the heap grow.
 	heapShare = 0.6
+	// bodyShare is the part of the memory limit that callers' bodies may take:
+	// they are held once, and once more while they are sent.
+	bodyShare = 0.2
 	// gcPercent lets the heap grow more between collections than Go's default:
 	// the live heap is small against the memory limit.
 	gcPercent = 400
@@ -145,6 +148,7 @@
 		Log:        n.log,
 		Suspects:   n.suspects,
 		Pressure:   &n.pressure,
+		MaxBodies:  int64(bodyShare * float64(s.MemoryMB<<20)),
 		Scope:      n.scope,
 		RetryRatio: s.RetryRatio,
 		RetryExtra: s.RetryExtra,
