--- a/internal/daemon/command/command.go
+++ b/internal/daemon/command/command.go
@@ -60,8 +60,11 @@
 				Action:    run,
 			},
 			{
-				Name:   "serve",
-				Usage:  "run the router on the users' platform, whose settings file the environment names",
+				Name:  "serve",
+				Usage: "run the router on the users' platform, whose settings file the environment names",
+				Flags: []cli.Flag{&cli.IntFlag{
+					Name: "metrics-port", Usage: "port of the metrics; the second internal port where 0",
+				}},
 				Action: serve,
 			},
 			{
@@ -109,11 +112,14 @@
 }
 
 // serve runs the router with the platform's own settings file.
-func serve(ctx context.Context, _ *cli.Command) error {
+func serve(ctx context.Context, cmd *cli.Command) error {
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return err
 	}
+	if port := cmd.Int("metrics-port"); port != 0 {
+		s.SetMetricsPort(port)
+	}
 	logger, err := obs.Logger(settings.Log{})
 	if err != nil {
 		return err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -280,7 +280,7 @@
 		}
 	})
 	if err := n.startMetrics(); err != nil {
-		return err
+		n.logger.WithError(err).Error("metrics are not served")
 	}
 	n.startFleet(duties)
 	n.logger.WithFields(logrus.Fields{
