--- /dev/null
+++ b/internal/node/decode.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	fleetv1 "github.com/umberhill/umberhill/api/fleet/v1"
+	"github.com/umberhill/umberhill/internal/core/admit"
+	"github.com/umberhill/umberhill/internal/core/share"
+	"github.com/umberhill/umberhill/internal/ids"
+)
+
+// decoded is a report in the types of the line.
+type decoded struct {
+	loads    []admit.Load
+	backlogs []admit.Backlog
+	use      map[ids.Workspace]share.Use
+}
+
+func decode(r *fleetv1.Report) decoded {
+	d := decoded{use: make(map[ids.Workspace]share.Use, len(r.GetWorkspaces()))}
+	for _, t := range r.GetTargets() {
+		d.loads = append(d.loads, admit.Load{
+			Target:  ids.Target(t.GetTarget()),
+			Running: int(t.GetRunning()),
+			Pending: int(t.GetPending()),
+			Memory:  int(t.GetMemory()),
+			Cached:  t.GetCached(),
+		})
+	}
+	for _, b := range r.GetBacklogs() {
+		d.backlogs = append(d.backlogs, admit.Backlog{
+			Service: b.GetService(), Requests: int(b.GetRequests()), Tokens: int(b.GetTokens()),
+		})
+	}
+	for _, w := range r.GetWorkspaces() {
+		d.use[ids.Workspace(w.GetWorkspace())] = share.Use{Asked: float64(w.GetAsked()), Started: float64(w.GetStarted())}
+	}
+	return d
+}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -5,16 +5,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
-
 	fleetv1 "github.com/umberhill/umberhill/api/fleet/v1"
 	peerv1 "github.com/umberhill/umberhill/api/peer/v1"
 	quarantinev1 "github.com/umberhill/umberhill/api/quarantine/v1"
-	"github.com/umberhill/umberhill/internal/core/admit"
 	"github.com/umberhill/umberhill/internal/core/hub"
-	"github.com/umberhill/umberhill/internal/core/share"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/peer"
 	"github.com/umberhill/umberhill/internal/routing"
@@ -61,14 +55,6 @@
 	behind chan behind
 }
 
-// behind says that a peer holds a newer configuration or list of targets.
-type behind struct {
-	peer   ids.Instance
-	method string
-	// revision that the peer holds.
-	revision uint64
-}
-
 // JoinFleet prepares the links to other routers; it must come before Run.
 func (n *Node) JoinFleet(decode ConfigDecoder) {
 	if n.settings.Peer == "" {
@@ -260,57 +246,6 @@
 	f.node.fresh.heard(time.Now(), time.Duration(report.GetVerifiedAgeMs())*time.Millisecond)
 }
 
-// held is the revision of what this router holds itself.
-func (f *fleet) held(method string) uint64 {
-	if method == methodTargets {
-		return f.node.targetsAsOf.Load()
-	}
-	if c := f.node.Config(); c != nil {
-		return c.Version
-	}
-	return 0
-}
-
-func (f *fleet) compare(b behind) {
-	if b.revision <= f.held(b.method) {
-		return
-	}
-	select {
-	case f.behind <- b:
-	default:
-		// The next report tells again.
-	}
-}
-
-// decoded is a report in the types of the line.
-type decoded struct {
-	loads    []admit.Load
-	backlogs []admit.Backlog
-	use      map[ids.Workspace]share.Use
-}
-
-func decode(r *fleetv1.Report) decoded {
-	d := decoded{use: make(map[ids.Workspace]share.Use, len(r.GetWorkspaces()))}
-	for _, t := range r.GetTargets() {
-		d.loads = append(d.loads, admit.Load{
-			Target:  ids.Target(t.GetTarget()),
-			Running: int(t.GetRunning()),
-			Pending: int(t.GetPending()),
-			Memory:  int(t.GetMemory()),
-			Cached:  t.GetCached(),
-		})
-	}
-	for _, b := range r.GetBacklogs() {
-		d.backlogs = append(d.backlogs, admit.Backlog{
-			Service: b.GetService(), Requests: int(b.GetRequests()), Tokens: int(b.GetTokens()),
-		})
-	}
-	for _, w := range r.GetWorkspaces() {
-		d.use[ids.Workspace(w.GetWorkspace())] = share.Use{Asked: float64(w.GetAsked()), Started: float64(w.GetStarted())}
-	}
-	return d
-}
-
 // Changed implements peer.Handler.
 func (f *fleet) Changed(live []peer.Peer) {
 	names := make([]ids.Instance, 0, len(live))
@@ -319,77 +254,3 @@
 	}
 	f.node.logger.WithField("peers", names).Info("live routers changed")
 }
-
-// Serve implements peer.Handler.
-func (f *fleet) Serve(ctx context.Context, _ peer.Peer, method string, _ []byte) ([]byte, error) {
-	switch method {
-	case methodConfig:
-		if c := f.node.Config(); c != nil {
-			return c.Raw, nil
-		}
-		return nil, errors.New("no configuration yet")
-	case methodTargets:
-		list := f.node.directory.list(ctx)
-		if list == nil {
-			return nil, errors.New("no list of targets")
-		}
-		return proto.Marshal(list)
-	}
-	return nil, errors.Newf("unknown method %q", method)
-}
-
-// pull fetches from peers what is newer than what this router holds: they may
-// reach the platform's store while this router does not.
-func (f *fleet) pull(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case b := <-f.behind:
-			f.pullFrom(ctx, b)
-		}
-	}
-}
-
-func (f *fleet) pullFrom(ctx context.Context, b behind) {
-	if b.revision <= f.held(b.method) {
-		return
-	}
-	wait := time.NewTimer(pullDelay)
-	defer wait.Stop()
-	select {
-	case <-ctx.Done():
-		return
-	case <-wait.C:
-	}
-	if b.revision <= f.held(b.method) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	raw, err := f.mesh.Call(ctx, b.peer, b.method, nil)
-	if err == nil {
-		err = f.accept(b, raw)
-	}
-	if err != nil {
-		f.node.logger.WithError(err).WithFields(logrus.Fields{"step": "pull " + b.method, "peer": b.peer}).
-			Warn("a peer's newer state could not be taken")
-	}
-}
-
-func (f *fleet) accept(b behind, raw []byte) error {
-	if b.method == methodTargets {
-		list := new(fleetv1.TargetList)
-		if err := proto.Unmarshal(raw, list); err != nil {
-			return errors.Wrap(err, "decode the list of targets")
-		}
-		f.node.directory.merge(list)
-		return nil
-	}
-	c, err := f.decode(raw)
-	if err != nil {
-		return err
-	}
-	f.node.SetConfig(c, string(b.peer))
-	return nil
-}
