A target whose address is another's is left alone; repeats after a rejection come out of the budget

Ruled out: retries after failures (they took from the budget). Change: a 421 leaves that target alone for 3 s; a further send after a target's own rejection takes from the fleet's budget, one after a refused connection does not.

--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -287,3 +287,15 @@
 		t.Error("still hopeless long after")
 	}
 }
+
+func TestTargetWhoseAddressIsAnothersIsLeftAlone(t *testing.T) {
+	b := newBed(t, 0, 1)
+	v := b.submit(start, "", "app")
+	b.Ended(start, v.ID, admit.Replaced)
+	if v := b.submit(start.Add(2*time.Second), "", "app"); v.Refused != admit.NoTarget {
+		t.Errorf("verdict %+v while the list lags", v)
+	}
+	if v := b.submit(start.Add(4*time.Second), "", "app"); v.Target.ID == "" {
+		t.Errorf("verdict %+v: it is never tried again", v)
+	}
+}
--- a/internal/core/admit/health.go
+++ b/internal/core/admit/health.go
@@ -56,6 +56,10 @@
 		h.refusals++
 		h.downUntil = now.Add(min(pause, downLast))
 		h.observe(now, 1)
+	case Replaced:
+		// The list lags; until it follows nothing is gained there.
+		h.refusals++
+		h.downUntil = now.Add(downLast)
 	case Failed:
 		h.observe(now, 1)
 	case Served:
--- a/internal/core/admit/request.go
+++ b/internal/core/admit/request.go
@@ -98,6 +98,8 @@
 	Left
 	// Rejected: the target said that it did not run the request.
 	Rejected
+	// Replaced: another target has the address.
+	Replaced
 	// Failed: the target failed the request.
 	Failed
 	// Unreachable: no connection came about, or an established one broke
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -32,7 +32,9 @@
 	began   bool
 	// brokeOff is set where the connection ended before the answer did.
 	brokeOff bool
-	entry    AttemptEntry
+	// rejectedThere is set where a target has had the request and did not run it.
+	rejectedThere bool
+	entry         AttemptEntry
 }
 
 func (e *exchange) attempt(ctx context.Context, v admit.Verdict, waited time.Duration) ending {
@@ -57,6 +59,7 @@
 	}
 	a.entry.End = endingNames[end]
 	a.suspect(end)
+	e.rejectedByTarget = a.rejectedThere
 	if end == notRun || end == unknown || end == failedWhole {
 		e.exclude = append(e.exclude, v.Target.ID)
 	}
@@ -138,7 +141,7 @@
 	success := resp.StatusCode/100 == 2
 	switch {
 	case reply.NotRun && !success:
-		return a.rejected(resp)
+		return a.rejected(resp, reply)
 	case reply.ID == "" && a.meta.ID != "":
 		return a.garbage("the answer names no request")
 	case success && !reply.Sealed:
@@ -162,8 +165,12 @@
 }
 
 // rejected ends an attempt that the target says it did not run.
-func (a *attempt) rejected(resp *http.Response) (ending, error) {
+func (a *attempt) rejected(resp *http.Response, reply Reply) (ending, error) {
 	a.result = admit.Rejected
+	if reply.Replaced {
+		a.result = admit.Replaced
+	}
+	a.rejectedThere = true
 	body, err := readBody(resp)
 	if err != nil {
 		a.conn.Close()
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -41,6 +41,8 @@
 	ID string
 	// NotRun is set where the target states that it did not run the request.
 	NotRun bool
+	// Replaced is set where another target than the one meant has answered.
+	Replaced bool
 	// Sealed answers carry the target's signature.
 	Sealed bool
 }
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -44,6 +44,8 @@
 	exclude []ids.Target
 	ran     int
 	refused int
+	// rejectedByTarget is set where the last attempt reached a target.
+	rejectedByTarget bool
 	// left is set where the caller was found to have left.
 	left bool
 	// held is a target's own failure, passed on if no further try is better.
@@ -137,7 +139,8 @@
 		return true
 	case notRun:
 		e.refused++
-		if e.refused <= maxRefusedSends {
+		// A send that reached a target counts as a repeat of the request there.
+		if e.refused <= maxRefusedSends && (!e.rejectedByTarget || e.server.budget(e.service).Take()) {
 			return false
 		}
 		e.giveUp("target_refused")
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -104,16 +104,6 @@
 	EventTokens int
 }
 
-// May tells whether the route may send to the service.
-func (r *Route) May(service string) bool {
-	for _, w := range r.Split {
-		if w.Service == service && w.Weight > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Pick returns the service at a point of the split, x in [0, 1).
 func (r *Route) Pick(x float64) string {
 	var sum float64
@@ -132,6 +122,3 @@
 	}
 	return r.Split[len(r.Split)-1].Service
 }
-
-// Repeatable tells whether a request may run a second time from its start.
-func (r *Route) Repeatable() bool { return r.Kind == Idempotent }
