edge: the end of a request's time is no failure of its target

Ruled out: load as the cause (it only decides which timer is first). Change: an attempt that ends at or after the request's deadline is over.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -53,7 +53,8 @@
 		a.entry.Error = err.Error()
 	}
 	e.left = errors.Is(err, errLeft)
-	if end != delivered && ctx.Err() != nil {
+	// A read's deadline may tell of the request's end before the context does.
+	if end != delivered && (ctx.Err() != nil || !time.Now().Before(e.deadline)) {
 		end = over
 		a.result = admit.Left
 	}
