The product's own request header no longer carries the platform's name

Cause: outcome.RequestIDHeader was spelled as the platform's request header; the test of names listed headers one by one and had left this one out. Ruled out: leaving it as the product's own interface (the spelling means something else on the platform: there it names the caller's try and is echoed by targets).

--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -11,7 +11,7 @@
 const Header = "Umberhill-Outcome"
 
 // RequestIDHeader is the response header that carries the request's id.
-const RequestIDHeader = "Umberhill-Request-Id"
+const RequestIDHeader = "Umberhill-Request"
 
 // StatusClientClosed is the customary status for a caller that went away.
 const StatusClientClosed = 499
