Duties of a platform's router fail loudly; one duty group and one sleep for all

Cause, found on reading: the node ran its duties in a conc.WaitGroup that nobody waited for, which swallows a panic: a router without its scheduler would have gone on. The product's daemon had the right way for itself; sleep stood in four packages, growing pauses in three. Ruled out: copying the daemon's way once more. Change: internal/duty has the daemon's group, and node and platform use it; Run returns the failure, the process ends and is started again. All listeners are closed at the end. internal/pause has the sleep and the growing pauses.

--- a/internal/configsync/network_test.go
+++ b/internal/configsync/network_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/umberhill/umberhill/internal/api"
 	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/pause"
 	"github.com/umberhill/umberhill/internal/platform"
 	standin "github.com/umberhill/umberhill/internal/standin/platform"
 
@@ -107,7 +108,7 @@
 
 // beat stands for the heartbeats of the peer links.
 func (n *network) beat(ctx context.Context, x *node) {
-	for sleep(ctx, n.beatEvery); ctx.Err() == nil; sleep(ctx, n.beatEvery) {
+	for pause.Sleep(ctx, n.beatEvery); ctx.Err() == nil; pause.Sleep(ctx, n.beatEvery) {
 		for _, m := range n.members(x.opts.Self) {
 			if peer := n.node(m.Instance); peer != nil {
 				peer.PeerRevision(x.opts.Self, x.Snapshot().Revision)
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -5,11 +5,11 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
 	"github.com/umberhill/umberhill/internal/api"
 	"github.com/umberhill/umberhill/internal/core/config"
+	"github.com/umberhill/umberhill/internal/pause"
 	"github.com/umberhill/umberhill/internal/platform"
 )
 
@@ -25,6 +25,8 @@
 	// retryFirst and retryMost bound the wait after a failed call.
 	retryFirst = 200 * time.Millisecond
 	retryMost  = 3 * time.Second
+	// retryFactor is how much a wait is longer than the one before.
+	retryFactor = 1.5
 	// retryJitter is the share by which the wait varies.
 	retryJitter = 0.5
 )
@@ -58,10 +60,7 @@
 
 // run watches until ctx ends, beginning with a list unless known.
 func (w *watcher) run(ctx context.Context, v verdict) {
-	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval = retryFirst
-	wait.MaxInterval = retryMost
-	wait.RandomizationFactor = retryJitter
+	wait := pause.Spec{First: retryFirst, Most: retryMost, Factor: retryFactor, Jitter: retryJitter}.Backoff()
 	hold := watchWait
 	for ctx.Err() == nil {
 		res := w.call(ctx, v, hold)
@@ -74,9 +73,9 @@
 		switch {
 		case errors.Is(res.err, platform.ErrCompacted):
 			v.known = false
-			sleep(ctx, rand.N(listJitter))
+			pause.Sleep(ctx, rand.N(listJitter))
 		case res.err != nil || v.stale:
-			sleep(ctx, max(wait.NextBackOff(), min(retryAfter(res.err), retryMost)))
+			pause.Sleep(ctx, max(wait.NextBackOff(), min(retryAfter(res.err), retryMost)))
 		default:
 			wait.Reset()
 		}
@@ -150,12 +149,3 @@
 	}
 	return 0
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/umberhill/umberhill/internal/configsync"
 	"github.com/umberhill/umberhill/internal/directory"
 	"github.com/umberhill/umberhill/internal/dispatch"
+	"github.com/umberhill/umberhill/internal/duty"
 	"github.com/umberhill/umberhill/internal/explain"
 	"github.com/umberhill/umberhill/internal/filter/account"
 	"github.com/umberhill/umberhill/internal/filter/authenticate"
@@ -70,8 +71,6 @@
 	applier  *applier
 	control  meter
 	draining atomic.Bool
-	// failed has the first failure of a duty.
-	failed chan error
 	// background runs the listeners.
 	background conc.WaitGroup
 }
@@ -93,7 +92,6 @@
 		directory:   directory.New(),
 		recent:      explain.New(recentRequests),
 		applier:     newApplier(),
-		failed:      make(chan error, 1),
 		auth:        authenticate.New(),
 		hold:        hold.New(s.Callers.MaxHeld),
 	}
@@ -150,13 +148,12 @@
 	callers := d.callersServer()
 	admin := d.adminServer()
 	d.Changed(nil)
-	duties, endDuties := d.startDuties()
+	duties := duty.Start(d.logger, d.duties())
 	d.serve(callers, d.listeners.callers, d.tls.callers)
 	d.serve(admin, d.listeners.admin, d.tls.admin)
 	d.logger.WithField("callers", d.listeners.callers.Addr().String()).Info("router started")
-	err := d.await(ctx, callers)
-	endDuties()
-	duties.Wait()
+	err := d.await(ctx, callers, duties.Failed())
+	duties.End()
 	d.relay.Close()
 	closeServer(admin)
 	d.background.Wait()
@@ -166,12 +163,12 @@
 
 // await waits for the end of the context and stops gracefully, or for the
 // failure of a duty and cuts off what runs.
-func (d *Daemon) await(ctx context.Context, callers *http.Server) error {
+func (d *Daemon) await(ctx context.Context, callers *http.Server, failed <-chan error) error {
 	select {
 	case <-ctx.Done():
 		d.stop(callers)
 		return nil
-	case err := <-d.failed:
+	case err := <-failed:
 		d.draining.Store(true)
 		_ = callers.Close()
 		return err
--- a/internal/ledger/bucket.go
+++ b/internal/ledger/bucket.go
@@ -218,16 +218,6 @@
 	return d/2 + rand.N(d/2+1)
 }
 
-// sleep waits for d or until ctx is done.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // markDown notes that the store failed. From the second failure in a row on,
 // claims are refused at once until one has found it back.
 func (l *Ledger) markDown() {
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/umberhill/umberhill/internal/core/claim"
+	"github.com/umberhill/umberhill/internal/pause"
 	"github.com/umberhill/umberhill/internal/platform"
 )
 
@@ -205,7 +206,7 @@
 // pause waits with jitter before the next try; false where time is up.
 func (l *Ledger) pause(ctx context.Context, at *attempt) bool {
 	d := min(conflictDelay<<min(at.tries, 10), maxConflictDelay)
-	sleep(ctx, rand.N(d))
+	pause.Sleep(ctx, rand.N(d))
 	return ctx.Err() == nil
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -24,6 +24,7 @@
 	"github.com/umberhill/umberhill/internal/api"
 	"github.com/umberhill/umberhill/internal/core/claim"
 	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/pause"
 	"github.com/umberhill/umberhill/internal/platform"
 )
 
@@ -267,7 +268,7 @@
 		if idle {
 			return
 		}
-		sleep(ctx, endingDelay)
+		pause.Sleep(ctx, endingDelay)
 	}
 }
 
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -112,20 +112,6 @@
 	f.mesh.SetPeers(seeds)
 }
 
-func (n *Node) startFleet(ctx context.Context) {
-	f := n.fleet
-	if f == nil {
-		return
-	}
-	n.duties.Go(func() {
-		if err := f.mesh.Run(ctx); err != nil {
-			n.logger.WithError(err).Error("links to other routers ended")
-		}
-	})
-	n.duties.Go(func() { f.report(ctx) })
-	n.duties.Go(func() { f.pull(ctx) })
-}
-
 func (f *fleet) beat() *peerv1.Heartbeat {
 	beat := &peerv1.Heartbeat{Draining: f.node.draining.Load()}
 	if c := f.node.Config(); c != nil {
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/umberhill/umberhill/internal/edge"
 )
 
 func listen(what, address string) (net.Listener, error) {
@@ -16,23 +18,43 @@
 	return l, errors.Wrapf(err, "listen for %s on %s", what, address)
 }
 
-func (n *Node) serve(s *http.Server, l net.Listener) {
-	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			n.logger.WithError(err).WithField("address", l.Addr().String()).Error("listener failed")
+// open listens and serves on all addresses, and returns the callers' server. A
+// router without metrics goes on.
+func (n *Node) open() (*http.Server, error) {
+	callers := &http.Server{
+		Handler:           http.HandlerFunc(n.serveCaller),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       callerIdle,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       edge.WithConn,
+	}
+	if err := n.serve("callers", n.settings.Callers, callers); err != nil {
+		return nil, err
+	}
+	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: readHeaderTimeout}
+	if err := n.serve("readiness", n.settings.Ready, ready); err != nil {
+		return nil, err
+	}
+	if n.settings.Metrics != "" {
+		metrics := &http.Server{Handler: n.metrics, ReadHeaderTimeout: readHeaderTimeout}
+		if err := n.serve("metrics", n.settings.Metrics, metrics); err != nil {
+			n.logger.WithError(err).Error("metrics are not served")
 		}
-	}()
+	}
+	return callers, nil
 }
 
-func (n *Node) startMetrics() error {
-	if n.settings.Metrics == "" {
-		return nil
-	}
-	l, err := listen("metrics", n.settings.Metrics)
+func (n *Node) serve(what, address string, s *http.Server) error {
+	l, err := listen(what, address)
 	if err != nil {
 		return err
 	}
-	n.serve(&http.Server{Handler: n.metrics, ReadHeaderTimeout: readHeaderTimeout}, l)
+	n.servers = append(n.servers, s)
+	n.background.Go(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			n.logger.WithError(err).WithField("address", address).Error("listener failed")
+		}
+	})
 	return nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/umberhill/umberhill/internal/core/admit"
+	"github.com/umberhill/umberhill/internal/duty"
 	"github.com/umberhill/umberhill/internal/edge"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/obs"
@@ -104,7 +105,11 @@
 	verifier Verifier
 
 	draining atomic.Bool
-	duties   conc.WaitGroup
+	// duties run from Run's start to its end.
+	duties []duty.Duty
+	// background runs the listeners' servers, which Run closes.
+	background conc.WaitGroup
+	servers    []*http.Server
 }
 
 // New builds a node; Run starts it.
@@ -242,55 +247,55 @@
 	return !n.draining.Load() && n.config != nil && n.targets.Len() > 0
 }
 
+// AddDuty adds a controller that runs while the node does; it must come before
+// Run.
+func (n *Node) AddDuty(d duty.Duty) { n.duties = append(n.duties, d) }
+
+func (n *Node) addOwnDuties() {
+	n.AddDuty(duty.Loop("scheduler", n.scheduler.Run))
+	n.AddDuty(duty.Loop("request log", n.log.run))
+	n.AddDuty(duty.Loop("targets", n.directory.run))
+	n.AddDuty(duty.Loop("idle connections", n.sweep))
+	n.AddDuty(duty.Loop("reading the store again", n.verify))
+	n.AddDuty(duty.Loop("pressure", n.pressure.Run))
+	n.AddDuty(duty.Duty{Name: "quarantine", Run: n.suspects.Run})
+	if f := n.fleet; f != nil {
+		n.AddDuty(duty.Duty{Name: "peer links", Run: f.mesh.Run})
+		n.AddDuty(duty.Loop("reports", f.report))
+		n.AddDuty(duty.Loop("pulls", f.pull))
+	}
+}
+
 // Run serves until ctx ends, then stops as planned: readiness goes off, new
 // connections are taken until the balancer has seen it, and running requests
-// finish within the grace period.
+// finish within the grace period. The error is that of a listener that could not
+// be opened or of a duty that failed; the router can't go on without it.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.metricsEnd.Close()
-	callers, err := listen("callers", n.settings.Callers)
-	if err != nil {
-		return err
-	}
-	ready, err := listen("readiness", n.settings.Ready)
+	callers, err := n.open()
 	if err != nil {
 		return err
 	}
-	server := &http.Server{
-		Handler:           http.HandlerFunc(n.serveCaller),
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       callerIdle,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       edge.WithConn,
-	}
-	duties, end := context.WithCancel(context.WithoutCancel(ctx))
-	defer end()
-	n.serve(&http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: readHeaderTimeout}, ready)
-	n.serve(server, callers)
-	n.duties.Go(func() { n.scheduler.Run(duties) })
-	n.duties.Go(func() { n.log.run(duties) })
-	n.duties.Go(func() { n.directory.run(duties) })
-	n.duties.Go(func() { n.sweep(duties) })
-	n.duties.Go(func() { n.verify(duties) })
-	n.duties.Go(func() { n.pressure.Run(duties) })
-	n.duties.Go(func() {
-		if err := n.suspects.Run(duties); err != nil {
-			n.logger.WithError(err).Error("quarantine ended")
-		}
-	})
-	if err := n.startMetrics(); err != nil {
-		n.logger.WithError(err).Error("metrics are not served")
-	}
-	n.startFleet(duties)
+	n.addOwnDuties()
+	duties := duty.Start(n.logger, n.duties)
 	n.logger.WithFields(logrus.Fields{
 		"callers": n.settings.Callers, "peer": n.settings.Peer, "metrics": n.settings.Metrics,
 		"incarnation": uint64(n.incarnation),
 	}).Info("router started")
-	<-ctx.Done()
-	n.stop(server)
-	end()
+	select {
+	case <-ctx.Done():
+		n.stop(callers)
+	case err = <-duties.Failed():
+		n.draining.Store(true)
+	}
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+	duties.End()
+	n.background.Wait()
 	n.logger.Info("router stopped")
 	n.log.flush()
-	return nil
+	return err
 }
 
 // sweep closes idle connections to targets that are gone or were idle for too long.
@@ -326,6 +331,5 @@
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		n.logger.WithError(err).Warn("requests were still running at the end of the grace period")
-		_ = server.Close()
 	}
 }
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/umberhill/umberhill/internal/duty"
+	"github.com/umberhill/umberhill/internal/edge"
+)
+
+// noDialect is for nodes that get no requests.
+type noDialect struct{}
+
+func (noDialect) Meta(http.Header) edge.Meta                          { return edge.Meta{} }
+func (noDialect) Outgoing(h http.Header, _ edge.Outgoing) http.Header { return h }
+func (noDialect) Reply(*http.Response) edge.Reply                     { return edge.Reply{} }
+func (noDialect) Answer(_, _ http.Header)                             {}
+
+// A router that has lost a controller must not go on as if it were whole.
+func TestPanicOfADutyEndsTheRouter(t *testing.T) {
+	logger, _ := logtest.NewNullLogger()
+	n := New(Settings{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", ShareWindow: time.Second}, noDialect{}, logger)
+	n.AddDuty(duty.Loop("broken", func(context.Context) { panic("broken") }))
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(context.Background()) }()
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("the router ended without an error")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the router goes on without its duty")
+	}
+}
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -7,26 +7,24 @@
 	"net"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
 	"github.com/umberhill/umberhill/internal/core/member"
 	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/pause"
 	"github.com/umberhill/umberhill/internal/settings"
 )
 
 const (
 	// maxHandshakes bounds the incoming links that have not greeted yet.
 	maxHandshakes = 64
-	// Backoff between dials.
-	dialFirst  = 100 * time.Millisecond
-	dialLast   = 2 * time.Second
-	dialFactor = 1.6
-	dialJitter = 0.5
 	// acceptPause follows a failed accept.
 	acceptPause = 50 * time.Millisecond
 )
 
+// dialPauses are between dials of a peer that can't be reached.
+var dialPauses = pause.Spec{First: 100 * time.Millisecond, Most: 2 * time.Second, Factor: 1.6, Jitter: 0.5}
+
 // accept takes incoming links.
 func (m *Mesh) accept(ctx context.Context, g *group, listener net.Listener) error {
 	for {
@@ -39,7 +37,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return errors.Wrap(err, "accept links")
 			}
-			sleep(ctx, acceptPause)
+			pause.Sleep(ctx, acceptPause)
 			continue
 		}
 		select {
@@ -242,11 +240,11 @@
 // keep dials a peer whenever it has no link, until dialCtx ends. A link that
 // it opened lives on until linkCtx ends.
 func (m *Mesh) keep(dialCtx, linkCtx context.Context, seed settings.Seed) {
-	wait := newBackoff()
+	wait := dialPauses.Backoff()
 	instance := ids.Instance(seed.Instance)
 	if instance < m.opts.Self {
 		// The lower name dials first; this end only where that fails.
-		sleep(dialCtx, m.opts.Timeout)
+		pause.Sleep(dialCtx, m.opts.Timeout)
 	}
 	for dialCtx.Err() == nil {
 		if l := m.linkTo(instance); l != nil {
@@ -258,7 +256,7 @@
 		l, err := m.greetOutgoing(dialCtx, seed)
 		if err != nil {
 			m.dialFailed(dialCtx, instance, err)
-			sleep(dialCtx, wait.NextBackOff())
+			pause.Sleep(dialCtx, wait.NextBackOff())
 			continue
 		}
 		opened := time.Now()
@@ -266,14 +264,14 @@
 		if time.Since(opened) > m.opts.Timeout {
 			wait.Reset()
 		}
-		sleep(dialCtx, wait.NextBackOff())
+		pause.Sleep(dialCtx, wait.NextBackOff())
 	}
 }
 
 // yieldToLower gives the lower name of a pair the time to dial again.
 func (m *Mesh) yieldToLower(ctx context.Context, instance ids.Instance) {
 	if instance < m.opts.Self {
-		sleep(ctx, m.opts.Heartbeat)
+		pause.Sleep(ctx, m.opts.Heartbeat)
 	}
 }
 
@@ -285,15 +283,6 @@
 	m.logState(instance, "unreachable", err)
 }
 
-func newBackoff() *backoff.ExponentialBackOff {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = dialFirst
-	b.MaxInterval = dialLast
-	b.Multiplier = dialFactor
-	b.RandomizationFactor = dialJitter
-	return b
-}
-
 func waitEnd(ctx context.Context, l *link) {
 	select {
 	case <-ctx.Done():
@@ -301,15 +290,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func closeIf(conn net.Conn) {
 	if conn != nil {
 		discard(conn)
