edge: endings say how an attempt ended; a left caller's stream, a repeat and a refusal in a stream no longer look whole

Cause, found on reading: three flags beside the endings of an attempt said what the endings should (rejected there, caller left, over). Sorting them out showed three faults: a stream whose caller closed only its sending side got its last chunk, as if it were whole; a target that began a resumed stream anew was passed on twice; a target's 400 to a resumed stream was written into it. streams_resumed was never counted. Ruled out: leaving repeats to the caller's own check (the answer must not look whole). Change: endings notSent, rejected, expired and callerLeft in place of the flags; a begun stream whose caller has left is broken off; events whose id is not beyond the last end the attempt; records of the log are called records.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -20,16 +20,16 @@
 	if e.r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
-	e.entry.Status = a.resp.StatusCode
-	e.entry.First = time.Since(e.arrived)
-	e.entry.Outcome = "served"
+	e.record.Status = a.resp.StatusCode
+	e.record.First = time.Since(e.arrived)
+	e.record.Outcome = "served"
 	if a.resp.StatusCode >= http.StatusInternalServerError {
-		e.entry.Outcome, e.entry.Reason = "failed", "target_answer"
+		e.record.Outcome, e.record.Reason = "failed", "target_answer"
 		e.server.counts.failed.Inc(1)
 	}
 	e.w.WriteHeader(a.resp.StatusCode)
 	if _, err := e.w.Write(a.body); err != nil {
-		e.entry.Outcome, e.entry.Reason = "left", err.Error()
+		e.record.Outcome, e.record.Reason = "left", err.Error()
 	}
 }
 
@@ -47,21 +47,21 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if f.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
-		e.entry.RetryAfter = f.retryAfter
+		e.record.RetryAfter = f.retryAfter
 	}
-	e.entry.Status, e.entry.Reason = f.status, f.reason
+	e.record.Status, e.record.Reason = f.status, f.reason
 	if f.detail != "" {
-		e.entry.Reason += ": " + f.detail
+		e.record.Reason += ": " + f.detail
 	}
-	e.entry.Outcome = "refused"
+	e.record.Outcome = "refused"
 	if f.status == http.StatusBadGateway || f.status == http.StatusGatewayTimeout {
-		e.entry.Outcome = "failed"
+		e.record.Outcome = "failed"
 		e.server.counts.failed.Inc(1)
 	} else {
 		e.server.counts.refused.Inc(1)
 	}
 	e.w.WriteHeader(f.status)
 	if _, err := io.WriteString(e.w, f.reason+"\n"); err != nil {
-		e.entry.Reason += ": " + err.Error()
+		e.record.Reason += ": " + err.Error()
 	}
 }
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -19,9 +19,6 @@
 	eventType = "text/event-stream"
 )
 
-// errLeft says that the caller left before anything was sent.
-var errLeft = errors.New("the caller has left")
-
 // attempt is one try at a target.
 type attempt struct {
 	*exchange
@@ -32,36 +29,35 @@
 	began   bool
 	// brokeOff is set where the connection ended before the answer did.
 	brokeOff bool
-	// rejectedThere is set where a target has had the request and did not run it.
-	rejectedThere bool
-	entry         AttemptEntry
+	record   AttemptRecord
 }
 
 func (e *exchange) attempt(ctx context.Context, v admit.Verdict, waited time.Duration) ending {
 	a := &attempt{exchange: e, verdict: v, sent: time.Now(), result: admit.Left}
-	a.entry = AttemptEntry{Target: v.Target.ID, Inputs: v.Inputs, Waited: waited}
+	a.record = AttemptRecord{Target: v.Target.ID, Inputs: v.Inputs, Waited: waited}
 	defer func() {
-		a.entry.Took = time.Since(a.sent)
-		e.entry.Attempts = append(e.entry.Attempts, a.entry)
+		a.record.Took = time.Since(a.sent)
+		e.record.Attempts = append(e.record.Attempts, a.record)
 		e.server.opts.Scheduler.Ended(v.ID, a.result)
 	}()
+	if e.stream.started {
+		e.server.counts.resumed.Inc(1)
+	}
 	if s := e.server.opts.Suspects; s != nil {
 		s.Started(uint64(v.ID), e.fingerprint, v.Target.ID, false)
 	}
 	end, err := a.run(ctx)
 	if err != nil {
-		a.entry.Error = err.Error()
+		a.record.Error = err.Error()
 	}
-	e.left = errors.Is(err, errLeft)
 	// A read's deadline may tell of the request's end before the context does.
-	if end != delivered && (ctx.Err() != nil || !time.Now().Before(e.deadline)) {
-		end = over
+	if end.unfinished() && (ctx.Err() != nil || !time.Now().Before(e.deadline)) {
+		end = e.interruption()
 		a.result = admit.Left
 	}
-	a.entry.End = endingNames[end]
+	a.record.End = endingNames[end]
 	a.suspect(end)
-	e.rejectedByTarget = a.rejectedThere
-	if end == notRun || end == unknown || end == failedWhole {
+	if end.unfinished() {
 		e.exclude = append(e.exclude, v.Target.ID)
 	}
 	return end
@@ -73,12 +69,12 @@
 	conn, err := a.server.opts.Pool.Get(ctx, endpoint(a.verdict.Target))
 	if err != nil {
 		a.result = admit.Unreachable
-		return notRun, err
+		return notSent, err
 	}
 	a.conn = conn
-	if a.callerLeft() {
+	if a.callerClosed() {
 		a.server.opts.Pool.Put(conn)
-		return over, errLeft
+		return callerLeft, nil
 	}
 	stop := context.AfterFunc(ctx, conn.Break)
 	defer stop()
@@ -86,7 +82,7 @@
 		conn.Close()
 		a.result = admit.Unreachable
 		if !conn.Sent() {
-			return notRun, err
+			return notSent, err
 		}
 		return unknown, err
 	}
@@ -142,10 +138,10 @@
 	success := resp.StatusCode/100 == 2
 	switch {
 	case reply.NotRun && !success:
-		return a.rejected(resp, reply)
+		return a.refusedByTarget(resp, reply)
 	case reply.ID == "" && a.meta.ID != "":
 		return a.garbage("the answer names no request")
-	case success && !reply.Sealed:
+	case success && !reply.Signed:
 		return a.garbage("a success without the target's signature")
 	case success && isEvents(resp):
 		return a.relay(resp)
@@ -165,25 +161,24 @@
 	return unknown, errors.Mark(errors.New(message), upstream.ErrGarbage)
 }
 
-// rejected ends an attempt that the target says it did not run.
-func (a *attempt) rejected(resp *http.Response, reply Reply) (ending, error) {
+// refusedByTarget ends an attempt that the target says it did not run.
+func (a *attempt) refusedByTarget(resp *http.Response, reply Reply) (ending, error) {
 	a.result = admit.Rejected
 	if reply.Replaced {
 		a.result = admit.Replaced
 	}
-	a.rejectedThere = true
 	body, err := readBody(resp)
 	if err != nil {
 		a.conn.Close()
 	} else {
 		a.server.opts.Pool.Finish(a.conn)
 	}
-	if resp.StatusCode == http.StatusBadRequest && err == nil {
+	if resp.StatusCode == http.StatusBadRequest && err == nil && !a.stream.started {
 		// The request itself is at fault; another target would say the same.
 		a.deliver(&answer{resp: resp, body: body})
 		return delivered, nil
 	}
-	return notRun, errors.Newf("the target answered %d without running the request", resp.StatusCode)
+	return rejected, errors.Newf("the target answered %d without running the request", resp.StatusCode)
 }
 
 // whole passes on an answer in one piece once all of it is there.
@@ -195,7 +190,7 @@
 		return unknown, errors.Wrap(err, "read the answer's body")
 	}
 	a.server.opts.Pool.Finish(a.conn)
-	a.entry.First = time.Since(a.sent)
+	a.record.First = time.Since(a.sent)
 	got := &answer{resp: resp, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		a.result = admit.Failed
--- a/internal/edge/caller.go
+++ b/internal/edge/caller.go
@@ -22,13 +22,13 @@
 	return context.WithValue(ctx, callerKey{}, c)
 }
 
-// callerLeft tells whether the caller has closed its connection. It is asked
+// callerClosed tells whether the caller has closed its connection. It is asked
 // where the request took long so far or the router is behind.
-func (e *exchange) callerLeft() bool {
+func (e *exchange) callerClosed() bool {
 	behind := e.server.opts.Pressure != nil && e.server.opts.Pressure.Share() > 0
 	if !behind && time.Since(e.arrived) < checkAfter {
 		return false
 	}
 	conn, ok := e.r.Context().Value(callerKey{}).(net.Conn)
-	return ok && upstream.Ended(conn)
+	return ok && upstream.PeerClosed(conn)
 }
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -43,8 +43,8 @@
 	NotRun bool
 	// Replaced is set where another target than the one meant has answered.
 	Replaced bool
-	// Sealed answers carry the target's signature.
-	Sealed bool
+	// Signed answers carry the target's signature.
+	Signed bool
 }
 
 // Dialect translates between headers on the wire and the router's types.
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -25,7 +25,7 @@
 	w      http.ResponseWriter
 	r      *http.Request
 	meta   Meta
-	entry  Entry
+	record RequestRecord
 
 	arrived   time.Time
 	deadline  time.Time
@@ -39,15 +39,11 @@
 	// fingerprint is the same for all tries of a caller's request.
 	fingerprint uint64
 
-	// exclude are targets that failed this request, ran how many may have begun
-	// to run it, and refused how many did not take it.
+	// exclude are the targets tried so far; ran of them may have begun to run the
+	// request, refused of them did not.
 	exclude []ids.Target
 	ran     int
 	refused int
-	// rejectedByTarget is set where the last attempt reached a target.
-	rejectedByTarget bool
-	// left is set where the caller was found to have left.
-	left bool
 	// held is a target's own failure, passed on if no further try is better.
 	held *answer
 	// stream is set once events were passed on.
@@ -61,18 +57,33 @@
 const (
 	// delivered: the caller has its answer.
 	delivered ending = iota
-	// notRun: the target did not run the request.
-	notRun
+	// notSent: no byte of the request reached a target.
+	notSent
+	// rejected: the target says that it did not run the request.
+	rejected
 	// unknown: the target may have run it, and there is no whole answer.
 	unknown
 	// failedWhole: the target answered with a failure of its own.
 	failedWhole
-	// over: the caller left or its time is up.
-	over
+	// expired: the request's time is up.
+	expired
+	// callerLeft: the caller has closed its connection.
+	callerLeft
 )
 
 var endingNames = map[ending]string{
-	delivered: "delivered", notRun: "not_run", unknown: "unknown", failedWhole: "failed", over: "over",
+	delivered: "delivered", notSent: "not_sent", rejected: "rejected", unknown: "unknown",
+	failedWhole: "failed", expired: "expired", callerLeft: "caller_left",
+}
+
+// unfinished tells whether another target may be tried after an ending.
+func (e ending) unfinished() bool {
+	switch e {
+	case notSent, rejected, unknown, failedWhole:
+		return true
+	default:
+		return false
+	}
 }
 
 // repeatable tells whether the request may run again.
@@ -84,8 +95,16 @@
 	return e.route.Kind == routing.Stream && e.route.Resumable
 }
 
-// carry brings the request to a target, and to further ones as far as allowed.
-func (e *exchange) carry() {
+// interruption tells why a request was broken off.
+func (e *exchange) interruption() ending {
+	if e.r.Context().Err() != nil {
+		return callerLeft
+	}
+	return expired
+}
+
+// serve brings the request to a target, and to further ones as far as allowed.
+func (e *exchange) serve() {
 	ctx, cancel := context.WithDeadline(e.r.Context(), e.deadline)
 	defer cancel()
 	if e.quarantined() {
@@ -98,7 +117,7 @@
 		asked := time.Now()
 		v, decided := e.server.opts.Scheduler.Acquire(ctx, e.request(), e.queued)
 		if !decided {
-			e.timeUp()
+			e.settled(e.interruption())
 			return
 		}
 		e.decided(v, time.Since(asked))
@@ -132,26 +151,24 @@
 // another target is to be tried.
 func (e *exchange) settled(end ending) bool {
 	switch end {
-	case delivered:
-		return true
-	case over:
+	case expired:
 		e.timeUp()
-		return true
-	case notRun:
+	case callerLeft:
+		e.leave()
+	case notSent, rejected:
 		e.refused++
-		// A send that reached a target counts as a repeat of the request there.
-		if e.refused <= maxRefusedSends && (!e.rejectedByTarget || e.server.budget(e.service).Take()) {
+		// What reached a target counts there as a repeat of the request.
+		if e.refused <= maxRefusedSends && (end == notSent || e.server.budget(e.service).Take()) {
 			return false
 		}
 		e.giveUp("target_refused")
-		return true
 	case unknown, failedWhole:
 		e.ran++
 		if e.repeatable() && e.ran < max(1, e.route.MaxAttempts) && e.server.budget(e.service).Take() {
 			return false
 		}
 		e.giveUp("target_failed")
-		return true
+	case delivered:
 	}
 	return true
 }
@@ -183,13 +200,8 @@
 	})
 }
 
-// timeUp ends a request whose caller left or whose time has passed.
+// timeUp ends a request whose time has passed.
 func (e *exchange) timeUp() {
-	if e.left || e.r.Context().Err() != nil {
-		e.entry.Outcome = "left"
-		e.server.counts.left.Inc(1)
-		return
-	}
 	switch {
 	case e.stream.started:
 		e.cut("timeout")
@@ -200,10 +212,20 @@
 	}
 }
 
+// leave ends a request whose caller has left. One that closed only its sending
+// side may still read: a stream that was begun must not look whole.
+func (e *exchange) leave() {
+	e.record.Outcome = "left"
+	e.server.counts.left.Inc(1)
+	if e.stream.started {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // cut breaks the caller's connection, so that what was sent of the answer can't
 // be taken for the whole.
 func (e *exchange) cut(reason string) {
-	e.entry.Outcome, e.entry.Reason = "cut", reason
+	e.record.Outcome, e.record.Reason = "cut", reason
 	e.server.counts.failed.Inc(1)
 	panic(http.ErrAbortHandler)
 }
@@ -211,13 +233,13 @@
 // finish writes the request's line.
 func (e *exchange) finish() {
 	e.server.bodies.give(e.reserved)
-	e.entry.Took = time.Since(e.arrived)
-	e.entry.Events = e.stream.events
-	if e.entry.Outcome == "served" {
+	e.record.Took = time.Since(e.arrived)
+	e.record.Events = e.stream.events
+	if e.record.Outcome == "served" {
 		e.server.counts.served.Inc(1)
 	}
-	e.server.counts.whole.Record(e.entry.Took)
-	e.server.opts.Log.Request(e.entry)
+	e.server.counts.whole.Record(e.record.Took)
+	e.server.opts.Log.Request(e.record)
 }
 
 func endpoint(t routing.Target) upstream.Endpoint {
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -12,7 +12,7 @@
 	// Decision is told when it is made.
 	Decision(Decision)
 	// Request is told at the end of each request.
-	Request(Entry)
+	Request(RequestRecord)
 }
 
 // Decision is one decision on a request under way.
@@ -52,15 +52,15 @@
 		Request:   e.meta.ID,
 		Workspace: e.workspace,
 		Step:      step,
-		Attempt:   len(e.entry.Attempts) + 1,
+		Attempt:   len(e.record.Attempts) + 1,
 		Target:    v.Target.ID,
 		Reason:    v.Refused,
 		Inputs:    v.Inputs,
 	}
 }
 
-// Entry is a request's line in the log.
-type Entry struct {
+// RequestRecord is what the log says of a request at its end.
+type RequestRecord struct {
 	ID        string
 	Arrived   time.Time
 	Version   uint64
@@ -72,7 +72,7 @@
 	Outcome string
 	// Reason of an outcome other than "served".
 	Reason   string
-	Attempts []AttemptEntry
+	Attempts []AttemptRecord
 	// First is the time to the first byte of the answer.
 	First time.Duration
 	Took  time.Duration
@@ -82,8 +82,8 @@
 	RetryAfter time.Duration
 }
 
-// AttemptEntry is one try at a target in the log.
-type AttemptEntry struct {
+// AttemptRecord is what the log says of one try at a target.
+type AttemptRecord struct {
 	Target ids.Target
 	Inputs admit.Inputs
 	// Waited is the time in the line.
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -130,13 +130,13 @@
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := &exchange{server: s, w: w, r: r, arrived: time.Now(), meta: s.opts.Dialect.Meta(r.Header)}
-	e.entry = Entry{ID: e.meta.ID, Arrived: e.arrived}
+	e.record = RequestRecord{ID: e.meta.ID, Arrived: e.arrived}
 	defer e.finish()
 	if refusal := e.prepare(); refusal != nil {
 		e.refuse(refusal)
 		return
 	}
-	e.carry()
+	e.serve()
 }
 
 // prepare finds the route and the workspace and reads the body.
@@ -145,19 +145,19 @@
 	if v == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no_configuration", retryAfter: unknownRetry}
 	}
-	e.entry.Version = v.config.Version
+	e.record.Version = v.config.Version
 	e.route = v.table.Find(e.r.Host, e.r.URL.Path)
 	if e.route == nil {
 		return &refusal{status: http.StatusNotFound, reason: "no_route"}
 	}
-	e.entry.Route = e.route.Name
+	e.record.Route = e.route.Name
 	if v.config.KeysRequired && !e.route.Public {
 		ws, known := v.config.Keys[e.meta.Key]
 		if !known {
 			return &refusal{status: http.StatusUnauthorized, reason: "unknown_key"}
 		}
 		e.workspace = ws
-		e.entry.Workspace = ws
+		e.record.Workspace = ws
 	}
 	e.service = e.route.Pick(rand.Float64())
 	e.conf = v.config.Services[e.service]
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -61,11 +62,15 @@
 			stall = a.stallNext()
 			a.noteBegan()
 			pending = append(pending, buf[:n]...)
-			kept, perr := a.pass(resp, pending)
-			if perr != nil {
-				return a.callerGone(perr)
+			whole, rest := wholeEvents(pending)
+			good, wrong := a.stream.advance(whole)
+			if err := a.pass(resp, whole[:good]); err != nil {
+				return a.callerGone(err)
 			}
-			pending = kept
+			if wrong != nil {
+				return a.broken(wrong)
+			}
+			pending = append(pending[:0], rest...)
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(pending) == 0:
@@ -85,33 +90,57 @@
 		return
 	}
 	a.began = true
-	a.entry.First = time.Since(a.sent)
+	a.record.First = time.Since(a.sent)
 	a.server.opts.Scheduler.Began(a.verdict.ID)
 }
 
-// pass sends the whole events at the head of pending and returns the rest.
-func (a *attempt) pass(resp *http.Response, pending []byte) ([]byte, error) {
-	end := bytes.LastIndex(pending, []byte("\n\n"))
-	if end < 0 {
-		return pending, nil
+// wholeEvents splits off what comes after the last whole event.
+func wholeEvents(pending []byte) (whole, rest []byte) {
+	end := bytes.LastIndex(pending, []byte("\n\n")) + 1
+	if end > 0 {
+		end++
 	}
-	whole := pending[:end+2]
-	a.start(resp)
-	for rest := whole; len(rest) > 0; {
-		i := bytes.Index(rest, []byte("\n\n"))
-		if id := eventID(rest[:i+1]); id != "" {
-			a.stream.lastID = id
-			a.stream.events++
+	return pending[:end], pending[end:]
+}
+
+// advance notes whole events, and returns the length of those that may be passed
+// on: an event whose id is not beyond the last would be a repeat.
+func (s *streamState) advance(events []byte) (good int, err error) {
+	for good < len(events) {
+		i := bytes.Index(events[good:], []byte("\n\n"))
+		if id := eventID(events[good : good+i+1]); id != "" {
+			if !follows(s.lastID, id) {
+				return good, errors.Newf("event %s after event %s", id, s.lastID)
+			}
+			s.lastID = id
+			s.events++
 		}
-		rest = rest[i+2:]
+		good += i + 2
 	}
-	if _, err := a.w.Write(whole); err != nil {
-		return nil, err
+	return good, nil
+}
+
+// follows tells whether an event's id may come after the last one. Ids that are
+// no numbers can't be compared.
+func follows(last, id string) bool {
+	before, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		return true
 	}
-	if err := http.NewResponseController(a.w).Flush(); err != nil {
-		return nil, err
+	n, err := strconv.ParseUint(id, 10, 64)
+	return err != nil || n > before
+}
+
+// pass sends whole events to the caller.
+func (a *attempt) pass(resp *http.Response, events []byte) error {
+	if len(events) == 0 {
+		return nil
+	}
+	a.start(resp)
+	if _, err := a.w.Write(events); err != nil {
+		return err
 	}
-	return append(pending[:0], pending[end+2:]...), nil
+	return http.NewResponseController(a.w).Flush()
 }
 
 // start sends the head of the answer, once: a resumed stream keeps the first.
@@ -123,9 +152,9 @@
 	a.server.opts.Dialect.Answer(a.w.Header(), resp.Header)
 	a.w.Header().Del("Content-Length")
 	a.w.WriteHeader(resp.StatusCode)
-	a.exchange.entry.Status = resp.StatusCode
-	a.exchange.entry.First = time.Since(a.arrived)
-	a.server.counts.first.Record(a.exchange.entry.First)
+	a.exchange.record.Status = resp.StatusCode
+	a.exchange.record.First = time.Since(a.arrived)
+	a.server.counts.first.Record(a.exchange.record.First)
 }
 
 // eventID returns the id of an event, or "".
@@ -144,7 +173,7 @@
 	a.start(resp)
 	a.server.opts.Pool.Finish(a.conn)
 	a.result = admit.Served
-	a.exchange.entry.Outcome = "served"
+	a.exchange.record.Outcome = "served"
 	return delivered, nil
 }
 
@@ -158,5 +187,5 @@
 func (a *attempt) callerGone(err error) (ending, error) {
 	a.conn.Close()
 	a.result = admit.Left
-	return over, errors.Wrap(err, "write to the caller")
+	return callerLeft, errors.Wrap(err, "write to the caller")
 }
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -24,7 +24,7 @@
 // bounded in rate. What went wrong goes before what went well.
 type requestLog struct {
 	logger  *logrus.Entry
-	ring    chan any // edge.Decision or edge.Entry
+	ring    chan any // edge.Decision or edge.RequestRecord
 	dropped atomic.Int64
 
 	// smooth and trouble are the lines left in the current second.
@@ -48,11 +48,11 @@
 }
 
 // Request implements edge.Log.
-func (l *requestLog) Request(e edge.Entry) {
+func (l *requestLog) Request(e edge.RequestRecord) {
 	l.put(e, smooth(e))
 }
 
-func smooth(e edge.Entry) bool { return e.Outcome == "served" && len(e.Attempts) <= 1 }
+func smooth(e edge.RequestRecord) bool { return e.Outcome == "served" && len(e.Attempts) <= 1 }
 
 func (l *requestLog) put(line any, smooth bool) {
 	left := &l.trouble
@@ -104,7 +104,7 @@
 	switch line := line.(type) {
 	case edge.Decision:
 		l.logger.WithFields(decisionFields(line)).Info("request " + line.Step)
-	case edge.Entry:
+	case edge.RequestRecord:
 		l.logger.WithFields(entryFields(line)).Info("request ended")
 	}
 }
@@ -138,7 +138,7 @@
 	}
 }
 
-func entryFields(e edge.Entry) logrus.Fields {
+func entryFields(e edge.RequestRecord) logrus.Fields {
 	f := logrus.Fields{
 		"request": e.ID, "route": e.Route, "version": e.Version, "status": e.Status,
 		"outcome": e.Outcome, "first_ms": e.First.Milliseconds(), "took_ms": e.Took.Milliseconds(),
@@ -171,7 +171,7 @@
 	TookMS   int64  `json:"took_ms"`
 }
 
-func attempts(entries []edge.AttemptEntry) []attempt {
+func attempts(entries []edge.AttemptRecord) []attempt {
 	out := make([]attempt, 0, len(entries))
 	for _, a := range entries {
 		out = append(out, attempt{
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -41,9 +41,9 @@
 	return errors.Is(err, unix.EAGAIN)
 }
 
-// Ended tells whether the other side of a connection has closed it, also where
+// PeerClosed tells whether the other side of a connection has closed it, also where
 // the goroutine that reads from it has not yet run.
-func Ended(conn net.Conn) bool {
+func PeerClosed(conn net.Conn) bool {
 	n, err := peek(conn)
 	return err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
 }
