peer: silence of a peer goes by the steady clock

Cause, found on reading: a link kept the wall clock's time of the last message; a jump of the time of day by more than the timeout (1.2 s on the platform) would end all links of an instance, or hide a dead peer for as long. Ruled out: other users of the wall clock (quarantine counts minutes; incarnations may fall back and are refused only while the newer one lives). Change: links count from the mesh's start.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -52,6 +52,7 @@
 	opened  chan struct{}
 	session *yamux.Session
 
+	// heardAt is the time since the mesh was made, in ns.
 	heardAt atomic.Int64
 	peer    atomic.Pointer[Peer]
 }
@@ -71,7 +72,7 @@
 		opened:  make(chan struct{}),
 	}
 	now := time.Now()
-	l.heardAt.Store(now.UnixNano())
+	l.heard(now)
 	l.peer.Store(&Peer{
 		Instance:    info.Instance,
 		Incarnation: info.Incarnation,
@@ -187,7 +188,7 @@
 		if err != nil {
 			return errors.Wrap(err, "read")
 		}
-		l.heardAt.Store(time.Now().UnixNano())
+		l.heard(time.Now())
 		l.mesh.traffic.received[k].add(wire)
 		switch body := env.GetBody().(type) {
 		case nil:
@@ -242,7 +243,11 @@
 	}
 }
 
-func (l *link) lastHeard() time.Time { return time.Unix(0, l.heardAt.Load()) }
+// heard notes when the last message came. It goes by the steady clock: the time
+// of day may jump, which is no silence.
+func (l *link) heard(now time.Time) { l.heardAt.Store(int64(now.Sub(l.mesh.started))) }
+
+func (l *link) lastHeard() time.Time { return l.mesh.started.Add(time.Duration(l.heardAt.Load())) }
 
 // flusher writes frames to a control stream.
 type flusher struct {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -105,6 +105,8 @@
 	// desiredSet and liveSet have an element after a change.
 	desiredSet chan struct{}
 	liveSet    chan struct{}
+	// started is when the mesh was made; links count the time from there.
+	started time.Time
 	// handshakes bounds the incoming links that have not said who they are.
 	handshakes chan struct{}
 
@@ -127,6 +129,7 @@
 		desiredSet: make(chan struct{}, 1),
 		liveSet:    make(chan struct{}, 1),
 		handshakes: make(chan struct{}, maxHandshakes),
+		started:    time.Now(),
 		set:        member.New(opts.Self, opts.Timeout),
 		links:      make(map[member.LinkID]*link),
 	}
