--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -18,9 +18,9 @@
 
 var start = time.Unix(1000, 0)
 
-// bed is a line with engines e0, e1 and so on and plain targets p0, p1 and so on.
+// bed is a controller with engines e0, e1 and so on and plain targets p0, p1 and so on.
 type bed struct {
-	*admit.Line
+	*admit.Controller
 	t      *testing.T
 	lastID admit.ID
 }
@@ -43,7 +43,7 @@
 		all = append(all, routing.Target{ID: ids.Target(fmt.Sprintf("p%d", i)), Service: "app", Domain: "z", Slots: 4})
 	}
 	l.SetTargets(all)
-	return &bed{Line: l, t: t}
+	return &bed{Controller: l, t: t}
 }
 
 func (b *bed) submit(now time.Time, ws ids.Workspace, service string, parts ...admit.Part) admit.Verdict {
@@ -265,7 +265,7 @@
 	}
 }
 
-func TestRequestLikeOneJustRefusedIsHopelessForAMoment(t *testing.T) {
+func TestRequestLikeOneJustRefusedIsRefusedEarly(t *testing.T) {
 	b := newBed(t, 1, 0)
 	big := func() admit.Request {
 		b.lastID++
@@ -274,17 +274,17 @@
 			Prompt: 4000, Arrived: start, Deadline: start.Add(patience), Objective: objective,
 		}
 	}
-	if _, hopeless := b.Hopeless(start, big()); hopeless {
-		t.Error("hopeless although nothing was refused")
+	if _, refused := b.RefuseEarly(start, big()); refused {
+		t.Error("refused although nothing was refused")
 	}
 	for b.Submit(start, big()).Refused == "" {
 	}
-	v, hopeless := b.Hopeless(start.Add(time.Millisecond), big())
-	if !hopeless || v.Refused == "" || v.RetryAfter <= 0 {
+	v, refused := b.RefuseEarly(start.Add(time.Millisecond), big())
+	if !refused || v.Refused == "" || v.RetryAfter <= 0 {
 		t.Errorf("verdict %+v right after one like it was refused", v)
 	}
-	if _, hopeless := b.Hopeless(start.Add(50*time.Millisecond), big()); hopeless {
-		t.Error("still hopeless long after")
+	if _, refused := b.RefuseEarly(start.Add(50*time.Millisecond), big()); refused {
+		t.Error("still refused long after")
 	}
 }
 
--- a/internal/core/admit/bench_test.go
+++ b/internal/core/admit/bench_test.go
@@ -37,7 +37,7 @@
 	}
 }
 
-func fleetOf(engines, peers int, full bool) *admit.Line {
+func fleetOf(engines, peers int, full bool) *admit.Controller {
 	l := admit.New(admit.Options{Domain: "z", Window: 4 * time.Second, Seed: 1})
 	l.SetConfig(&routing.Config{
 		Services: map[string]*routing.Service{"llm": {Name: "llm", Engine: &routing.Engine{Slots: 16, MemoryTokens: 400_000}}},
--- a/internal/core/admit/cache.go
+++ b/internal/core/admit/cache.go
@@ -2,24 +2,26 @@
 
 import "time"
 
+// Untuned first values. An engine forgets a part when it needs the room, which
+// depends on its load; cacheLife stands in for that.
 const (
 	// cacheLife is how long a part is believed to be in an engine's cache after
 	// it was last used there.
 	cacheLife = 12 * time.Second
 	// maxCached bounds the parts remembered for one engine.
 	maxCached = 8192
-	// newsInterval is how long a use of a part holds for peers, so that a part
+	// reportAgain is how long a use of a part holds for peers, so that a part
 	// in steady use is not told with each request.
-	newsInterval = time.Second
-	// maxNews bounds the parts told in one report.
-	maxNews = 256
+	reportAgain = time.Second
+	// maxUnreported bounds the parts told in one report.
+	maxUnreported = 256
 )
 
 // prefixCache is what one engine is believed to hold of prompts.
 type prefixCache struct {
 	used map[uint64]time.Time
-	// news are shared parts that this router sent there and peers do not know of.
-	news []uint64
+	// unreported are shared parts that this router sent there and peers do not know of.
+	unreported []uint64
 }
 
 // hold tells whether the part was used there lately.
@@ -29,12 +31,12 @@
 }
 
 // send notes that this router sent a prompt there. The last part belongs to the
-// request or its session and is no news to peers.
+// request or its session and is no unreported to peers.
 func (c *prefixCache) send(now time.Time, parts []Part) {
 	for i, p := range parts {
 		at, known := c.used[p.Key]
-		if i < len(parts)-1 && (!known || now.Sub(at) >= newsInterval) && len(c.news) < maxNews {
-			c.news = append(c.news, p.Key)
+		if i < len(parts)-1 && (!known || now.Sub(at) >= reportAgain) && len(c.unreported) < maxUnreported {
+			c.unreported = append(c.unreported, p.Key)
 		}
 		c.touch(now, p.Key)
 	}
@@ -50,11 +52,11 @@
 	}
 }
 
-// takeNews returns the news for peers, once.
-func (c *prefixCache) takeNews() []uint64 {
-	news := c.news
-	c.news = nil
-	return news
+// takeUnreported returns the unreported for peers, once.
+func (c *prefixCache) takeUnreported() []uint64 {
+	unreported := c.unreported
+	c.unreported = nil
+	return unreported
 }
 
 // trim forgets what has expired, and everything where that is not enough.
--- a/internal/core/admit/health.go
+++ b/internal/core/admit/health.go
@@ -5,6 +5,8 @@
 	"time"
 )
 
+// Untuned first values; shorter pauses made no difference on the bench
+// (docs/incidents/ledus-inc-325d.md).
 const (
 	// downFirst and downLast bound the time for which an unreachable target is
 	// left alone; it doubles with each failed trial.
@@ -21,8 +23,8 @@
 
 // health is what the results of a target's requests say about it.
 type health struct {
-	// refusals of connections in a row, and the end of the pause after them.
-	refusals  int
+	// failures of connections in a row, and the end of the pause after them.
+	failures  int
 	downUntil time.Time
 	// trial is the request that tries the target after a pause.
 	trial ID
@@ -34,14 +36,14 @@
 // open tells whether requests may go to the target; after a pause one at a time
 // may, until it succeeds.
 func (h *health) open(now time.Time) bool {
-	if h.refusals == 0 {
+	if h.failures == 0 {
 		return true
 	}
 	return !now.Before(h.downUntil) && h.trial == 0
 }
 
 func (h *health) sent(id ID) {
-	if h.refusals > 0 {
+	if h.failures > 0 {
 		h.trial = id
 	}
 }
@@ -52,22 +54,22 @@
 	}
 	switch r {
 	case Unreachable:
-		pause := downFirst << min(h.refusals, 8)
-		h.refusals++
+		pause := downFirst << min(h.failures, 8)
+		h.failures++
 		h.downUntil = now.Add(min(pause, downLast))
 		h.observe(now, 1)
 	case Replaced:
 		// The list lags; until it follows nothing is gained there.
-		h.refusals++
+		h.failures++
 		h.downUntil = now.Add(downLast)
 	case Failed:
 		h.observe(now, 1)
 	case Served:
-		h.refusals = 0
+		h.failures = 0
 		h.observe(now, 0)
 	case Rejected:
 		// A full target is reachable, and not at fault.
-		h.refusals = 0
+		h.failures = 0
 	case Left:
 	}
 }
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -8,51 +8,51 @@
 	"github.com/umberhill/umberhill/internal/core/share"
 )
 
-// line holds the requests of one service that wait at this router.
-type line struct {
+// queue holds the requests of one service that wait at this router.
+type queue struct {
 	waiting []*entry
 }
 
 type entry struct {
 	req  *Request
 	rank share.Rank
-	// give is when the request is refused if it still waits.
-	give time.Time
+	// refuseAt is when the request is refused if it still waits.
+	refuseAt time.Time
 }
 
-func (l *line) len() int { return len(l.waiting) }
+func (q *queue) len() int { return len(q.waiting) }
 
-func (l *line) tokens() int {
+func (q *queue) tokens() int {
 	sum := 0
-	for _, e := range l.waiting {
+	for _, e := range q.waiting {
 		sum += e.req.Prompt
 	}
 	return sum
 }
 
-func (l *line) add(e *entry) { l.waiting = append(l.waiting, e) }
+func (q *queue) add(e *entry) { q.waiting = append(q.waiting, e) }
 
-func (l *line) remove(id ID) bool {
-	i := slices.IndexFunc(l.waiting, func(e *entry) bool { return e.req.ID == id })
+func (q *queue) remove(id ID) bool {
+	i := slices.IndexFunc(q.waiting, func(e *entry) bool { return e.req.ID == id })
 	if i < 0 {
 		return false
 	}
-	l.waiting = slices.Delete(l.waiting, i, i+1)
+	q.waiting = slices.Delete(q.waiting, i, i+1)
 	return true
 }
 
-// before tells whether requests wait that go before one of a rank.
-func (l *line) before(rank share.Rank) bool {
-	return slices.ContainsFunc(l.waiting, func(e *entry) bool { return e.rank < rank })
+// hasBefore tells whether requests wait that go before one of a rank.
+func (q *queue) hasBefore(rank share.Rank) bool {
+	return slices.ContainsFunc(q.waiting, func(e *entry) bool { return e.rank < rank })
 }
 
-// order sorts the line by the workspaces' ranks, of the same rank the ones that
+// order sorts the queue by the workspaces' ranks, of the same rank the ones that
 // can still be on time first, then by the earliest objective.
-func (l *line) order(now time.Time, rank func(*Request) share.Rank) {
-	for _, e := range l.waiting {
+func (q *queue) order(now time.Time, rank func(*Request) share.Rank) {
+	for _, e := range q.waiting {
 		e.rank = rank(e.req)
 	}
-	slices.SortStableFunc(l.waiting, func(a, b *entry) int {
+	slices.SortStableFunc(q.waiting, func(a, b *entry) int {
 		if a.rank != b.rank {
 			return cmp.Compare(a.rank, b.rank)
 		}
@@ -60,7 +60,7 @@
 		if aLate != bLate {
 			return boolFirst(bLate)
 		}
-		return cmp.Compare(a.req.onTime().UnixNano(), b.req.onTime().UnixNano())
+		return a.req.onTime().Compare(b.req.onTime())
 	})
 }
 
--- a/internal/core/admit/request.go
+++ b/internal/core/admit/request.go
@@ -54,8 +54,8 @@
 	NoTarget Reason = "no_target"
 	// Saturated: the request could not start in time.
 	Saturated Reason = "saturated"
-	// BeyondShare: the targets are busy and the workspace has had its share.
-	BeyondShare Reason = "beyond_share"
+	// OverShare: the targets are busy and the workspace has had its share.
+	OverShare Reason = "over_share"
 	// Expired: the request has waited for as long as it may.
 	Expired Reason = "expired"
 )
@@ -63,7 +63,7 @@
 // Verdict is the decision on a request.
 type Verdict struct {
 	ID ID
-	// Waiting is set while the request is in the line; the others are empty.
+	// Waiting is set while the request is in the queue; the others are empty.
 	Waiting bool
 	// Target to which it goes; its ID is empty where the request is refused.
 	Target routing.Target
@@ -83,8 +83,8 @@
 	Predicted time.Duration
 	// Rank of the workspace by its fair share.
 	Rank share.Rank
-	// LineWait is the expected time in the line.
-	LineWait time.Duration
+	// QueueWait is the expected time in the queue.
+	QueueWait time.Duration
 }
 
 // Result says how an attempt at a target ended.
@@ -107,8 +107,8 @@
 	Unreachable
 )
 
-// News is a change of what is believed of a target.
-type News struct {
+// HealthChange is a change of what is believed of a target.
+type HealthChange struct {
 	Target ids.Target
 	// Reachable is false once connections to it fail: it is then left alone for
 	// a while and tried by one request at a time.
@@ -130,7 +130,7 @@
 	Cached []uint64
 }
 
-// Backlog is what waits in a router's line for a service.
+// Backlog is what waits in a router's queue for a service.
 type Backlog struct {
 	Service string
 	// Requests and Tokens that wait.
--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -10,6 +10,8 @@
 	"github.com/umberhill/umberhill/internal/routing"
 )
 
+// readyShare and rereadCost come from the replay and the bench
+// (docs/design/ADMISSION.md); the others are untuned first values.
 const (
 	// readyShare is the part of the tightest latency objective that the tokens
 	// not yet read at an engine may take.
@@ -39,36 +41,27 @@
 )
 
 // rankShare is the part of an engine's bounds up to which it takes requests of
-// workspaces by their rank, so that there is room for those that are owed more.
-var rankShare = [...]float64{share.Owed: 1, share.Fair: 0.85, share.Beyond: 0.6}
+// workspaces by their rank, so that there is room for those that stand better. Untuned.
+var rankShare = [...]float64{share.Guaranteed: 1, share.Fair: 0.85, share.Excess: 0.6}
 
 // service is the state of one service.
 type service struct {
 	name    string
 	conf    *routing.Service
 	targets []*target
-	fit     *fit
+	latency *latencyModel
 
 	// tightest is the shortest latency objective seen lately.
 	tightest   time.Duration
 	tightestAt time.Time
 
-	// saturated is until when requests of an objective are refused as one was a
-	// moment ago, if their rank is no better.
-	saturated map[time.Duration]saturation
-	// full is until when no target has room for workspaces beyond their share.
-	full time.Time
+	// refused remembers the last refusals for a moment.
+	refused map[refusalKind]refusal
 
-	line    line
+	queue   queue
 	backlog map[ids.Instance]peerBacklog
 }
 
-type saturation struct {
-	until time.Time
-	rank  share.Rank
-	back  time.Duration
-}
-
 type peerBacklog struct {
 	at time.Time
 	Backlog
@@ -106,10 +99,10 @@
 	return s.cheapest(now, r, self, rank, func(a, b candidate) bool { return a.cost < b.cost })
 }
 
-// chooseRoom returns the cheapest target that has room for a workspace that has
+// chooseWithRoom returns the cheapest target that has room for a workspace that has
 // had its share, or else the cheapest.
-func (s *service) chooseRoom(now time.Time, r *Request, self ids.Domain) (candidate, bool) {
-	return s.cheapest(now, r, self, share.Beyond, func(a, b candidate) bool {
+func (s *service) chooseWithRoom(now time.Time, r *Request, self ids.Domain) (candidate, bool) {
+	return s.cheapest(now, r, self, share.Excess, func(a, b candidate) bool {
 		if a.room != b.room {
 			return a.room
 		}
@@ -172,7 +165,7 @@
 	uncached := r.Prompt - held
 	ahead := pending + uncached
 	slow := t.slowness(now)
-	predicted := time.Duration(float64(s.fit.predict(ahead)) * slow)
+	predicted := time.Duration(float64(s.latency.predict(ahead)) * slow)
 	slots := max(1, t.Slots)
 	c := candidate{
 		cost:     predicted + busyPenalty*time.Duration(running)/time.Duration(slots),
@@ -187,14 +180,14 @@
 		c.cost += strayCost * time.Duration(sharedMissing)
 	}
 	if running >= slots {
-		c.wait = s.fit.duration() * time.Duration(running+1-slots) / time.Duration(slots)
+		c.wait = s.latency.duration() * time.Duration(running+1-slots) / time.Duration(slots)
 		c.cost += c.wait
 	}
 	if predicted > left {
 		c.cost += r.Objective
 	}
 	part := rankShare[rank]
-	unread := float64(s.fit.tokensIn(s.tightest)) * readyShare * part / slow
+	unread := float64(s.latency.tokensIn(s.tightest)) * readyShare * part / slow
 	need := float64(memory+r.Prompt) + outputShare*float64(r.Output)
 	c.room = float64(running+1) <= float64(slots)*part &&
 		(pending == 0 || float64(ahead) <= unread) &&
@@ -205,7 +198,7 @@
 func (s *service) weighPlain(now time.Time, t *target, rank share.Rank) candidate {
 	running, _, _ := t.load(now)
 	slots := max(1, t.Slots)
-	took := time.Duration(float64(s.fit.duration()) * t.slowness(now))
+	took := time.Duration(float64(s.latency.duration()) * t.slowness(now))
 	predicted := took
 	if running >= slots {
 		predicted += took * time.Duration(running+1-slots) / time.Duration(slots)
@@ -217,10 +210,10 @@
 	}
 }
 
-// lineWait is the expected time until what waits before a new request has been
+// queueWait is the expected time until what waits before a new request has been
 // sent, at all routers together.
-func (s *service) lineWait(now time.Time) time.Duration {
-	requests, tokens := s.line.len(), s.line.tokens()
+func (s *service) queueWait(now time.Time) time.Duration {
+	requests, tokens := s.queue.len(), s.queue.tokens()
 	for peer, b := range s.backlog {
 		if now.Sub(b.at) > reportLife {
 			delete(s.backlog, peer)
@@ -239,9 +232,9 @@
 	if open == 0 {
 		return 0
 	}
-	wait := s.fit.duration() * time.Duration(requests) / time.Duration(slots)
+	wait := s.latency.duration() * time.Duration(requests) / time.Duration(slots)
 	if s.engine() {
-		reading := time.Duration(float64(tokens) * s.fit.msPerToken * float64(time.Millisecond) / float64(open))
+		reading := time.Duration(float64(tokens) * s.latency.msPerToken * float64(time.Millisecond) / float64(open))
 		wait = max(wait, reading)
 	}
 	return wait
--- a/internal/core/admit/target.go
+++ b/internal/core/admit/target.go
@@ -9,6 +9,8 @@
 	"github.com/umberhill/umberhill/internal/routing"
 )
 
+// Untuned first values; reportLife is many report intervals, so that lost reports
+// do no harm.
 const (
 	// reportLife is how long a peer's report of its load counts.
 	reportLife = 1500 * time.Millisecond
@@ -30,9 +32,8 @@
 	sent     time.Time
 	uncached int
 	// ahead are the tokens that were to be read before and with this request.
-	ahead   int
-	began   bool
-	beganAt time.Time
+	ahead int
+	began bool
 }
 
 // target is what is known of one run of a back end.
@@ -71,13 +72,13 @@
 // load returns the fleet's load at the target.
 func (t *target) load(now time.Time) (running, pending, memory int) {
 	if now.Sub(t.sumAt) > sumLife {
-		t.addUp(now)
+		t.sumPeers(now)
 	}
 	return t.running + t.sum.Running, t.pending + t.sum.Pending, t.memory + t.sum.Memory
 }
 
-// addUp sums the peers' loads and forgets those that are too old.
-func (t *target) addUp(now time.Time) {
+// sumPeers sums the peers' loads and forgets those that are too old.
+func (t *target) sumPeers(now time.Time) {
 	t.sum, t.sumAt = Load{}, now
 	for peer, l := range t.peers {
 		if now.Sub(l.at) > reportLife {
@@ -88,17 +89,18 @@
 	}
 }
 
-// hear takes a peer's load; none removes it.
-func (t *target) hear(now time.Time, peer ids.Instance, l Load, none bool) {
+// setPeerLoad takes a peer's load in place of the one before.
+func (t *target) setPeerLoad(now time.Time, peer ids.Instance, l Load) {
+	t.dropPeerLoad(peer)
+	t.peers[peer] = peerLoad{at: now, Load: l}
+	t.sum.add(l, 1)
+}
+
+func (t *target) dropPeerLoad(peer ids.Instance) {
 	if old, known := t.peers[peer]; known {
 		t.sum.add(old.Load, -1)
-	}
-	if none {
 		delete(t.peers, peer)
-		return
 	}
-	t.peers[peer] = peerLoad{at: now, Load: l}
-	t.sum.add(l, 1)
 }
 
 func (l *Load) add(o Load, sign int) {
--- a/internal/core/admit/wait.go
+++ b/internal/core/admit/wait.go
@@ -6,65 +6,50 @@
 	"github.com/umberhill/umberhill/internal/core/share"
 )
 
-// hold puts a request into the line, or refuses it where it can't be in time.
-func (l *Line) hold(now time.Time, s *service, r *Request, c candidate, wait time.Duration) Verdict {
-	v := Verdict{ID: r.ID, Inputs: c.inputs}
+// enqueue puts a request into the queue, or refuses it where it can't be in time.
+func (ac *Controller) enqueue(now time.Time, s *service, r *Request, c candidate, wait time.Duration) Verdict {
 	starts := now.Add(max(wait, c.wait) + c.inputs.Predicted)
 	latest := r.Arrived.Add(time.Duration(startShare * float64(r.Objective)))
-	switch {
-	case starts.After(latest), s.line.len() >= maxLine:
-		v.Refused = Saturated
-	default:
-		v.Waiting = true
-		s.line.add(&entry{req: r, rank: c.inputs.Rank, give: giveUp(r)})
-		return v
+	if starts.After(latest) || s.queue.len() >= maxQueue {
+		s.remember(now, r, c.inputs.Rank, wait)
+		return ac.refuse(now, r, c.inputs)
 	}
-	s.saturated[r.Objective] = saturation{until: now.Add(fullLife), rank: c.inputs.Rank, back: wait}
-	v.RetryAfter = l.spread(wait)
-	return v
+	s.queue.add(&entry{req: r, rank: c.inputs.Rank, refuseAt: refuseTime(r)})
+	return Verdict{ID: r.ID, Waiting: true, Inputs: c.inputs}
 }
 
-// giveUp is when a request that still waits is refused.
-func giveUp(r *Request) time.Time {
+// refuseTime is when a request that still waits is refused.
+func refuseTime(r *Request) time.Time {
 	return r.Arrived.Add(max(r.Objective, time.Duration(patience*float64(r.Deadline.Sub(r.Arrived)))))
 }
 
-// Withdraw takes a request out of the line and tells whether it was there.
-func (l *Line) Withdraw(id ID) bool {
-	for _, s := range l.services {
-		if s.line.remove(id) {
+// Withdraw takes a request out of the queue and tells whether it was there.
+func (ac *Controller) Withdraw(id ID) bool {
+	for _, s := range ac.services {
+		if s.queue.remove(id) {
 			return true
 		}
 	}
 	return false
 }
 
-// Waiting returns the number of requests in the line.
-func (l *Line) Waiting() int {
-	n := 0
-	for _, s := range l.services {
-		n += s.line.len()
-	}
-	return n
-}
-
-// Poll decides on the requests in the line, as far as they can be decided.
-func (l *Line) Poll(now time.Time) []Verdict {
+// Poll decides on the requests in the queue, as far as they can be decided.
+func (ac *Controller) Poll(now time.Time) []Verdict {
 	var out []Verdict
-	for _, s := range l.services {
-		if s.line.len() > 0 {
-			out = l.pollService(now, s, out)
+	for _, s := range ac.services {
+		if s.queue.len() > 0 {
+			out = ac.pollService(now, s, out)
 		}
 	}
 	return out
 }
 
-func (l *Line) pollService(now time.Time, s *service, out []Verdict) []Verdict {
-	s.line.order(now, func(r *Request) share.Rank { return l.rank(now, s, r) })
-	kept := s.line.waiting[:0]
-	waiting := s.line.waiting
+func (ac *Controller) pollService(now time.Time, s *service, out []Verdict) []Verdict {
+	s.queue.order(now, func(r *Request) share.Rank { return ac.rank(now, s, r) })
+	kept := s.queue.waiting[:0]
+	waiting := s.queue.waiting
 	for i, e := range waiting {
-		v, decided := l.decide(now, s, e, i < maxLooks)
+		v, decided := ac.decide(now, s, e, i < maxScan)
 		if decided {
 			out = append(out, v)
 			continue
@@ -72,23 +57,23 @@
 		kept = append(kept, e)
 	}
 	clear(waiting[len(kept):])
-	s.line.waiting = kept
+	s.queue.waiting = kept
 	return out
 }
 
 // decide looks for a target for a waiting request, or only at its time.
-func (l *Line) decide(now time.Time, s *service, e *entry, look bool) (Verdict, bool) {
-	if !look && now.Before(e.give) {
+func (ac *Controller) decide(now time.Time, s *service, e *entry, scan bool) (Verdict, bool) {
+	if !scan && now.Before(e.refuseAt) {
 		return Verdict{}, false
 	}
-	c, found := s.choose(now, e.req, l.opts.Domain, e.rank)
+	c, found := s.choose(now, e.req, ac.opts.Domain, e.rank)
 	if found && c.room {
-		return l.send(now, s, e.req, c), true
+		return ac.send(now, s, e.req, c), true
 	}
-	if now.Before(e.give) {
+	if now.Before(e.refuseAt) {
 		return Verdict{}, false
 	}
-	v := Verdict{ID: e.req.ID, Refused: Expired, RetryAfter: l.spread(s.lineWait(now)), Inputs: c.inputs}
+	v := Verdict{ID: e.req.ID, Refused: Expired, RetryAfter: ac.spread(s.queueWait(now)), Inputs: c.inputs}
 	if !found {
 		v.Refused = NoTarget
 	}
--- a/internal/core/hub/hub_test.go
+++ b/internal/core/hub/hub_test.go
@@ -67,7 +67,7 @@
 	}
 }
 
-func TestSumAddsUpAndNewsAreToldOnce(t *testing.T) {
+func TestSumAddsUpAndKeysAreSentOnOnce(t *testing.T) {
 	a := &fleetv1.Report{
 		Targets:    []*fleetv1.TargetLoad{{Target: "x", Running: 1, Pending: 10, Memory: 5, Cached: []uint64{7}}},
 		Workspaces: []*fleetv1.WorkspaceUse{{Workspace: "w", Asked: 3, Started: 2}},
@@ -84,11 +84,11 @@
 	if sum.Backlogs[0].Tokens != 9 || sum.Workspaces[0].Asked != 4 {
 		t.Errorf("sum %v", sum)
 	}
-	news := make(hub.News)
-	news.Take(a)
-	news.Take(&fleetv1.Report{Targets: []*fleetv1.TargetLoad{{Target: "z", Cached: []uint64{8}}}})
-	news.Add(sum)
+	keys := make(hub.CachedKeys)
+	keys.Collect(a)
+	keys.Collect(&fleetv1.Report{Targets: []*fleetv1.TargetLoad{{Target: "z", Cached: []uint64{8}}}})
+	keys.AttachTo(sum)
 	if len(sum.Targets) != 3 || sum.Targets[0].Cached[0] != 7 || sum.Targets[2].Cached[0] != 8 {
-		t.Errorf("with news %v", sum.Targets)
+		t.Errorf("with keys %v", sum.Targets)
 	}
 }
--- a/internal/core/hub/plan.go
+++ b/internal/core/hub/plan.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	// FullMesh is the largest number of routers that all link to each other.
+	// FullMesh is the largest number of routers that all link to each other: the
+	// number up to which links are kept to all (core/member).
 	FullMesh = 24
 	// PerDomain is the number of hubs in a failure domain, so that one may fail.
 	PerDomain = 2
--- a/internal/core/hub/sum.go
+++ b/internal/core/hub/sum.go
@@ -4,8 +4,8 @@
 	fleetv1 "github.com/umberhill/umberhill/api/fleet/v1"
 )
 
-// Sum adds reports up. Keys of cached parts are not in the sum: they are news,
-// told once.
+// Sum adds reports up. Keys of cached parts are not in the sum: each is
+// sent on once.
 func Sum(reports []*fleetv1.Report) *fleetv1.Report {
 	targets := make(map[string]*fleetv1.TargetLoad)
 	backlogs := make(map[string]*fleetv1.Backlog)
@@ -47,31 +47,31 @@
 	return out
 }
 
-// News collects the keys of cached parts until they are told.
-type News map[string][]uint64
+// CachedKeys are the keys of cached parts by target that were not yet sent on.
+type CachedKeys map[string][]uint64
 
-// maxNews bounds the keys collected for one target.
-const maxNews = 1024
+// maxKeys, several reports' worth, bounds the keys collected for one target.
+const maxKeys = 1024
 
-// Take adds the keys of a report.
-func (n News) Take(r *fleetv1.Report) {
+// Collect adds the keys of a report.
+func (k CachedKeys) Collect(r *fleetv1.Report) {
 	for _, t := range r.GetTargets() {
-		if keys := t.GetCached(); len(keys) > 0 && len(n[t.GetTarget()]) < maxNews {
-			n[t.GetTarget()] = append(n[t.GetTarget()], keys...)
+		if keys := t.GetCached(); len(keys) > 0 && len(k[t.GetTarget()]) < maxKeys {
+			k[t.GetTarget()] = append(k[t.GetTarget()], keys...)
 		}
 	}
 }
 
-// Add puts the keys into a sum.
-func (n News) Add(sum *fleetv1.Report) {
+// AttachTo puts the keys into a sum.
+func (k CachedKeys) AttachTo(sum *fleetv1.Report) {
 	for _, t := range sum.GetTargets() {
-		t.Cached = append(t.Cached, n[t.GetTarget()]...)
+		t.Cached = append(t.Cached, k[t.GetTarget()]...)
 	}
 	have := make(map[string]bool, len(sum.GetTargets()))
 	for _, t := range sum.GetTargets() {
 		have[t.GetTarget()] = true
 	}
-	for target, keys := range n {
+	for target, keys := range k {
 		if !have[target] {
 			sum.Targets = append(sum.Targets, &fleetv1.TargetLoad{Target: target, Cached: keys})
 		}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -18,10 +18,11 @@
 	// Settle is how long after the store's return an entry may still be missing
 	// though its target lives: entries are back within about two seconds.
 	Settle = 2500 * time.Millisecond
-	// margin is what news of a target's end takes to be seen and acted on.
+	// margin is what news of a target's end takes to be seen and acted on: a watch
+	// and a check of the list, with room to spare.
 	margin = 500 * time.Millisecond
-	// tombLife is how long the end of an entry is remembered against older news.
-	tombLife = time.Minute
+	// tombstoneLife, far above any delay of a read, is how long the end of an entry is remembered against older news.
+	tombstoneLife = time.Minute
 )
 
 // Entry is a target as it stands in the store.
@@ -40,15 +41,15 @@
 
 // Roster is the list of targets.
 type Roster struct {
-	// keep is how long a target whose entry ended after an outage is kept.
-	keep    time.Duration
-	entries map[ids.Target]*state
-	tombs   map[ids.Target]tomb
+	// keepMissing is how long a target whose entry ended after an outage is kept.
+	keepMissing time.Duration
+	entries     map[ids.Target]*state
+	tombstones  map[ids.Target]tombstone
 	// asOf is the store's revision at which the list last changed.
 	asOf uint64
 	away bool
-	// backAt is when the store returned last; zero where it never was away.
-	backAt time.Time
+	// returnedAt is when the store returned last; zero where it never was away.
+	returnedAt time.Time
 }
 
 type state struct {
@@ -58,15 +59,15 @@
 	since   time.Time
 }
 
-type tomb struct {
+type tombstone struct {
 	revision uint64
 	at       time.Time
 }
 
 // New returns an empty roster. A leaving target must get no more requests after
-// the time within: that bounds how long an entry that ended is kept.
-func New(within time.Duration) *Roster {
-	return &Roster{keep: min(Settle, max(0, within-margin)), entries: make(map[ids.Target]*state), tombs: make(map[ids.Target]tomb)}
+// the time leaveWithin: that bounds how long an entry that ended is kept.
+func New(leaveWithin time.Duration) *Roster {
+	return &Roster{keepMissing: min(Settle, max(0, leaveWithin-margin)), entries: make(map[ids.Target]*state), tombstones: make(map[ids.Target]tombstone)}
 }
 
 // AsOf is the store's revision at which the list last changed.
@@ -96,8 +97,8 @@
 	r.replace(now, list, asOf, !settled)
 }
 
-// IsSettled tells whether the store answers and missing entries have ended.
-func (r *Roster) IsSettled(now time.Time) bool { return !r.settling(now) }
+// Settled tells whether the store answers and missing entries have ended.
+func (r *Roster) Settled(now time.Time) bool { return !r.settling(now) }
 
 func (r *Roster) replace(now time.Time, list []Entry, asOf uint64, keep bool) {
 	if asOf < r.asOf {
@@ -120,7 +121,7 @@
 	if known := r.entries[e.ID]; known != nil && e.Revision < known.Revision {
 		return
 	}
-	if t, ended := r.tombs[e.ID]; ended && e.Revision <= t.revision {
+	if t, ended := r.tombstones[e.ID]; ended && e.Revision <= t.revision {
 		return
 	}
 	r.entries[e.ID] = &state{Entry: e}
@@ -142,38 +143,38 @@
 
 func (r *Roster) drop(now time.Time, id ids.Target, revision uint64) {
 	delete(r.entries, id)
-	r.tombs[id] = tomb{revision: revision, at: now}
-	for old, t := range r.tombs {
-		if now.Sub(t.at) > tombLife {
-			delete(r.tombs, old)
+	r.tombstones[id] = tombstone{revision: revision, at: now}
+	for old, t := range r.tombstones {
+		if now.Sub(t.at) > tombstoneLife {
+			delete(r.tombstones, old)
 		}
 	}
 }
 
-// Lost tells that the store does not answer.
-func (r *Roster) Lost() { r.away = true }
+// StoreLost tells that the store does not answer.
+func (r *Roster) StoreLost() { r.away = true }
 
-// Back tells that the store answers.
-func (r *Roster) Back(now time.Time) {
+// StoreReturned tells that the store answers.
+func (r *Roster) StoreReturned(now time.Time) {
 	if r.away {
 		r.away = false
-		r.backAt = now
+		r.returnedAt = now
 	}
 }
 
 func (r *Roster) settling(now time.Time) bool {
-	return r.away || (!r.backAt.IsZero() && now.Sub(r.backAt) < Settle)
+	return r.away || (!r.returnedAt.IsZero() && now.Sub(r.returnedAt) < Settle)
 }
 
-// Settled drops the entries that have been missing for long enough since the
+// DropMissing drops the entries that have been missing for long enough since the
 // store is back, and tells whether any was dropped.
-func (r *Roster) Settled(now time.Time) bool {
+func (r *Roster) DropMissing(now time.Time) bool {
 	if r.away {
 		return false
 	}
 	dropped := false
 	for id, e := range r.entries {
-		if e.missing && now.Sub(later(e.since, r.backAt)) >= r.keep {
+		if e.missing && now.Sub(later(e.since, r.returnedAt)) >= r.keepMissing {
 			r.drop(now, id, e.Revision)
 			dropped = true
 		}
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -59,33 +59,33 @@
 
 func TestEntryThatLapsedDuringAnOutageIsKeptUntilTheStoreHasSettled(t *testing.T) {
 	r := one()
-	r.Lost()
-	r.Back(start)
+	r.StoreLost()
+	r.StoreReturned(start)
 	r.Replace(start, nil, 9)
-	if r.Settled(start.Add(1400*time.Millisecond)) || len(r.Targets()) != 1 {
+	if r.DropMissing(start.Add(1400*time.Millisecond)) || len(r.Targets()) != 1 {
 		t.Error("dropped before the target could return")
 	}
-	if !r.Settled(start.Add(within)) || len(r.Targets()) != 0 {
+	if !r.DropMissing(start.Add(within)) || len(r.Targets()) != 0 {
 		t.Error("kept though it has not returned")
 	}
 }
 
 func TestEntryThatReturnsIsNoLongerMissing(t *testing.T) {
 	r := one()
-	r.Lost()
-	r.Back(start)
+	r.StoreLost()
+	r.StoreReturned(start)
 	r.Apply(start, gone(9), 9)
 	r.Apply(start, []roster.Change{{Entry: entry(10, false)}}, 10)
-	r.Settled(start.Add(time.Minute))
+	r.DropMissing(start.Add(time.Minute))
 	if len(r.Targets()) != 1 {
 		t.Error("a target that returned was dropped")
 	}
 }
 
-func TestPeersListEndsAnEntryOnlyWhereThePeerIsSettled(t *testing.T) {
+func TestPeersListEndsAnEntryOnlyWhereThePeerSettled(t *testing.T) {
 	for _, settled := range []bool{true, false} {
 		r := one()
-		r.Lost()
+		r.StoreLost()
 		r.Merge(start, nil, 9, settled)
 		if kept := len(r.Targets()) == 1; kept == settled {
 			t.Errorf("kept is %v after the list of a peer with settled=%v", kept, settled)
@@ -98,10 +98,10 @@
 // trouble-1 --seed 367920495675.
 func TestTargetThatLeavesRightAfterAnOutageIsDroppedInTime(t *testing.T) {
 	r := one()
-	r.Lost()
-	r.Back(start)
+	r.StoreLost()
+	r.StoreReturned(start)
 	r.Apply(start, gone(9), 9)
-	if r.Settled(start.Add(within - 200*time.Millisecond)); len(r.Targets()) != 0 {
+	if r.DropMissing(start.Add(within - 200*time.Millisecond)); len(r.Targets()) != 0 {
 		t.Error("a target that left is still there when it must get no more requests")
 	}
 }
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -12,6 +12,7 @@
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
+// Untuned first values.
 const (
 	// bucketSpan is the resolution of the sliding window.
 	bucketSpan = 250 * time.Millisecond
@@ -37,12 +38,12 @@
 	epoch time.Time
 	own   map[ids.Workspace]*series
 	peers map[ids.Instance]peerUse
-	// heard is the sum of the peers' use.
-	heard map[ids.Workspace]Use
+	// peerSum is the sum of the peers' use.
+	peerSum map[ids.Workspace]Use
 
 	// The levels of the ranks are computed at most once a bucket.
-	levelAt    time.Time
-	owed, fair float64
+	levelAt          time.Time
+	guaranteed, fair float64
 }
 
 type peerUse struct {
@@ -59,10 +60,10 @@
 // New returns a window of the given length.
 func New(span time.Duration) *Window {
 	return &Window{
-		span:  max(span, bucketSpan),
-		own:   make(map[ids.Workspace]*series),
-		peers: make(map[ids.Instance]peerUse),
-		heard: make(map[ids.Workspace]Use),
+		span:    max(span, bucketSpan),
+		own:     make(map[ids.Workspace]*series),
+		peers:   make(map[ids.Instance]peerUse),
+		peerSum: make(map[ids.Workspace]Use),
 	}
 }
 
@@ -92,29 +93,29 @@
 
 // Report takes a peer's use.
 func (w *Window) Report(now time.Time, peer ids.Instance, use map[ids.Workspace]Use) {
-	w.forget(peer)
+	w.removePeer(peer)
 	w.peers[peer] = peerUse{at: now, use: use}
 	for ws, u := range use {
-		w.hear(ws, u, 1)
+		w.addToSum(ws, u, 1)
 	}
 }
 
-func (w *Window) forget(peer ids.Instance) {
+func (w *Window) removePeer(peer ids.Instance) {
 	for ws, u := range w.peers[peer].use {
-		w.hear(ws, u, -1)
+		w.addToSum(ws, u, -1)
 	}
 	delete(w.peers, peer)
 }
 
-func (w *Window) hear(ws ids.Workspace, u Use, sign float64) {
-	sum := w.heard[ws]
+func (w *Window) addToSum(ws ids.Workspace, u Use, sign float64) {
+	sum := w.peerSum[ws]
 	sum.Asked += sign * u.Asked
 	sum.Started += sign * u.Started
 	if sum.Asked <= 0 && sum.Started <= 0 {
-		delete(w.heard, ws)
+		delete(w.peerSum, ws)
 		return
 	}
-	w.heard[ws] = sum
+	w.peerSum[ws] = sum
 }
 
 // Rank says how a workspace stands to its fair share. Lower ranks go first.
@@ -122,30 +123,30 @@
 
 // The ranks.
 const (
-	// Owed: within its max-min share of the stated capacity.
-	Owed Rank = iota
+	// Guaranteed: within its max-min share of the stated capacity.
+	Guaranteed Rank = iota
 	// Fair: within its max-min share of what the engines really start, which may
 	// be more than stated.
 	Fair
-	// Beyond: it has had its share; only idle capacity is left to it.
-	Beyond
+	// Excess: it has had its share; only idle capacity is left to it.
+	Excess
 )
 
 // Rank tells how a workspace would stand with tokens more started. Capacity is
-// the stated one in tokens a second; where it is not known all are owed.
+// the stated one in tokens a second; where it is not known all are guaranteed.
 func (w *Window) Rank(now time.Time, ws ids.Workspace, tokens, capacity float64) Rank {
 	if capacity <= 0 {
-		return Owed
+		return Guaranteed
 	}
 	w.refresh(now, capacity)
 	after := w.fleetUse(now, ws).Started + tokens/2
 	switch {
-	case after <= w.owed:
-		return Owed
+	case after <= w.guaranteed:
+		return Guaranteed
 	case after <= w.fair:
 		return Fair
 	}
-	return Beyond
+	return Excess
 }
 
 func (w *Window) fleetUse(now time.Time, ws ids.Workspace) Use {
@@ -153,15 +154,15 @@
 	if _, ok := w.own[ws]; ok {
 		sum = w.series(now, ws).sum
 	}
-	heard := w.heard[ws]
-	sum.Asked += heard.Asked
-	sum.Started += heard.Started
+	peerSum := w.peerSum[ws]
+	sum.Asked += peerSum.Asked
+	sum.Started += peerSum.Started
 	return sum
 }
 
-// Again is the time after which a workspace beyond its share is about within it
+// UntilFair is the time after which a workspace beyond its share is about within it
 // again, as what was started leaves the window.
-func (w *Window) Again(now time.Time, ws ids.Workspace) time.Duration {
+func (w *Window) UntilFair(now time.Time, ws ids.Workspace) time.Duration {
 	started := w.fleetUse(now, ws).Started
 	if started <= w.fair {
 		return 0
@@ -177,14 +178,14 @@
 	}
 	for peer, p := range w.peers {
 		if now.Sub(p.at) > peerLife {
-			w.forget(peer)
+			w.removePeer(peer)
 		}
 	}
 	names := make(map[ids.Workspace]bool)
 	for ws := range w.own {
 		names[ws] = true
 	}
-	for ws := range w.heard {
+	for ws := range w.peerSum {
 		names[ws] = true
 	}
 	asked := make([]float64, 0, len(names))
@@ -195,8 +196,8 @@
 		started += use.Started
 	}
 	stated := capacity * w.span.Seconds()
-	w.owed = Level(asked, stated)
-	w.fair = max(w.owed, Level(asked, growth*started))
+	w.guaranteed = Level(asked, stated)
+	w.fair = max(w.guaranteed, Level(asked, growth*started))
 	w.levelAt = now
 }
 
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -36,14 +36,14 @@
 	w.Ask(now, "calm", 2_000)
 	w.Report(now, "peer", map[ids.Workspace]share.Use{"flood": {Asked: 10_000, Started: 9_000}})
 	const capacity = 10_000 // 40,000 in the window: 38,000 are left to the flood
-	if got := w.Rank(now, "flood", 5_000, capacity); got == share.Owed {
+	if got := w.Rank(now, "flood", 5_000, capacity); got == share.Guaranteed {
 		t.Error("a workspace that started 39,000 of 38,000 counts as within its share")
 	}
-	if got := w.Rank(now, "calm", 2_000, capacity); got != share.Owed {
+	if got := w.Rank(now, "calm", 2_000, capacity); got != share.Guaranteed {
 		t.Errorf("a workspace that started nothing has rank %d", got)
 	}
 	later := now.Add(5 * time.Second)
-	if got := w.Rank(later, "flood", 5_000, capacity); got != share.Owed {
+	if got := w.Rank(later, "flood", 5_000, capacity); got != share.Guaranteed {
 		t.Errorf("rank %d although the use is older than the window", got)
 	}
 }
@@ -59,10 +59,10 @@
 	w.Start(now, "ahead", 700_000)
 	w.Start(now, "behind", 200_000)
 	const capacity = 25_000 // 50,000 each in the window
-	if got := w.Rank(now, "ahead", 1_000, capacity); got != share.Beyond {
+	if got := w.Rank(now, "ahead", 1_000, capacity); got != share.Excess {
 		t.Errorf("the workspace that is ahead has rank %d", got)
 	}
-	if got := w.Again(now, "ahead"); got < time.Second || got > 3*time.Second {
+	if got := w.UntilFair(now, "ahead"); got < time.Second || got > 3*time.Second {
 		t.Errorf("the workspace that is ahead may come again after %v", got)
 	}
 	if got := w.Rank(now, "behind", 1_000, capacity); got != share.Fair {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// maxAnswer bounds an answer that is not a stream, in bytes.
+	// maxAnswer, twice the usual bound of a request, bounds an answer that is not a stream, in bytes.
 	maxAnswer = 8 << 20
 	eventType = "text/event-stream"
 )
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// chunkedReserve is what a body of unknown length is taken to need until it
+	// chunkedReserve, untuned, is what a body of unknown length is taken to need until it
 	// has been read.
 	chunkedReserve = 64 << 10
 	// bodiesRetry is the Retry-After where no more bodies are held: about the
--- a/internal/edge/caller.go
+++ b/internal/edge/caller.go
@@ -8,7 +8,7 @@
 	"github.com/umberhill/umberhill/internal/upstream"
 )
 
-// checkAfter is the time from which a request's caller is looked at before it is
+// checkAfter, untuned, is the time from which a request's caller is looked at before it is
 // sent on: net/http notices one that left only once its reader has run, which on
 // a busy router is late.
 const checkAfter = 100 * time.Millisecond
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// maxRefusedSends bounds how often a request goes to another target after
+	// maxRefusedSends, untuned, bounds how often a request goes to another target after
 	// one that could not be reached or said that it did not run it.
 	maxRefusedSends = 3
-	// rejectedRetry is the Retry-After after targets rejected a request.
+	// rejectedRetry, untuned, is the Retry-After after targets rejected a request.
 	rejectedRetry = 400 * time.Millisecond
 )
 
@@ -230,7 +230,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-// finish writes the request's line.
+// finish writes the request's record.
 func (e *exchange) finish() {
 	e.server.bodies.give(e.reserved)
 	e.record.Took = time.Since(e.arrived)
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -27,7 +27,7 @@
 	Target ids.Target
 	// Reason, where refused.
 	Reason admit.Reason
-	// Waited is the time in the line.
+	// Waited is the time in the queue.
 	Waited time.Duration
 	Inputs admit.Inputs
 }
@@ -86,7 +86,7 @@
 type AttemptRecord struct {
 	Target ids.Target
 	Inputs admit.Inputs
-	// Waited is the time in the line.
+	// Waited is the time in the queue.
 	Waited time.Duration
 	// First is the time from the sending to the first event or the answer.
 	First time.Duration
--- a/internal/edge/pressure.go
+++ b/internal/edge/pressure.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// pressureTick is the interval at which delays are observed.
+	// pressureTick, untuned, is the interval at which delays are observed.
 	pressureTick = 50 * time.Millisecond
 	// latencies is the runtime's histogram of the time that goroutines were
 	// ready before they ran: a timer's own lateness does not show it, since the
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -11,44 +11,44 @@
 	"github.com/umberhill/umberhill/internal/routing"
 )
 
-// pollInterval is how often the line is looked at while requests wait, besides
+// pollInterval, untuned, is how often the queue is looked at while requests wait, besides
 // after each event that makes room.
 const pollInterval = 10 * time.Millisecond
 
-// pollGap is the least time between two looks at the line, so that events in
+// pollGap, untuned, is the least time between two looks at the queue, so that events in
 // quick succession do not cost a look each.
 const pollGap = 2 * time.Millisecond
 
-// pollDuty is how many times as long as a look at the line the pause after it
+// pollDuty, about a sixteenth of the processor at most, is how many times as long as a look at the queue the pause after it
 // is at least: on a small instance with many targets looks cost a good part of
 // the processor.
 const pollDuty = 15
 
-// Scheduler guards the state machine of the line and wakes those who wait.
+// Scheduler guards the state machine of admission and wakes those who wait.
 type Scheduler struct {
-	mu      sync.Mutex
-	line    *admit.Line
-	lastID  admit.ID
-	waiting map[admit.ID]chan admit.Verdict
-	wake    chan struct{}
-	// nextPoll is when the line may be looked at again.
+	mu        sync.Mutex
+	admission *admit.Controller
+	lastID    admit.ID
+	waiting   map[admit.ID]chan admit.Verdict
+	wake      chan struct{}
+	// nextPoll is when the queue may be looked at again.
 	nextPoll time.Time
-	// news takes changes of what is believed of targets; it must not block.
-	news func(admit.News)
+	// onHealth takes changes of targets' health; it must not block.
+	onHealth func(admit.HealthChange)
 }
 
-// NewScheduler returns a scheduler whose Run must be started. News, which must
-// not block, is told what changes in the beliefs on targets.
-func NewScheduler(o admit.Options, news func(admit.News)) *Scheduler {
+// NewScheduler returns a scheduler whose Run must be started. It tells onHealth,
+// which must not block, what changes in the health of targets.
+func NewScheduler(o admit.Options, onHealth func(admit.HealthChange)) *Scheduler {
 	return &Scheduler{
-		news:    news,
-		line:    admit.New(o),
-		waiting: make(map[admit.ID]chan admit.Verdict),
-		wake:    make(chan struct{}, 1),
+		onHealth:  onHealth,
+		admission: admit.New(o),
+		waiting:   make(map[admit.ID]chan admit.Verdict),
+		wake:      make(chan struct{}, 1),
 	}
 }
 
-// Run looks at the line while requests wait, until ctx ends.
+// Run looks at the queue while requests wait, until ctx ends.
 func (s *Scheduler) Run(ctx context.Context) {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -64,14 +64,14 @@
 	}
 }
 
-// do changes the line and carries out the verdicts that follow.
+// do changes the state and carries out the verdicts that follow.
 func (s *Scheduler) do(change func(now time.Time)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	change(now)
-	for _, n := range s.line.TakeNews() {
-		s.news(n)
+	for _, n := range s.admission.TakeHealthChanges() {
+		s.onHealth(n)
 	}
 	if len(s.waiting) == 0 {
 		return
@@ -80,7 +80,7 @@
 		s.poke()
 		return
 	}
-	for _, v := range s.line.Poll(now) {
+	for _, v := range s.admission.Poll(now) {
 		s.decide(v)
 	}
 	done := time.Now()
@@ -104,14 +104,14 @@
 	}
 }
 
-// Acquire returns the verdict on a request, after a wait in the line where it
+// Acquire returns the verdict on a request, after a wait in the queue where it
 // must, which queued is told of. It reports false where ctx ended first. Each
 // verdict with a target must be followed by one Ended.
 func (s *Scheduler) Acquire(ctx context.Context, r admit.Request, queued func(admit.Verdict)) (admit.Verdict, bool) {
 	s.mu.Lock()
 	s.lastID++
 	r.ID = s.lastID
-	v := s.line.Submit(time.Now(), r)
+	v := s.admission.Submit(time.Now(), r)
 	if !v.Waiting {
 		s.mu.Unlock()
 		return v, true
@@ -129,19 +129,19 @@
 	}
 }
 
-// Hopeless tells whether a request would be refused as those of its workspace
+// RefuseEarly tells whether a request would be refused as those of its workspace
 // just were, without a look at the targets.
-func (s *Scheduler) Hopeless(r admit.Request) (admit.Verdict, bool) {
+func (s *Scheduler) RefuseEarly(r admit.Request) (admit.Verdict, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.line.Hopeless(time.Now(), r)
+	return s.admission.RefuseEarly(time.Now(), r)
 }
 
-// leave takes a request out of the line, or gives its target back unused.
+// leave takes a request out of the queue, or gives its target back unused.
 func (s *Scheduler) leave(id admit.ID, ch chan admit.Verdict) (admit.Verdict, bool) {
 	s.mu.Lock()
 	delete(s.waiting, id)
-	s.line.Withdraw(id)
+	s.admission.Withdraw(id)
 	s.mu.Unlock()
 	select {
 	case v := <-ch:
@@ -154,36 +154,36 @@
 }
 
 // Began tells that a request's answer began.
-func (s *Scheduler) Began(id admit.ID) { s.do(func(now time.Time) { s.line.Began(now, id) }) }
+func (s *Scheduler) Began(id admit.ID) { s.do(func(now time.Time) { s.admission.Began(now, id) }) }
 
 // Ended tells that a request has left its target.
 func (s *Scheduler) Ended(id admit.ID, result admit.Result) {
-	s.do(func(now time.Time) { s.line.Ended(now, id, result) })
+	s.do(func(now time.Time) { s.admission.Ended(now, id, result) })
 }
 
 // SetConfig puts a configuration in force.
 func (s *Scheduler) SetConfig(c *routing.Config) {
-	s.do(func(time.Time) { s.line.SetConfig(c) })
+	s.do(func(time.Time) { s.admission.SetConfig(c) })
 }
 
 // SetTargets puts a set of targets in force.
 func (s *Scheduler) SetTargets(all []routing.Target) {
-	s.do(func(time.Time) { s.line.SetTargets(all) })
+	s.do(func(time.Time) { s.admission.SetTargets(all) })
 }
 
 // Report takes a peer's state.
 func (s *Scheduler) Report(peer ids.Instance, loads []admit.Load, backlogs []admit.Backlog, use map[ids.Workspace]share.Use) {
-	s.do(func(now time.Time) { s.line.Report(now, peer, loads, backlogs, use) })
+	s.do(func(now time.Time) { s.admission.Report(now, peer, loads, backlogs, use) })
 }
 
 // ReportTotal takes the sum of the fleet, this router's state included.
 func (s *Scheduler) ReportTotal(loads []admit.Load, backlogs []admit.Backlog, use map[ids.Workspace]share.Use) {
-	s.do(func(now time.Time) { s.line.ReportTotal(now, loads, backlogs, use) })
+	s.do(func(now time.Time) { s.admission.ReportTotal(now, loads, backlogs, use) })
 }
 
 // Own returns this router's state for reports to peers.
 func (s *Scheduler) Own() ([]admit.Load, []admit.Backlog, map[ids.Workspace]share.Use) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.line.Own(time.Now())
+	return s.admission.Own(time.Now())
 }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -20,7 +20,7 @@
 	// unknownRetry is the Retry-After of a router that knows no configuration:
 	// about the time of a start.
 	unknownRetry = 500 * time.Millisecond
-	// budgetMargin is the part of the fleet's retry budget that is used, since
+	// budgetMargin, untuned, is the part of the fleet's retry budget that is used, since
 	// routers do not know of each other's retries at once.
 	budgetMargin = 0.8
 	// defaultTimeout bounds a request for which neither the route nor the caller
@@ -177,8 +177,8 @@
 	if p := e.server.opts.Pressure; p != nil && p.refuses() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "router_busy", retryAfter: busyRetry()}
 	}
-	v, hopeless := e.server.opts.Scheduler.Hopeless(e.request())
-	if !hopeless {
+	v, refused := e.server.opts.Scheduler.RefuseEarly(e.request())
+	if !refused {
 		return nil
 	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: string(v.Refused), retryAfter: v.RetryAfter}
@@ -198,7 +198,7 @@
 // counters of a server.
 type counters struct {
 	served, refused, failed, retried, resumed, left tally.Counter
-	// first is the time to the first byte of an answer, waited that in the line,
+	// first is the time to the first byte of an answer, waited that in the queue,
 	// whole that to the end.
 	first, waited, whole tally.Timer
 }
@@ -212,7 +212,7 @@
 		resumed: scope.Counter("streams_resumed"),
 		left:    scope.Counter("requests_left"),
 		first:   scope.Timer("first_byte_time"),
-		waited:  scope.Timer("line_wait"),
+		waited:  scope.Timer("queue_wait"),
 		whole:   scope.Timer("request_time"),
 	}
 }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -18,7 +18,7 @@
 	// seconds after which callers give up.
 	firstStall = 1200 * time.Millisecond
 	nextStall  = 800 * time.Millisecond
-	// predictedStall is how many times the expected time a first event may take.
+	// predictedStall, untuned, is how many times the expected time a first event may take.
 	predictedStall = 3
 	// streamBuffer is the size of one read from a stream in bytes.
 	streamBuffer = 4 << 10
--- a/internal/explain/logs.go
+++ b/internal/explain/logs.go
@@ -132,7 +132,7 @@
 		return "store"
 	case "live routers changed":
 		return "peers"
-	case "target listed", "target gone", "target left alone", "target back":
+	case "target listed", "target gone", "target ejected", "target restored":
 		target, _ := l.Fields["target"].(string)
 		return "target " + target
 	}
--- a/internal/explain/logs_test.go
+++ b/internal/explain/logs_test.go
@@ -9,7 +9,7 @@
 
 const logs = `  1.0 r1 {"instance":"r1","level":"info","msg":"configuration in force","time":"2026-12-03T10:00:01Z","version":4}
 {"instance":"r1","msg":"target listed","target":"e1","time":"2026-12-03T10:00:02Z"}
-{"instance":"r1","msg":"target left alone","target":"e1","time":"2026-12-03T10:00:09Z"}
+{"instance":"r1","msg":"target ejected","target":"e1","time":"2026-12-03T10:00:09Z"}
 {"instance":"r2","msg":"configuration in force","time":"2026-12-03T10:00:01Z","version":3}
 {"instance":"r1","msg":"request ended","request":"a","outcome":"failed","time":"2026-12-03T10:00:05.2Z"}
 {"instance":"r1","msg":"request placed","request":"a","target":"e1","time":"2026-12-03T10:00:05.1Z"}
--- a/internal/node/decode.go
+++ b/internal/node/decode.go
@@ -7,7 +7,7 @@
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
-// decoded is a report in the types of the line.
+// decoded is a report in the types of admission.
 type decoded struct {
 	loads    []admit.Load
 	backlogs []admit.Backlog
--- a/internal/node/targets.go
+++ b/internal/node/directory.go
@@ -17,17 +17,17 @@
 	changesRing = 64
 )
 
-// Targets is the controller of the targets' list. One goroutine owns the
+// Directory is the controller of the targets' list. One goroutine owns the
 // roster; changes come from the platform's store and from peers.
-type Targets struct {
+type Directory struct {
 	node    *Node
 	roster  *roster.Roster
 	changes chan func(now time.Time) (changed bool)
 	done    chan struct{}
 }
 
-func newTargets(n *Node) *Targets {
-	return &Targets{
+func newDirectory(n *Node) *Directory {
+	return &Directory{
 		node:    n,
 		roster:  roster.New(n.settings.DrainWithin),
 		changes: make(chan func(time.Time) bool, changesRing),
@@ -36,7 +36,7 @@
 }
 
 // run owns the roster until ctx ends.
-func (t *Targets) run(ctx context.Context) {
+func (t *Directory) run(ctx context.Context) {
 	defer close(t.done)
 	ticker := time.NewTicker(settleCheck)
 	defer ticker.Stop()
@@ -48,7 +48,7 @@
 		case change := <-t.changes:
 			changed = change(time.Now())
 		case now := <-ticker.C:
-			changed = t.roster.Settled(now)
+			changed = t.roster.DropMissing(now)
 		}
 		if changed {
 			t.node.setTargets(t.roster.Targets())
@@ -57,7 +57,7 @@
 	}
 }
 
-func (t *Targets) do(change func(now time.Time) bool) {
+func (t *Directory) do(change func(now time.Time) bool) {
 	select {
 	case t.changes <- change:
 	case <-t.done:
@@ -65,32 +65,34 @@
 }
 
 // Apply takes changes that the store tells, up to a revision.
-func (t *Targets) Apply(changes []roster.Change, asOf uint64) {
+func (t *Directory) Apply(changes []roster.Change, asOf uint64) {
 	t.do(func(now time.Time) bool {
-		t.roster.Back(now)
+		t.roster.StoreReturned(now)
 		t.roster.Apply(now, changes, asOf)
 		return true
 	})
 }
 
 // Replace takes the full list that the store tells.
-func (t *Targets) Replace(list []roster.Entry, asOf uint64) {
+func (t *Directory) Replace(list []roster.Entry, asOf uint64) {
 	t.do(func(now time.Time) bool {
-		t.roster.Back(now)
+		t.roster.StoreReturned(now)
 		t.roster.Replace(now, list, asOf)
 		return true
 	})
 }
 
 // Lost tells that the store does not answer, Back that it does again.
-func (t *Targets) Lost() { t.do(func(time.Time) bool { t.roster.Lost(); return false }) }
+func (t *Directory) Lost() { t.do(func(time.Time) bool { t.roster.StoreLost(); return false }) }
 
 // Back tells that the store answers again.
-func (t *Targets) Back() { t.do(func(now time.Time) bool { t.roster.Back(now); return false }) }
+func (t *Directory) Back() {
+	t.do(func(now time.Time) bool { t.roster.StoreReturned(now); return false })
+}
 
 // merge takes a peer's list, which says nothing of this router's own reach of
 // the store.
-func (t *Targets) merge(list *fleetv1.TargetList) {
+func (t *Directory) merge(list *fleetv1.TargetList) {
 	entries := make([]roster.Entry, 0, len(list.GetTargets()))
 	for _, e := range list.GetTargets() {
 		entries = append(entries, roster.Entry{Revision: e.GetRevision(), Target: routing.Target{
@@ -110,10 +112,10 @@
 }
 
 // list returns the list for peers.
-func (t *Targets) list(ctx context.Context) *fleetv1.TargetList {
+func (t *Directory) list(ctx context.Context) *fleetv1.TargetList {
 	answer := make(chan *fleetv1.TargetList, 1)
 	t.do(func(now time.Time) bool {
-		out := &fleetv1.TargetList{AsOf: t.roster.AsOf(), Settled: t.roster.IsSettled(now)}
+		out := &fleetv1.TargetList{AsOf: t.roster.AsOf(), Settled: t.roster.Settled(now)}
 		for _, e := range t.roster.Entries() {
 			out.Targets = append(out.Targets, &fleetv1.TargetEntry{
 				Id:       string(e.ID),
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -141,12 +141,12 @@
 		}
 		same, last = 0, report
 		if plan.Direct {
-			f.tell(report, func(peer.Peer) bool { return true })
+			f.broadcast(report, func(peer.Peer) bool { return true })
 			continue
 		}
-		f.tell(report, func(p peer.Peer) bool { return plan.IsHub(f.node.settings.Domain, p.Instance) })
+		f.broadcast(report, func(p peer.Peer) bool { return plan.IsHub(f.node.settings.Domain, p.Instance) })
 		if plan.Hub {
-			f.tellSums(plan, report)
+			f.sendSums(plan, report)
 		}
 	}
 }
@@ -158,8 +158,8 @@
 	return hubInterval
 }
 
-// tell sends a report to the live peers that are meant.
-func (f *fleet) tell(r *fleetv1.Report, meant func(peer.Peer) bool) {
+// broadcast sends a report to the live peers that are meant.
+func (f *fleet) broadcast(r *fleetv1.Report, meant func(peer.Peer) bool) {
 	env := &peerv1.Envelope{Body: &peerv1.Envelope_Fleet{Fleet: r}}
 	for _, p := range f.mesh.Live() {
 		if meant(p) {
@@ -175,7 +175,7 @@
 func (f *fleet) own() *fleetv1.Report {
 	loads, backlogs, use := f.node.scheduler.Own()
 	r := new(fleetv1.Report)
-	f.stamp(r)
+	f.setRevisions(r)
 	for _, l := range loads {
 		r.Targets = append(r.Targets, &fleetv1.TargetLoad{
 			Target:  string(l.Target),
@@ -198,15 +198,15 @@
 	return r
 }
 
-// stamp says which state of the store the sender holds.
-func (f *fleet) stamp(r *fleetv1.Report) {
+// setRevisions says which state of the store the sender holds.
+func (f *fleet) setRevisions(r *fleetv1.Report) {
 	r.TargetsAsOf = f.held(methodTargets)
 	r.ConfigVersion = f.held(methodConfig)
-	r.VerifiedAgeMs = uint32(min(f.node.fresh.age(time.Now()), maxAge).Milliseconds())
+	r.RefreshedAgeMs = uint32(min(f.node.fresh.age(time.Now()), maxAge).Milliseconds())
 }
 
-// tellSuspects tells all linked routers of requests that crash targets.
-func (n *Node) tellSuspects(m *quarantinev1.Message) {
+// sendSuspects tells all linked routers of requests that crash targets.
+func (n *Node) sendSuspects(m *quarantinev1.Message) {
 	if n.fleet == nil {
 		return
 	}
@@ -220,16 +220,16 @@
 func (f *fleet) Receive(from peer.Peer, env *peerv1.Envelope) {
 	if m := env.GetQuarantine(); m != nil {
 		f.node.suspects.Receive(from.Instance, m)
-		f.pass(from, env)
+		f.forward(from, env)
 	}
 	report := env.GetFleet()
 	if report == nil {
 		return
 	}
-	f.sort(from, report)
+	f.dispatch(from, report)
 	f.compare(behind{peer: from.Instance, method: methodTargets, revision: report.GetTargetsAsOf()})
 	f.compare(behind{peer: from.Instance, method: methodConfig, revision: report.GetConfigVersion()})
-	f.node.fresh.heard(time.Now(), time.Duration(report.GetVerifiedAgeMs())*time.Millisecond)
+	f.node.fresh.observe(time.Now(), time.Duration(report.GetRefreshedAgeMs())*time.Millisecond)
 }
 
 // Changed implements peer.Handler.
--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -14,55 +14,55 @@
 const (
 	// A watch of the store may miss changes for as long as it waits, so one
 	// router after the other reads the state again where none has done so for
-	// verifyAfter: the first by rank, the next verifyStep later. The sum stays
+	// refreshAfter: the first by rank, the next refreshStep later. The sum stays
 	// well below the two seconds in which a change must be in force.
-	verifyAfter = 700 * time.Millisecond
-	verifyStep  = 200 * time.Millisecond
-	// verifyRanks is the number of steps; later ranks act with the last.
-	verifyRanks = 3
-	// verifyTick is how often the age is looked at.
-	verifyTick = 50 * time.Millisecond
+	refreshAfter = 700 * time.Millisecond
+	refreshStep  = 200 * time.Millisecond
+	// refreshRanks is the number of steps; later ranks act with the last.
+	refreshRanks = 3
+	// refreshTick is how often the age is looked at.
+	refreshTick = 50 * time.Millisecond
 	// watchPause is between the watches of a router that others rely on or that
-	// has no hub, fedPause between those of one that a hub will soon feed.
-	watchPause = 100 * time.Millisecond
-	fedPause   = 700 * time.Millisecond
-	// verifyPause follows a failed reading.
-	verifyPause = 300 * time.Millisecond
+	// has no hub, followerPause between those of one that a hub will soon feed.
+	watchPause    = 100 * time.Millisecond
+	followerPause = 700 * time.Millisecond
+	// refreshPause follows a failed reading.
+	refreshPause = 300 * time.Millisecond
 )
 
-// Verifier reads configuration and targets from the store again and puts them
+// Refresher reads configuration and targets from the store again and puts them
 // in force.
-type Verifier func(ctx context.Context) error
+type Refresher func(ctx context.Context) error
 
 // freshness knows when a router of the fleet last read the store's state.
 type freshness struct {
-	mu       sync.Mutex
-	verified time.Time
+	mu        sync.Mutex
+	refreshed time.Time
 }
 
-// heard takes the age of a reading by this router or one that it has heard of.
-func (f *freshness) heard(now time.Time, age time.Duration) {
+// observe takes the age of a reading by this router or one that it has heard of.
+func (f *freshness) observe(now time.Time, age time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if at := now.Add(-age); at.After(f.verified) {
-		f.verified = at
+	if at := now.Add(-age); at.After(f.refreshed) {
+		f.refreshed = at
 	}
 }
 
 func (f *freshness) age(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return now.Sub(f.verified)
+	return now.Sub(f.refreshed)
 }
 
-// Fed tells whether hubs keep this router up to date, so that it need not watch
+// FollowsHub tells whether hubs keep this router up to date, so that it need not watch
 // the store itself.
-func (n *Node) Fed() bool {
+func (n *Node) FollowsHub() bool {
 	if n.fleet == nil {
 		return false
 	}
 	plan := n.fleet.plan.Load()
-	return !plan.Direct && !plan.Hub && n.fresh.age(time.Now()) < verifyAfter+verifyRanks*verifyStep
+	return !plan.Direct && !plan.Hub && n.fresh.age(time.Now()) < refreshAfter+refreshRanks*refreshStep
 }
 
 // WatchPause is the least time between two watches of the store, so that changes
@@ -74,18 +74,18 @@
 	if plan := n.fleet.plan.Load(); plan.Direct || plan.Hub {
 		return watchPause
 	}
-	return fedPause
+	return followerPause
 }
 
-// SetVerifier sets how the store is read again; it must come before Run.
-func (n *Node) SetVerifier(v Verifier) { n.verifier = v }
+// SetRefresher sets how the store is read again; it must come before Run.
+func (n *Node) SetRefresher(v Refresher) { n.refresher = v }
 
-// verify reads the store again whenever it is this router's turn.
-func (n *Node) verify(ctx context.Context) {
-	if n.verifier == nil {
+// refresh reads the store again whenever it is this router's turn.
+func (n *Node) refresh(ctx context.Context) {
+	if n.refresher == nil {
 		return
 	}
-	ticker := time.NewTicker(verifyTick)
+	ticker := time.NewTicker(refreshTick)
 	defer ticker.Stop()
 	var next time.Time
 	for {
@@ -95,26 +95,26 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		if now.Before(next) || n.fresh.age(now) < verifyAfter+time.Duration(n.verifyRank())*verifyStep {
+		if now.Before(next) || n.fresh.age(now) < refreshAfter+time.Duration(n.refreshRank())*refreshStep {
 			continue
 		}
-		if err := n.verifier(ctx); err != nil {
+		if err := n.refresher(ctx); err != nil {
 			// The watches log that the store is lost.
-			next = time.Now().Add(verifyPause)
+			next = time.Now().Add(refreshPause)
 			continue
 		}
-		n.fresh.heard(now, 0)
+		n.fresh.observe(now, 0)
 	}
 }
 
-// verifyRank is this router's place among the live ones that it is linked to.
-func (n *Node) verifyRank() int {
+// refreshRank is this router's place among the live ones that it is linked to.
+func (n *Node) refreshRank() int {
 	if n.fleet == nil {
 		return 0
 	}
 	plan := n.fleet.plan.Load()
 	if !plan.Direct && !plan.Hub {
-		return verifyRanks
+		return refreshRanks
 	}
 	var live []ids.Instance
 	for _, p := range n.fleet.mesh.Live() {
@@ -136,5 +136,5 @@
 			rank++
 		}
 	}
-	return min(rank, verifyRanks)
+	return min(rank, refreshRanks)
 }
--- a/internal/node/fresh_test.go
+++ b/internal/node/fresh_test.go
@@ -11,8 +11,8 @@
 func TestFreshnessIsThatOfTheNewestReading(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var f freshness
-	f.heard(now, 500*time.Millisecond)
-	f.heard(now, 900*time.Millisecond)
+	f.observe(now, 500*time.Millisecond)
+	f.observe(now, 900*time.Millisecond)
 	if got := f.age(now.Add(time.Second)); got != 1500*time.Millisecond {
 		t.Errorf("age %v", got)
 	}
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -14,8 +14,8 @@
 // sumLife is how long a report counts in a hub's sums.
 const sumLife = 1500 * time.Millisecond
 
-// heardReport is the last report of a router.
-type heardReport struct {
+// timedReport is the last report of a router.
+type timedReport struct {
 	at     time.Time
 	report *fleetv1.Report
 }
@@ -25,36 +25,36 @@
 	mu sync.Mutex
 	// routers are the reports of the own domain's routers, domains the sums of
 	// the others' by the hub that told them.
-	routers map[ids.Instance]heardReport
-	domains map[ids.Domain]map[ids.Instance]heardReport
-	// ownNews and otherNews are keys of cached parts not yet told, from the own
+	routers map[ids.Instance]timedReport
+	domains map[ids.Domain]map[ids.Instance]timedReport
+	// ownKeys and otherKeys are keys of cached parts not yet told, from the own
 	// domain and from the others.
-	ownNews, otherNews hub.News
+	ownKeys, otherKeys hub.CachedKeys
 }
 
 func newSums() sums {
 	return sums{
-		routers:   make(map[ids.Instance]heardReport),
-		domains:   make(map[ids.Domain]map[ids.Instance]heardReport),
-		ownNews:   make(hub.News),
-		otherNews: make(hub.News),
+		routers:   make(map[ids.Instance]timedReport),
+		domains:   make(map[ids.Domain]map[ids.Instance]timedReport),
+		ownKeys:   make(hub.CachedKeys),
+		otherKeys: make(hub.CachedKeys),
 	}
 }
 
-// sort takes a report by its scope and this router's part in the exchange.
-func (f *fleet) sort(from peer.Peer, r *fleetv1.Report) {
+// dispatch takes a report by its scope and this router's part in the exchange.
+func (f *fleet) dispatch(from peer.Peer, r *fleetv1.Report) {
 	plan := f.plan.Load()
 	switch {
 	case r.GetScope() == fleetv1.Scope_SCOPE_ROUTER && plan.Direct:
 		d := decode(r)
 		f.node.scheduler.Report(from.Instance, d.loads, d.backlogs, d.use)
 	case r.GetScope() == fleetv1.Scope_SCOPE_ROUTER && plan.Hub && from.Domain == f.node.settings.Domain:
-		f.sums.hearRouter(from.Instance, r)
+		f.sums.addRouter(from.Instance, r)
 	case r.GetScope() == fleetv1.Scope_SCOPE_DOMAIN && plan.Hub && plan.IsHub(from.Domain, from.Instance):
-		f.sums.hearDomain(from.Domain, from.Instance, r)
+		f.sums.addDomain(from.Domain, from.Instance, r)
 	case r.GetScope() == fleetv1.Scope_SCOPE_FLEET && !plan.Direct && !plan.Hub:
 		if plan.Preferred(f.node.settings.Domain, f.isLive) == from.Instance {
-			f.takeTotal(r)
+			f.applyTotal(r)
 		}
 	}
 }
@@ -68,38 +68,38 @@
 	return false
 }
 
-func (f *fleet) takeTotal(r *fleetv1.Report) {
+func (f *fleet) applyTotal(r *fleetv1.Report) {
 	d := decode(r)
 	f.node.scheduler.ReportTotal(d.loads, d.backlogs, d.use)
 }
 
-func (s *sums) hearRouter(from ids.Instance, r *fleetv1.Report) {
+func (s *sums) addRouter(from ids.Instance, r *fleetv1.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.routers[from] = heardReport{at: time.Now(), report: r}
-	s.ownNews.Take(r)
+	s.routers[from] = timedReport{at: time.Now(), report: r}
+	s.ownKeys.Collect(r)
 }
 
-func (s *sums) hearDomain(domain ids.Domain, from ids.Instance, r *fleetv1.Report) {
+func (s *sums) addDomain(domain ids.Domain, from ids.Instance, r *fleetv1.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.domains[domain] == nil {
-		s.domains[domain] = make(map[ids.Instance]heardReport)
+		s.domains[domain] = make(map[ids.Instance]timedReport)
 	}
-	s.domains[domain][from] = heardReport{at: time.Now(), report: r}
-	s.otherNews.Take(r)
+	s.domains[domain][from] = timedReport{at: time.Now(), report: r}
+	s.otherKeys.Collect(r)
 }
 
-// tellSums sends the own domain's sum to the other domains' hubs and the fleet's
+// sendSums sends the own domain's sum to the other domains' hubs and the fleet's
 // total to the own domain's routers.
-func (f *fleet) tellSums(plan *hub.Plan, own *fleetv1.Report) {
+func (f *fleet) sendSums(plan *hub.Plan, own *fleetv1.Report) {
 	domain, total := f.sums.addUp(plan, own, f.isLive)
-	f.stamp(domain)
-	f.stamp(total)
+	f.setRevisions(domain)
+	f.setRevisions(total)
 	self := f.node.settings.Domain
-	f.tell(domain, func(p peer.Peer) bool { return p.Domain != self && plan.IsHub(p.Domain, p.Instance) })
-	f.tell(total, func(p peer.Peer) bool { return p.Domain == self && !plan.IsHub(self, p.Instance) })
-	f.takeTotal(total)
+	f.broadcast(domain, func(p peer.Peer) bool { return p.Domain != self && plan.IsHub(p.Domain, p.Instance) })
+	f.broadcast(total, func(p peer.Peer) bool { return p.Domain == self && !plan.IsHub(self, p.Instance) })
+	f.applyTotal(total)
 }
 
 // addUp returns the sums of the own domain and of the fleet.
@@ -107,7 +107,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.ownNews.Take(own)
+	s.ownKeys.Collect(own)
 	parts := []*fleetv1.Report{own}
 	for name, h := range s.routers {
 		if now.Sub(h.at) > sumLife {
@@ -125,17 +125,17 @@
 		}
 	}
 	total = hub.Sum(parts)
-	s.ownNews.Add(domain)
-	s.ownNews.Add(total)
-	s.otherNews.Add(total)
-	s.ownNews, s.otherNews = make(hub.News), make(hub.News)
+	s.ownKeys.AttachTo(domain)
+	s.ownKeys.AttachTo(total)
+	s.otherKeys.AttachTo(total)
+	s.ownKeys, s.otherKeys = make(hub.CachedKeys), make(hub.CachedKeys)
 	domain.Scope, total.Scope = fleetv1.Scope_SCOPE_DOMAIN, fleetv1.Scope_SCOPE_FLEET
 	return domain, total
 }
 
-// pass sends news of requests that crash targets on to those who do not link to
+// forward sends news of requests that crash targets on to those who do not link to
 // the sender: a hub's part.
-func (f *fleet) pass(from peer.Peer, env *peerv1.Envelope) {
+func (f *fleet) forward(from peer.Peer, env *peerv1.Envelope) {
 	plan := f.plan.Load()
 	if plan.Direct || !plan.Hub {
 		return
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -133,7 +133,7 @@
 		"pending_tokens":  in.Pending,
 		"uncached_tokens": in.Uncached,
 		"predicted_ms":    in.Predicted.Milliseconds(),
-		"line_wait_ms":    in.LineWait.Milliseconds(),
+		"queue_wait_ms":   in.QueueWait.Milliseconds(),
 		"rank":            int(in.Rank),
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,12 +97,12 @@
 
 	suspects  *quarantine.Controller
 	pressure  edge.Pressure
-	directory *Targets
+	directory *Directory
 	// targetsAsOf is the store's revision at which the targets last changed.
 	targetsAsOf atomic.Uint64
 
-	fresh    freshness
-	verifier Verifier
+	fresh     freshness
+	refresher Refresher
 
 	draining atomic.Bool
 	// duties run from Run's start to its end.
@@ -126,7 +126,7 @@
 		Domain: s.Domain,
 		Window: s.ShareWindow,
 		Seed:   uint64(n.incarnation),
-	}, n.logReach)
+	}, n.logHealth)
 	n.pool = upstream.NewPool(upstream.Options{
 		DialTimeout: dialTimeout,
 		Idle:        idleTimeout,
@@ -134,11 +134,11 @@
 		MaxIdle:     maxIdleConns,
 	})
 	n.log = newRequestLog(n.logger)
-	n.directory = newTargets(n)
+	n.directory = newDirectory(n)
 	n.suspects = quarantine.New(quarantine.Options{
 		Self:        s.Instance,
 		Incarnation: n.incarnation,
-		Send:        n.tellSuspects,
+		Send:        n.sendSuspects,
 		Duration:    quarantineTime,
 		Tolerate:    tolerated,
 		Logger:      n.logger,
@@ -202,8 +202,8 @@
 	return n.config
 }
 
-// Targets returns the controller of the targets' list.
-func (n *Node) Targets() *Targets { return n.directory }
+// Directory returns the controller of the targets' list.
+func (n *Node) Directory() *Directory { return n.directory }
 
 // setTargets puts a list of targets in force.
 func (n *Node) setTargets(all []routing.Target) {
@@ -231,13 +231,13 @@
 	}
 }
 
-// logReach notes that a target is left alone or back.
-func (n *Node) logReach(news admit.News) {
-	state := "target left alone"
-	if news.Reachable {
-		state = "target back"
+// logHealth notes that a target is ejected or restored.
+func (n *Node) logHealth(change admit.HealthChange) {
+	state := "target ejected"
+	if change.Reachable {
+		state = "target restored"
 	}
-	n.logger.WithFields(logrus.Fields{"target": news.Target, "fail_rate": news.FailRate}).Info(state)
+	n.logger.WithFields(logrus.Fields{"target": change.Target, "fail_rate": change.FailRate}).Info(state)
 }
 
 // ready tells whether the node can serve new connections.
@@ -256,7 +256,7 @@
 	n.AddDuty(duty.Loop("request log", n.log.run))
 	n.AddDuty(duty.Loop("targets", n.directory.run))
 	n.AddDuty(duty.Loop("idle connections", n.sweep))
-	n.AddDuty(duty.Loop("reading the store again", n.verify))
+	n.AddDuty(duty.Loop("reading the store again", n.refresh))
 	n.AddDuty(duty.Loop("pressure", n.pressure.Run))
 	n.AddDuty(duty.Duty{Name: "quarantine", Run: n.suspects.Run})
 	if f := n.fleet; f != nil {
--- a/internal/replay/play.go
+++ b/internal/replay/play.go
@@ -16,7 +16,7 @@
 	// load and how late that arrives.
 	reportEvery = 50 * time.Millisecond
 	reportDelay = 5 * time.Millisecond
-	// pollEvery is how often lines are looked at.
+	// pollEvery is how often queues are looked at.
 	pollEvery = 10 * time.Millisecond
 	// patience of a caller for the next event.
 	patience = 3 * time.Second
@@ -107,7 +107,7 @@
 	}
 	for i := range p.Routers {
 		if policy == Admit {
-			w.routers = append(w.routers, newLine(&p, uint64(i)))
+			w.routers = append(w.routers, newAdmit(&p, uint64(i)))
 		} else {
 			w.routers = append(w.routers, newSender(policy, &p, i))
 		}
@@ -310,15 +310,15 @@
 // report tells each router's load to the others, a little late.
 func (w *world) report() {
 	for i, d := range w.routers {
-		from, ok := d.(lineDecider)
+		from, ok := d.(admitDecider)
 		if !ok {
 			return
 		}
-		loads, backlogs, use := from.line.Own(w.time())
+		loads, backlogs, use := from.ac.Own(w.time())
 		w.after(reportDelay, func() {
 			for k, other := range w.routers {
-				if to, ok := other.(lineDecider); ok && k != i {
-					to.line.Report(w.time(), ids.Instance(rune('A'+i)), loads, backlogs, use)
+				if to, ok := other.(admitDecider); ok && k != i {
+					to.ac.Report(w.time(), ids.Instance(rune('A'+i)), loads, backlogs, use)
 				}
 			}
 		})
--- a/internal/replay/policy.go
+++ b/internal/replay/policy.go
@@ -40,10 +40,10 @@
 	return all
 }
 
-// lineDecider is admit's own line.
-type lineDecider struct{ line *admit.Line }
+// admitDecider is admit's controller.
+type admitDecider struct{ ac *admit.Controller }
 
-func newLine(p *Pattern, seed uint64) lineDecider {
+func newAdmit(p *Pattern, seed uint64) admitDecider {
 	l := admit.New(admit.Options{Domain: "z", Window: 4 * time.Second, Seed: seed})
 	l.SetConfig(&routing.Config{
 		Services: map[string]*routing.Service{"llm": {
@@ -56,17 +56,17 @@
 		all[i].Slots = p.Spec.Slots
 	}
 	l.SetTargets(all)
-	return lineDecider{l}
+	return admitDecider{l}
 }
 
-func (d lineDecider) submit(now time.Time, r *request) admit.Verdict {
-	return d.line.Submit(now, r.Request)
+func (d admitDecider) submit(now time.Time, r *request) admit.Verdict {
+	return d.ac.Submit(now, r.Request)
 }
-func (d lineDecider) began(now time.Time, id admit.ID) { d.line.Began(now, id) }
-func (d lineDecider) ended(now time.Time, id admit.ID, result admit.Result) {
-	d.line.Ended(now, id, result)
+func (d admitDecider) began(now time.Time, id admit.ID) { d.ac.Began(now, id) }
+func (d admitDecider) ended(now time.Time, id admit.ID, result admit.Result) {
+	d.ac.Ended(now, id, result)
 }
-func (d lineDecider) poll(now time.Time) []admit.Verdict { return d.line.Poll(now) }
+func (d admitDecider) poll(now time.Time) []admit.Verdict { return d.ac.Poll(now) }
 
 // sender is a baseline: it sends at once, and knows its own sends only.
 type sender struct {
