--- a/internal/core/admit/bench_test.go
+++ b/internal/core/admit/bench_test.go
@@ -16,13 +16,18 @@
 func BenchmarkSubmit(b *testing.B) {
 	for _, full := range []bool{false, true} {
 		b.Run(fmt.Sprintf("full=%v", full), func(b *testing.B) {
-			l := fleetOf(100, 16, full)
+			l, all := fleetOf(100, 16, full)
 			now := start
 			var id admit.ID
 			b.ReportAllocs()
 			for b.Loop() {
 				id++
 				now = now.Add(time.Millisecond)
+				if id%50 == 0 {
+					b.StopTimer()
+					reportAll(l, now, all, 16, full)
+					b.StartTimer()
+				}
 				v := l.Submit(now, admit.Request{
 					ID: id, Service: "llm", Workspace: "flood",
 					Parts:  []admit.Part{{Key: uint64(id % 5), Tokens: 500}, {Key: uint64(id % 100), Tokens: 4000}, {Key: uint64(id) << 20, Tokens: 5000}},
@@ -37,7 +42,7 @@
 	}
 }
 
-func fleetOf(engines, peers int, full bool) *admit.Controller {
+func fleetOf(engines, peers int, full bool) (*admit.Controller, []routing.Target) {
 	l := admit.New(admit.Options{Domain: "z", Window: 4 * time.Second, Seed: 1})
 	l.SetConfig(&routing.Config{
 		Services: map[string]*routing.Service{"llm": {Name: "llm", Engine: &routing.Engine{Slots: 16, MemoryTokens: 400_000}}},
@@ -48,17 +53,25 @@
 		all = append(all, routing.Target{ID: ids.Target(fmt.Sprintf("e%d", i)), Service: "llm", Domain: "z", Slots: 16})
 	}
 	l.SetTargets(all)
+	reportAll(l, start, all, peers, full)
+	return l, all
+}
+
+// reportAll has the peers report their loads.
+func reportAll(l *admit.Controller, now time.Time, all []routing.Target, peers int, full bool) {
 	for p := range peers {
 		var loads []admit.Load
 		for _, t := range all {
-			load := admit.Load{Target: t.ID, Running: 0, Pending: 10}
+			load := admit.Load{Target: t.ID}
 			if full {
 				load.Running, load.Pending = 1, 1000
 			}
 			loads = append(loads, load)
 		}
-		use := map[ids.Workspace]share.Use{"flood": {Asked: 1e6, Started: 1e6}}
-		l.Report(start, ids.Instance(fmt.Sprintf("r%d", p)), loads, nil, use)
+		use := map[ids.Workspace]share.Use{"flood": {Asked: 1e6}}
+		if full {
+			use["flood"] = share.Use{Asked: 1e6, Started: 1e6}
+		}
+		l.Report(now, ids.Instance(fmt.Sprintf("r%d", p)), loads, nil, use)
 	}
-	return l
 }
--- a/internal/core/hub/sum.go
+++ b/internal/core/hub/sum.go
@@ -13,10 +13,9 @@
 	out := new(fleetv1.Report)
 	for _, r := range reports {
 		for _, t := range r.GetTargets() {
-			sum := targets[t.GetTarget()]
-			if sum == nil {
-				sum = &fleetv1.TargetLoad{Target: t.GetTarget()}
-				targets[t.GetTarget()] = sum
+			sum, first := entry(targets, t.GetTarget())
+			if first {
+				sum.Target = t.GetTarget()
 				out.Targets = append(out.Targets, sum)
 			}
 			sum.Running += t.GetRunning()
@@ -24,20 +23,18 @@
 			sum.Memory += t.GetMemory()
 		}
 		for _, b := range r.GetBacklogs() {
-			sum := backlogs[b.GetService()]
-			if sum == nil {
-				sum = &fleetv1.Backlog{Service: b.GetService()}
-				backlogs[b.GetService()] = sum
+			sum, first := entry(backlogs, b.GetService())
+			if first {
+				sum.Service = b.GetService()
 				out.Backlogs = append(out.Backlogs, sum)
 			}
 			sum.Requests += b.GetRequests()
 			sum.Tokens += b.GetTokens()
 		}
 		for _, w := range r.GetWorkspaces() {
-			sum := workspaces[w.GetWorkspace()]
-			if sum == nil {
-				sum = &fleetv1.WorkspaceUse{Workspace: w.GetWorkspace()}
-				workspaces[w.GetWorkspace()] = sum
+			sum, first := entry(workspaces, w.GetWorkspace())
+			if first {
+				sum.Workspace = w.GetWorkspace()
 				out.Workspaces = append(out.Workspaces, sum)
 			}
 			sum.Asked += w.GetAsked()
@@ -47,6 +44,16 @@
 	return out
 }
 
+// entry returns what a map holds for a name, a new zero value where it holds nothing.
+func entry[T any](m map[string]*T, name string) (sum *T, first bool) {
+	if sum = m[name]; sum != nil {
+		return sum, false
+	}
+	sum = new(T)
+	m[name] = sum
+	return sum, true
+}
+
 // CachedKeys are the keys of cached parts by target that were not yet sent on.
 type CachedKeys map[string][]uint64
 
--- a/internal/edge/pressure.go
+++ b/internal/edge/pressure.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/umberhill/umberhill/internal/core/pressure"
 )
 
@@ -29,8 +31,11 @@
 // Pressure knows which share of the requests this router must refuse to keep up.
 type Pressure struct{ share atomic.Uint64 }
 
+// errNoDelays: without the histogram the router never refuses for its own sake.
+var errNoDelays = errors.New("the runtime has no histogram " + latencies)
+
 // Run observes the delays of goroutines until ctx ends.
-func (p *Pressure) Run(ctx context.Context) {
+func (p *Pressure) Run(ctx context.Context) error {
 	var gauge pressure.Gauge
 	sample := []metrics.Sample{{Name: latencies}}
 	var last []uint64
@@ -39,12 +44,12 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-ticker.C:
 		}
 		metrics.Read(sample)
 		if sample[0].Value.Kind() != metrics.KindFloat64Histogram {
-			return
+			return errNoDelays
 		}
 		h := sample[0].Value.Float64Histogram()
 		share := gauge.Observe(lateQuantile(h, last))
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -36,8 +36,8 @@
 }
 
 // run owns the roster until ctx ends.
-func (t *Directory) run(ctx context.Context) {
-	defer close(t.done)
+func (d *Directory) run(ctx context.Context) {
+	defer close(d.done)
 	ticker := time.NewTicker(settleCheck)
 	defer ticker.Stop()
 	for {
@@ -45,54 +45,56 @@
 		select {
 		case <-ctx.Done():
 			return
-		case change := <-t.changes:
+		case change := <-d.changes:
 			changed = change(time.Now())
 		case now := <-ticker.C:
-			changed = t.roster.DropMissing(now)
+			changed = d.roster.DropMissing(now)
 		}
 		if changed {
-			t.node.setTargets(t.roster.Targets())
-			t.node.targetsAsOf.Store(t.roster.AsOf())
+			d.node.setTargets(d.roster.Targets())
+			d.node.targetsAsOf.Store(d.roster.AsOf())
 		}
 	}
 }
 
-func (t *Directory) do(change func(now time.Time) bool) {
+func (d *Directory) do(change func(now time.Time) bool) {
 	select {
-	case t.changes <- change:
-	case <-t.done:
+	case d.changes <- change:
+	case <-d.done:
 	}
 }
 
 // Apply takes changes that the store tells, up to a revision.
-func (t *Directory) Apply(changes []roster.Change, asOf uint64) {
-	t.do(func(now time.Time) bool {
-		t.roster.StoreReturned(now)
-		t.roster.Apply(now, changes, asOf)
+func (d *Directory) Apply(changes []roster.Change, asOf uint64) {
+	d.do(func(now time.Time) bool {
+		d.roster.StoreReturned(now)
+		d.roster.Apply(now, changes, asOf)
 		return true
 	})
 }
 
 // Replace takes the full list that the store tells.
-func (t *Directory) Replace(list []roster.Entry, asOf uint64) {
-	t.do(func(now time.Time) bool {
-		t.roster.StoreReturned(now)
-		t.roster.Replace(now, list, asOf)
+func (d *Directory) Replace(list []roster.Entry, asOf uint64) {
+	d.do(func(now time.Time) bool {
+		d.roster.StoreReturned(now)
+		d.roster.Replace(now, list, asOf)
 		return true
 	})
 }
 
-// Lost tells that the store does not answer, Back that it does again.
-func (t *Directory) Lost() { t.do(func(time.Time) bool { t.roster.StoreLost(); return false }) }
+// StoreLost tells that the store does not answer.
+func (d *Directory) StoreLost() {
+	d.do(func(time.Time) bool { d.roster.StoreLost(); return false })
+}
 
-// Back tells that the store answers again.
-func (t *Directory) Back() {
-	t.do(func(now time.Time) bool { t.roster.StoreReturned(now); return false })
+// StoreReturned tells that the store answers, with or without changes.
+func (d *Directory) StoreReturned() {
+	d.do(func(now time.Time) bool { d.roster.StoreReturned(now); return false })
 }
 
 // merge takes a peer's list, which says nothing of this router's own reach of
 // the store.
-func (t *Directory) merge(list *fleetv1.TargetList) {
+func (d *Directory) merge(list *fleetv1.TargetList) {
 	entries := make([]roster.Entry, 0, len(list.GetTargets()))
 	for _, e := range list.GetTargets() {
 		entries = append(entries, roster.Entry{Revision: e.GetRevision(), Target: routing.Target{
@@ -105,18 +107,18 @@
 			Born:    e.GetBorn(),
 		}})
 	}
-	t.do(func(now time.Time) bool {
-		t.roster.Merge(now, entries, list.GetAsOf(), list.GetSettled())
+	d.do(func(now time.Time) bool {
+		d.roster.Merge(now, entries, list.GetAsOf(), list.GetSettled())
 		return true
 	})
 }
 
 // list returns the list for peers.
-func (t *Directory) list(ctx context.Context) *fleetv1.TargetList {
+func (d *Directory) list(ctx context.Context) *fleetv1.TargetList {
 	answer := make(chan *fleetv1.TargetList, 1)
-	t.do(func(now time.Time) bool {
-		out := &fleetv1.TargetList{AsOf: t.roster.AsOf(), Settled: t.roster.Settled(now)}
-		for _, e := range t.roster.Entries() {
+	d.do(func(now time.Time) bool {
+		out := &fleetv1.TargetList{AsOf: d.roster.AsOf(), Settled: d.roster.Settled(now)}
+		for _, e := range d.roster.Entries() {
 			out.Targets = append(out.Targets, &fleetv1.TargetEntry{
 				Id:       string(e.ID),
 				Address:  e.Address,
@@ -135,7 +137,7 @@
 	case list := <-answer:
 		return list
 	case <-ctx.Done():
-	case <-t.done:
+	case <-d.done:
 	}
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -257,7 +257,7 @@
 	n.AddDuty(duty.Loop("targets", n.directory.run))
 	n.AddDuty(duty.Loop("idle connections", n.sweep))
 	n.AddDuty(duty.Loop("reading the store again", n.refresh))
-	n.AddDuty(duty.Loop("pressure", n.pressure.Run))
+	n.AddDuty(duty.Duty{Name: "pressure", Run: n.pressure.Run, Optional: true})
 	n.AddDuty(duty.Duty{Name: "quarantine", Run: n.suspects.Run})
 	if f := n.fleet; f != nil {
 		n.AddDuty(duty.Duty{Name: "peer links", Run: f.mesh.Run})
