--- a/internal/core/admit/cache.go
+++ b/internal/core/admit/cache.go
@@ -11,9 +11,9 @@
 	// maxCached bounds the parts remembered for one engine.
 	maxCached = 8192
 	// reportAgain is how long a use of a part holds for peers, so that a part
-	// in steady use is not told with each request.
+	// in steady use is not reported with each request.
 	reportAgain = time.Second
-	// maxUnreported bounds the parts told in one report.
+	// maxUnreported bounds the parts in one report.
 	maxUnreported = 256
 )
 
@@ -30,8 +30,8 @@
 	return ok && now.Sub(at) < cacheLife
 }
 
-// send notes that this router sent a prompt there. The last part belongs to the
-// request or its session and is no unreported to peers.
+// send notes that this router sent a prompt there. Peers are told of all parts but
+// the last, which no other request has.
 func (c *prefixCache) send(now time.Time, parts []Part) {
 	for i, p := range parts {
 		at, known := c.used[p.Key]
@@ -52,7 +52,7 @@
 	}
 }
 
-// takeUnreported returns the unreported for peers, once.
+// takeUnreported returns the parts that peers do not know of, once.
 func (c *prefixCache) takeUnreported() []uint64 {
 	unreported := c.unreported
 	c.unreported = nil
--- a/internal/core/admit/doc.go
+++ b/internal/core/admit/doc.go
@@ -4,7 +4,7 @@
 // reports go in with their time, verdicts come out.
 //
 // It answers the load where more work arrives than the targets carry. Engines
-// admit in order of arrival and know no priorities, so what they hold unstarted
+// start requests first come, first served, so what they hold unstarted
 // is kept below the tightest latency objective, and the queue forms here:
 // workspaces within their fair share go first, then the earliest objective.
 // What can't start in time is refused at once with the time after which the
--- a/internal/core/admit/report.go
+++ b/internal/core/admit/report.go
@@ -63,7 +63,7 @@
 }
 
 // Own returns this router's load, backlog and use for a report to all peers.
-// HealthChange of cached parts are in one report only.
+// Each cached part is in one report only.
 func (ac *Controller) Own(now time.Time) ([]Load, []Backlog, map[ids.Workspace]share.Use) {
 	var loads []Load
 	for id, t := range ac.targets {
--- a/internal/core/admit/request.go
+++ b/internal/core/admit/request.go
@@ -13,8 +13,8 @@
 
 // Part is a piece of a prompt.
 type Part struct {
-	// Key identifies the part together with the model and all parts before it,
-	// which is what an engine's prefix cache goes by.
+	// Key is a hash over the model and the prompt up to the end of this part, as
+	// an engine's prefix cache uses it.
 	Key uint64
 	// Tokens of this part alone.
 	Tokens int
--- a/internal/core/pressure/pressure.go
+++ b/internal/core/pressure/pressure.go
@@ -10,8 +10,8 @@
 import "time"
 
 const (
-	// Of the three gauges tried on a grown site this one did best; see the commit
-	// "Large fleets report by hubs". up, down, most and weight are untuned.
+	// high and low are from trials on the bench (docs/ROUNDS.md, fce6e49), the
+	// others untuned.
 	//
 	// high and low are the delays above which more is refused and below which
 	// less is. An instance that keeps up is late by some ms.
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -16,12 +16,13 @@
 
 const (
 	// Settle is how long after the store's return an entry may still be missing
-	// though its target lives: entries are back within about two seconds.
+	// though its target lives: the platform's bound on its return, and a margin.
 	Settle = 2500 * time.Millisecond
 	// margin is what news of a target's end takes to be seen and acted on: a watch
 	// and a check of the list, with room to spare.
 	margin = 500 * time.Millisecond
-	// tombstoneLife, far above any delay of a read, is how long the end of an entry is remembered against older news.
+	// tombstoneLife is how long the end of an entry is remembered against older
+	// news; far above any delay of a read.
 	tombstoneLife = time.Minute
 )
 
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -33,8 +33,8 @@
 // Window sums the use of the fleet's workspaces over a sliding window.
 type Window struct {
 	span time.Duration
-	// epoch makes the buckets' numbers follow the steady clock, since the time
-	// of day may jump.
+	// epoch makes the buckets' numbers follow the steady clock: the wall clock may
+	// be set.
 	epoch time.Time
 	own   map[ids.Workspace]*series
 	peers map[ids.Instance]peerUse
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -15,7 +15,7 @@
 	// logRing is the number of lines that may wait to be written.
 	logRing = 1024
 	// smoothPerSecond bounds the lines of requests that go well, troublePerSecond
-	// those of the others: a router carries some ten requests a second.
+	// those of the others. Untuned.
 	smoothPerSecond  = 100
 	troublePerSecond = 200
 )
--- a/internal/peer/clock_test.go
+++ b/internal/peer/clock_test.go
@@ -8,7 +8,7 @@
 	"github.com/umberhill/umberhill/internal/core/member"
 )
 
-// The time of day may jump on an instance. What a peer was last heard must go by
+// An instance's wall clock can be set while it runs. What a peer was last heard must go by
 // the steady clock, or a jump would end all links.
 func TestSilenceGoesByTheSteadyClock(t *testing.T) {
 	m := New(Options{Self: "a", Address: "127.0.0.1:0"})
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -243,8 +243,8 @@
 	}
 }
 
-// heard notes when the last message came. It goes by the steady clock: the time
-// of day may jump, which is no silence.
+// heard notes when the last message came. It goes by the steady clock: a wall clock
+// that is set is no silence.
 func (l *link) heard(now time.Time) { l.heardAt.Store(int64(now.Sub(l.mesh.started))) }
 
 func (l *link) lastHeard() time.Time { return l.mesh.started.Add(time.Duration(l.heardAt.Load())) }
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -11,7 +11,7 @@
 
 // The kinds. Where a kind is unknown, Once is the safe choice.
 const (
-	// Once may run at most once for each request.
+	// Once requests must not run a second time.
 	Once Kind = iota
 	// Idempotent may run more than once.
 	Idempotent
