Tests: routers under test listen on addresses that no other process is given

Ruled out: a router that starts twice or leaves a listener open (each start has its own ports; the port in the message was asked for milliseconds before).

Change: the harness's way, an IP address of 127.0.0.0/8 for each user, moves to internal/loopback and is used by the bed and by the three tests that need an address without a listener. No bound, wait or check is changed.

Before: with 127.0.0.1 for all pools TestReservedAddressesStayFree fails (addresses handed out twice, "address already in use").

Conclusion: the collision can't happen between pools; it was in the tests' bed, not in the router.

--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/umberhill/umberhill/internal/api"
+	"github.com/umberhill/umberhill/internal/loopback"
 	"github.com/umberhill/umberhill/internal/settings"
 )
 
@@ -46,7 +47,7 @@
 	Services []*Target
 	Links    *Links
 
-	ports  ports
+	ports  *loopback.Pool
 	client *http.Client
 }
 
@@ -56,7 +57,7 @@
 	f := &Fleet{
 		Spec:     spec,
 		Binaries: binaries,
-		ports:    ports{ip: loopbackIP(), taken: map[string]bool{}},
+		ports:    loopback.NewPool(),
 		client:   &http.Client{Timeout: callTimeout},
 	}
 	if err := f.start(ctx); err != nil {
@@ -134,7 +135,7 @@
 	if f.Spec.MaxEvents > 0 {
 		args = append(args, "--max-events", fmt.Sprint(f.Spec.MaxEvents))
 	}
-	address, err := f.ports.reserve(1)
+	address, err := f.ports.Reserve(1)
 	if err != nil {
 		return err
 	}
@@ -166,7 +167,7 @@
 }
 
 func (f *Fleet) newRouter(domain string) (*Router, error) {
-	addresses, err := f.ports.reserve(3)
+	addresses, err := f.ports.Reserve(3)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/harness/target.go
+++ b/internal/harness/target.go
@@ -110,7 +110,7 @@
 
 // startTarget starts a target's process and lists it at the platform.
 func (f *Fleet) startTarget(ctx context.Context, t *Target, args []string) error {
-	address, err := f.ports.reserve(1)
+	address, err := f.ports.Reserve(1)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/loopback/loopback_test.go
@@ -0,0 +1,43 @@
+package loopback
+
+import (
+	"net"
+	"testing"
+)
+
+// A reserved address stays free while other listeners and connections of the
+// machine are given ports by the kernel.
+func TestReservedAddressesStayFree(t *testing.T) {
+	const pools, each, others = 4, 50, 2000
+	var reserved []string
+	seen := map[string]bool{}
+	for range pools {
+		p := NewPool()
+		for range 2 {
+			addresses, err := p.Reserve(each)
+			if err != nil {
+				t.Fatal(err)
+			}
+			reserved = append(reserved, addresses...)
+		}
+	}
+	for range others {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+	}
+	for _, address := range reserved {
+		if seen[address] {
+			t.Errorf("%s was handed out twice", address)
+		}
+		seen[address] = true
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			t.Errorf("listen: %v", err)
+			continue
+		}
+		defer l.Close()
+	}
+}
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/umberhill/umberhill/internal/api"
+	"github.com/umberhill/umberhill/internal/loopback"
 )
 
 var value = json.RawMessage(`{"a":1}`)
@@ -89,10 +89,9 @@
 
 func TestNoConnectionIsNotApplied(t *testing.T) {
 	g := NewWithT(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := loopback.NewPool().Reserve(1)
 	g.Expect(err).NotTo(HaveOccurred())
-	l.Close()
-	c := New(Options{URL: "http://" + l.Addr().String()})
+	c := New(Options{URL: "http://" + free[0]})
 	_, err = c.Put(context.Background(), api.KindClaims, "x", value, Condition{})
 	var notApplied *NotAppliedError
 	g.Expect(asType(err, &notApplied)).To(BeTrue(), "%T", err)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/umberhill/umberhill/internal/filter"
+	"github.com/umberhill/umberhill/internal/loopback"
 	"github.com/umberhill/umberhill/internal/outcome"
 	"github.com/umberhill/umberhill/internal/relay"
 )
@@ -212,11 +213,9 @@
 
 var _ = Describe("the outcome of an attempt", func() {
 	It("is not-run where no connection came about", func() {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		free, err := loopback.NewPool().Reserve(1)
 		Expect(err).NotTo(HaveOccurred())
-		addr := listener.Addr().String()
-		listener.Close()
-		_, err = newClient().Do(context.Background(), engineCall(addr, false), filter.NewAnswer(httptest.NewRecorder()))
+		_, err = newClient().Do(context.Background(), engineCall(free[0], false), filter.NewAnswer(httptest.NewRecorder()))
 		Expect(outcomeOf(err)).To(Equal(outcome.NotRun))
 	})
 
@@ -246,7 +245,9 @@
 	})
 
 	It("is unknown where the target died after the connection", func() {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		free, err := loopback.NewPool().Reserve(1)
+		Expect(err).NotTo(HaveOccurred())
+		listener, err := net.Listen("tcp", free[0])
 		Expect(err).NotTo(HaveOccurred())
 		go func() {
 			conn, err := listener.Accept()
