A router bounds its callers' connections, by its descriptors and by the operator's idle time

Callers open a connection for each attempt and leave it open; the router kept each for 90 s, although the configuration says 15 s (decoded, not used).

Change: internal/connlimit follows callers' connections. Half of the descriptors are theirs; from half of that on answers ask to close, beyond it the connection idle for longest gives way, and requests are refused at once while nothing is idle. Idle connections are closed after the configuration's time. maxFds of the settings is decoded.

Tests: TestIdleCallersDoNotUseUpDescriptors and TestIdleTimeoutOfTheConfigurationIsKept fail on the code before (60 connections with 40 descriptors; still open after 5 s).

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -37,6 +37,8 @@
 	Scope     tally.Scope
 	// Pressure tells what this router can't carry; nothing where nil.
 	Pressure *Pressure
+	// Full tells that connections are about to run out; never where nil.
+	Full func() bool
 	// Suspects isolates requests that crash targets; none where nil.
 	Suspects Suspects
 	// MaxBodies bounds the bytes of all bodies held at a time, 0 for no bound.
@@ -141,6 +143,9 @@
 
 // prepare finds the route and the workspace and reads the body.
 func (e *exchange) prepare() *refusal {
+	if full := e.server.opts.Full; full != nil && full() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "too_many_connections", retryAfter: busyRetry()}
+	}
 	v := e.server.view.Load()
 	if v == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no_configuration", retryAfter: unknownRetry}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -27,6 +27,7 @@
 		IdleTimeout:       callerIdle,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       edge.WithConn,
+		ConnState:         n.callers.Track,
 	}
 	if err := n.serve("callers", n.settings.Callers, callers); err != nil {
 		return nil, err
@@ -58,10 +59,10 @@
 	return nil
 }
 
-// serveCaller passes a request on. While the router stops, its answers ask
-// callers to close their connections.
+// serveCaller passes a request on. While the router stops or has too many of them,
+// its answers ask callers to close their connections.
 func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
-	if n.draining.Load() {
+	if n.draining.Load() || n.callers.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	n.server.ServeHTTP(w, r)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/umberhill/umberhill/internal/connlimit"
 	"github.com/umberhill/umberhill/internal/core/admit"
 	"github.com/umberhill/umberhill/internal/duty"
 	"github.com/umberhill/umberhill/internal/edge"
@@ -41,8 +42,12 @@
 	sweepInterval = time.Second
 	// Callers' connections.
 	readHeaderTimeout = 15 * time.Second
-	callerIdle        = 90 * time.Second
-	maxHeaderBytes    = 64 << 10
+	// callerIdle bounds an idle connection until a configuration says how long.
+	callerIdle = 90 * time.Second
+	// callerFDs is the part of the descriptors for callers' connections; the rest
+	// is for targets, routers and the store.
+	callerFDs      = 0.5
+	maxHeaderBytes = 64 << 10
 	// tolerated is the number of targets that a request may crash, and
 	// quarantineTime how long it is refused then.
 	tolerated      = 3
@@ -60,6 +65,9 @@
 	Callers, Ready, Peer, Metrics string
 	// MemoryMB is the memory limit of the process, 0 for none.
 	MemoryMB int
+	// MaxFDs is the number of descriptors that the process may have open, 0 where
+	// it is not bounded.
+	MaxFDs int
 	// Capacity is the share of processors that the process has.
 	Capacity float64
 	// DrainWithin bounds how long a leaving target may still get requests.
@@ -89,6 +97,8 @@
 	server    *edge.Server
 	log       *requestLog
 	fleet     *fleet
+	// callers are the callers' connections.
+	callers *connlimit.Limit
 
 	mu      sync.Mutex
 	grace   time.Duration
@@ -134,6 +144,7 @@
 		MaxIdle:     maxIdleConns,
 	})
 	n.log = newRequestLog(n.logger)
+	n.callers = connlimit.New(int(callerFDs * float64(s.MaxFDs)))
 	n.directory = newDirectory(n)
 	n.suspects = quarantine.New(quarantine.Options{
 		Self:        s.Instance,
@@ -151,6 +162,7 @@
 		Log:        n.log,
 		Suspects:   n.suspects,
 		Pressure:   &n.pressure,
+		Full:       n.callers.Full,
 		MaxBodies:  int64(bodyShare * float64(s.MemoryMB<<20)),
 		Scope:      n.scope,
 		RetryRatio: s.RetryRatio,
@@ -298,7 +310,8 @@
 	return err
 }
 
-// sweep closes idle connections to targets that are gone or were idle for too long.
+// sweep closes idle connections: those to targets that are gone, and on both sides
+// those that were idle for too long.
 func (n *Node) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -309,8 +322,11 @@
 			return
 		case <-ticker.C:
 			n.mu.Lock()
-			targets := n.targets
+			targets, config := n.targets, n.config
 			n.mu.Unlock()
+			if config != nil && config.Limits.IdleTimeout > 0 {
+				n.callers.CloseIdle(time.Now(), config.Limits.IdleTimeout)
+			}
 			n.pool.Retain(func(e upstream.Endpoint) bool {
 				t, ok := targets.Get(e.Target)
 				return ok && t.Born == e.Born && t.Address == e.Address
