admit: a workspace that has had its share is not sent where its answer would be late

It is beyond its share from the first seconds on and goes to any engine with slots free; engines are bound by reading there, not by slots, so that answers of all workspaces began after some 600 ms (p50 of digests 1,129 ms).

Ruled out: unseen load (the engines' requests and unread tokens were believed at 5.7 and 900, and predictions of 600 ms agreed with what came).

Change: for such a workspace an engine with work has room only where the predicted first event is on time. One without work is tried, so that it is seen when it is fast again.

Test: TestWorkspaceBeyondItsShareIsNotSentWhereItWouldBeLate, fails on the code before.

--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -192,6 +192,39 @@
 	}
 }
 
+// overShare makes a workspace one that has had its share.
+func (b *bed) overShare(now time.Time, ws ids.Workspace, loads ...admit.Load) {
+	b.Report(now, "peer", loads, nil, map[ids.Workspace]share.Use{
+		ws: {Asked: 2e6, Started: 1e6}, "other": {Asked: 1e6, Started: 2e5},
+	})
+}
+
+// Engines that answer late are not idle, whatever slots they have left.
+func TestWorkspaceBeyondItsShareIsNotSentWhereItWouldBeLate(t *testing.T) {
+	b := newBed(t, 1, 0)
+	now := start
+	for range 200 {
+		v := b.submit(now, "a", "llm", admit.Part{Key: uint64(b.lastID) + 1000, Tokens: 100})
+		now = now.Add(objective * 3 / 2)
+		b.Began(now, v.ID)
+		b.Ended(now, v.ID, admit.Served)
+	}
+	b.overShare(now, "big", admit.Load{Target: "e0", Running: 1})
+	if v := b.submit(now, "big", "llm", admit.Part{Key: 1, Tokens: 100}); v.Refused != admit.OverShare {
+		t.Errorf("verdict %+v although answers begin after one and a half objectives", v)
+	}
+	if v := b.submit(now, "small", "llm", admit.Part{Key: 2, Tokens: 100}); v.Refused != "" {
+		t.Errorf("refused with %v within its share", v.Refused)
+	}
+	// One without work is tried, so that it is seen when it is fast again.
+	later := now.Add(10 * time.Millisecond)
+	b = newBed(t, 1, 0)
+	b.overShare(later, "big")
+	if v := b.submit(later, "big", "llm", admit.Part{Key: 3, Tokens: 100}); v.Target.ID == "" {
+		t.Errorf("refused with %v by an engine without work", v.Refused)
+	}
+}
+
 func TestUnreachableTargetIsLeftAloneThenTriedByOne(t *testing.T) {
 	b := newBed(t, 0, 1)
 	v := b.submit(start, "", "app")
--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -191,7 +191,9 @@
 	need := float64(memory+r.Prompt) + outputShare*float64(r.Output)
 	c.room = float64(running+1) <= float64(slots)*part &&
 		(pending == 0 || float64(ahead) <= unread) &&
-		(running == 0 || need <= memoryShare*part*float64(s.conf.Engine.MemoryTokens))
+		(running == 0 || need <= memoryShare*part*float64(s.conf.Engine.MemoryTokens)) &&
+		// An engine that answers late is not idle; one without work is tried.
+		(running == 0 || rank != share.Excess || predicted <= left)
 	return c
 }
 
