admit: a workspace beyond its share reads shared parts again only at engines with little work

A workspace that has had its share takes any engine with room; the engine that holds its part is mostly over 0.6 of its slots, so it reads the part at another one. Copies spread, each is used less often and is evicted sooner, and the reading is taken from all workspaces.

Ruled out: parts not known to other routers (believed uncached tokens a request were near those of prompts whose shared parts are all cached).

Change: for such a workspace an engine that would read more than 256 tokens of shared parts again has room only up to 0.3 of its bounds.

Test: TestWorkspaceBeyondItsShareReadsAgainOnlyAtEnginesWithLittleWork, fails on the code before ("half full" goes to e1).

--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -225,6 +225,29 @@
 	}
 }
 
+// Reading a shared part at one more engine takes reading time from all workspaces,
+// so one that has had its share gets it only where little else is to be done.
+func TestWorkspaceBeyondItsShareReadsAgainOnlyAtEnginesWithLittleWork(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		running int
+		shared  int
+		want    ids.Target
+	}{
+		{"half full", 3, 3000, ""},
+		{"little work", 1, 3000, "e1"},
+		{"half full, a small part", 3, 100, "e1"},
+	} {
+		b := newBed(t, 2, 0)
+		b.overShare(start, "big",
+			admit.Load{Target: "e0", Running: 6, Cached: []uint64{7}}, admit.Load{Target: "e1", Running: c.running})
+		v := b.submit(start, "big", "llm", prompt(7, c.shared, 100)...)
+		if v.Target.ID != c.want {
+			t.Errorf("%s: went to %q, want %q", c.name, v.Target.ID, c.want)
+		}
+	}
+}
+
 func TestUnreachableTargetIsLeftAloneThenTriedByOne(t *testing.T) {
 	b := newBed(t, 0, 1)
 	v := b.submit(start, "", "app")
--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -44,6 +44,15 @@
 // workspaces by their rank, so that there is room for those that stand better. Untuned.
 var rankShare = [...]float64{share.Guaranteed: 1, share.Fair: 0.85, share.Excess: 0.6}
 
+const (
+	// rereadShare is the part of an engine's bounds up to which a workspace that
+	// has had its share may have it read again what another engine holds.
+	rereadShare = 0.3
+	// smallReread is the number of tokens up to which reading again is not worth
+	// avoiding.
+	smallReread = 256
+)
+
 // service is the state of one service.
 type service struct {
 	name    string
@@ -186,7 +195,7 @@
 	if predicted > left {
 		c.cost += r.Objective
 	}
-	part := rankShare[rank]
+	part := partFor(rank, first == nil, sharedMissing)
 	unread := float64(s.latency.tokensIn(s.tightest)) * readyShare * part / slow
 	need := float64(memory+r.Prompt) + outputShare*float64(r.Output)
 	c.room = float64(running+1) <= float64(slots)*part &&
@@ -197,6 +206,16 @@
 	return c
 }
 
+// partFor is the part of an engine's bounds up to which it takes a request that
+// would have it read sharedMissing tokens of shared parts, where another engine may
+// hold them already.
+func partFor(rank share.Rank, heldElsewhere bool, sharedMissing int) float64 {
+	if rank == share.Excess && heldElsewhere && sharedMissing > smallReread {
+		return rereadShare
+	}
+	return rankShare[rank]
+}
+
 func (s *service) weighPlain(now time.Time, t *target, rank share.Rank) candidate {
 	running, _, _ := t.load(now)
 	slots := max(1, t.Slots)
