roster: a settled list stays settled when a router passes it on that lost the store

The store rejects a third of the routers, among them the hub that feeds front-ventspils-15. The hub takes the list from a peer that reaches the store and drops what ended; but as its own store is lost it calls its list unsettled, so that its routers keep the ended target for 2.5 s more, after they learned of it half a second late: 3,026 ms after the end.

Ruled out: the router's processor (its list changed every 200 to 400 ms all the while).

Change: the roster remembers up to which revision its list came from a settled source and tells peers so.

Test: TestSettledListIsPassedOnAsSettled, fails on the code before.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -48,7 +48,10 @@
 	tombstones  map[ids.Target]tombstone
 	// asOf is the store's revision at which the list last changed.
 	asOf uint64
-	away bool
+	// settledAsOf is the last revision whose list came from the store while it was
+	// settled, here or at a peer: what that list lacks has ended.
+	settledAsOf uint64
+	away        bool
 	// returnedAt is when the store returned last; zero where it never was away.
 	returnedAt time.Time
 }
@@ -84,6 +87,7 @@
 		}
 	}
 	r.asOf = max(r.asOf, asOf)
+	r.settle(r.settling(now))
 }
 
 // Replace takes the full list of a revision from the store. One that is older
@@ -98,8 +102,18 @@
 	r.replace(now, list, asOf, !settled)
 }
 
-// Settled tells whether the store answers and missing entries have ended.
-func (r *Roster) Settled(now time.Time) bool { return !r.settling(now) }
+// Settled tells whether what the list lacks has ended: the store answers this router,
+// or the list came from a peer that it answers.
+func (r *Roster) Settled(now time.Time) bool {
+	return !r.settling(now) || (r.asOf > 0 && r.settledAsOf == r.asOf)
+}
+
+// settle notes that the list as it now stands is settled, unless unsure.
+func (r *Roster) settle(unsure bool) {
+	if !unsure {
+		r.settledAsOf = r.asOf
+	}
+}
 
 func (r *Roster) replace(now time.Time, list []Entry, asOf uint64, keep bool) {
 	if asOf < r.asOf {
@@ -116,6 +130,7 @@
 		}
 	}
 	r.asOf = asOf
+	r.settle(keep)
 }
 
 func (r *Roster) put(e Entry) {
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -105,3 +105,25 @@
 		t.Error("a target that left is still there when it must get no more requests")
 	}
 }
+
+// A settled peer's list is as good from the router that passes it on, whether or
+// not that one reaches the store.
+func TestSettledListIsPassedOnAsSettled(t *testing.T) {
+	hub, follower := one(), one()
+	hub.StoreLost()
+	if hub.Settled(start) {
+		// Its list came from the store before, and nothing is newer.
+		hub.Merge(start, nil, 6, false)
+	}
+	if hub.Settled(start) {
+		t.Fatal("a router that lost the store calls an unsettled peer's list settled")
+	}
+	hub.Merge(start, nil, 7, true)
+	if !hub.Settled(start) || len(hub.Targets()) != 0 {
+		t.Fatalf("settled %v, targets %v after a settled peer's list", hub.Settled(start), hub.Targets())
+	}
+	follower.Merge(start, hub.Entries(), hub.AsOf(), hub.Settled(start))
+	if got := follower.Targets(); len(got) != 0 {
+		t.Errorf("the target that ended is still used: %v", got)
+	}
+}
