admit: a workspace beyond its share yields to what waits at any router

Change: what such a workspace may use of an engine shrinks with the backlog that all routers report, to nothing where as many requests wait as there are engines. What is the same for all engines in a choice is in one struct, computed once; the choice has a file of its own.

Test: TestWorkspaceBeyondItsShareYieldsToTheBacklogOfAllRouters, fails on the code before.

--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -225,6 +225,26 @@
 	}
 }
 
+// Requests that wait within their share, at whichever router, come first.
+func TestWorkspaceBeyondItsShareYieldsToTheBacklogOfAllRouters(t *testing.T) {
+	for _, c := range []struct {
+		waiting, running int
+		want             bool
+	}{{0, 3, true}, {2, 3, false}, {2, 1, true}, {4, 0, false}} {
+		b := newBed(t, 4, 0)
+		var loads []admit.Load
+		for i := range 4 {
+			loads = append(loads, admit.Load{Target: ids.Target(fmt.Sprintf("e%d", i)), Running: c.running})
+		}
+		b.overShare(start, "big", loads...)
+		b.Report(start, "busy", nil, []admit.Backlog{{Service: "llm", Requests: c.waiting}}, nil)
+		v := b.submit(start, "big", "llm", admit.Part{Key: 1, Tokens: 100})
+		if got := v.Target.ID != ""; got != c.want {
+			t.Errorf("%d wait elsewhere, %d run at each of 4 engines: sent %v, want %v", c.waiting, c.running, got, c.want)
+		}
+	}
+}
+
 // Reading a shared part at one more engine takes reading time from all workspaces,
 // so one that has had its share gets it only where little else is to be done.
 func TestWorkspaceBeyondItsShareReadsAgainOnlyAtEnginesWithLittleWork(t *testing.T) {
--- /dev/null
+++ b/internal/core/admit/choose.go
@@ -0,0 +1,211 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/umberhill/umberhill/internal/core/share"
+	"github.com/umberhill/umberhill/internal/ids"
+)
+
+// readyShare and rereadCost come from the replay and the bench
+// (docs/design/ADMISSION.md); the others are untuned first values.
+const (
+	// readyShare is the part of the tightest latency objective that the tokens
+	// not yet read at an engine may take.
+	readyShare = 0.7
+	// memoryShare is the part of an engine's memory that requests may fill, so
+	// that running ones are not preempted as they grow.
+	memoryShare = 0.85
+	// outputShare is the part of the most tokens generated that a request takes
+	// of an engine's memory in the mean.
+	outputShare = 0.6
+	// queuedShare is the part of a plain target's slots that may wait there.
+	queuedShare = 0.5
+	// crossDomain is what a target in another failure domain adds to the
+	// expected latency: the delay of the network and its price.
+	crossDomain = 4 * time.Millisecond
+	// busyPenalty is what a full batch adds to the expected latency of an
+	// engine, whose steps take longer the more requests run.
+	busyPenalty = 60 * time.Millisecond
+	// rereadCost is what each token of a shared part adds that another engine
+	// holds already: reading it again takes engines' time from others.
+	rereadCost = 200 * time.Microsecond
+	// strayCost is what each token of a shared part that no engine holds adds at
+	// engines other than the one that routers agree on.
+	strayCost = 20 * time.Microsecond
+)
+
+// rankShare is the part of an engine's bounds up to which it takes requests of
+// workspaces by their rank, so that there is room for those that stand better. Untuned.
+var rankShare = [...]float64{share.Guaranteed: 1, share.Fair: 0.85, share.Excess: 0.6}
+
+const (
+	// rereadShare is the part of an engine's bounds up to which a workspace that
+	// has had its share may have it read again what another engine holds: half of
+	// what it may use otherwise, measured on the bench (docs/ROUNDS.md, 7f84252).
+	rereadShare = 0.3
+	// smallReread is the number of tokens up to which reading again is not worth
+	// avoiding, some ms of an engine's time. Untuned.
+	smallReread = 256
+)
+
+// candidate is a target with the cost of sending a request there.
+type candidate struct {
+	target *target
+	cost   time.Duration
+	// wait is the expected time until the target has a free slot.
+	wait     time.Duration
+	room     bool
+	inputs   Inputs
+	uncached int
+	ahead    int
+}
+
+// choose returns the cheapest target, which may be one to wait for, or nothing
+// where no target can be used.
+func (s *service) choose(now time.Time, r *Request, self ids.Domain, rank share.Rank) (candidate, bool) {
+	return s.cheapest(now, r, self, rank, func(a, b candidate) bool { return a.cost < b.cost })
+}
+
+// chooseWithRoom returns the cheapest target that has room for a workspace that has
+// had its share, or else the cheapest.
+func (s *service) chooseWithRoom(now time.Time, r *Request, self ids.Domain) (candidate, bool) {
+	return s.cheapest(now, r, self, share.Excess, func(a, b candidate) bool {
+		if a.room != b.room {
+			return a.room
+		}
+		return a.cost < b.cost
+	})
+}
+
+func (s *service) cheapest(now time.Time, r *Request, self ids.Domain, rank share.Rank, less func(a, b candidate) bool) (candidate, bool) {
+	var best candidate
+	found := false
+	l := s.lookFor(now, r, rank)
+	for _, t := range s.targets {
+		if !t.usable(now, r) {
+			continue
+		}
+		c := s.weigh(l, t)
+		if t.Domain != self {
+			c.cost += crossDomain
+		}
+		if !found || less(c, best) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// firstHome is the engine at which all routers agree to read a prompt's shared
+// parts first, or nil where an engine holds them already.
+func (s *service) firstHome(now time.Time, r *Request) *target {
+	if !s.engine() || len(r.Parts) < 2 {
+		return nil
+	}
+	key := r.Parts[len(r.Parts)-2].Key
+	for _, t := range s.targets {
+		if !t.Leaving && t.cache.hold(now, key) {
+			return nil
+		}
+	}
+	return home(s.targets, key)
+}
+
+// look is what is the same for all targets while one is chosen for a request.
+type look struct {
+	now  time.Time
+	req  *Request
+	rank share.Rank
+	// first is the engine at which a shared part is to be read first, nil where an
+	// engine holds it already.
+	first *target
+	// left is the time in which the answer must begin.
+	left time.Duration
+	// idle scales the bounds up to which an excess request may use an engine.
+	idle float64
+}
+
+func (s *service) lookFor(now time.Time, r *Request, rank share.Rank) *look {
+	l := &look{now: now, req: r, rank: rank, first: s.firstHome(now, r), left: r.onTime().Sub(now), idle: 1}
+	if rank == share.Excess {
+		l.idle = s.idle(now)
+	}
+	return l
+}
+
+// part is the part of an engine's bounds up to which it takes the request, where it
+// would have to read sharedMissing tokens of shared parts.
+func (l *look) part(sharedMissing int) float64 {
+	if l.rank == share.Excess && l.first == nil && sharedMissing > smallReread {
+		return l.idle * rereadShare
+	}
+	return l.idle * rankShare[l.rank]
+}
+
+// weigh judges a target.
+func (s *service) weigh(l *look, t *target) candidate {
+	var c candidate
+	if s.engine() {
+		c = s.weighEngine(l, t)
+	} else {
+		c = s.weighPlain(l, t)
+	}
+	c.target = t
+	c.cost += t.health.penalty(l.now)
+	return c
+}
+
+func (s *service) weighEngine(l *look, t *target) candidate {
+	r := l.req
+	running, pending, memory := t.load(l.now)
+	held, sharedMissing := t.cached(l.now, r)
+	uncached := r.Prompt - held
+	ahead := pending + uncached
+	slow := t.slowness(l.now)
+	predicted := time.Duration(float64(s.latency.predict(ahead)) * slow)
+	slots := max(1, t.Slots)
+	c := candidate{
+		cost:     predicted + busyPenalty*time.Duration(running)/time.Duration(slots),
+		uncached: uncached,
+		ahead:    ahead,
+		inputs:   Inputs{Running: running, Pending: pending, Uncached: uncached, Predicted: predicted, Rank: l.rank},
+	}
+	switch {
+	case l.first == nil:
+		c.cost += rereadCost * time.Duration(sharedMissing)
+	case l.first != t:
+		c.cost += strayCost * time.Duration(sharedMissing)
+	}
+	if running >= slots {
+		c.wait = s.latency.duration() * time.Duration(running+1-slots) / time.Duration(slots)
+		c.cost += c.wait
+	}
+	if predicted > l.left {
+		c.cost += r.Objective
+	}
+	part := l.part(sharedMissing)
+	unread := float64(s.latency.tokensIn(s.tightest)) * readyShare * part / slow
+	need := float64(memory+r.Prompt) + outputShare*float64(r.Output)
+	c.room = float64(running+1) <= float64(slots)*part &&
+		(pending == 0 || float64(ahead) <= unread) &&
+		(running == 0 || need <= memoryShare*part*float64(s.conf.Engine.MemoryTokens)) &&
+		// An engine that answers late is not idle; one without work is tried.
+		(running == 0 || l.rank != share.Excess || predicted <= l.left)
+	return c
+}
+
+func (s *service) weighPlain(l *look, t *target) candidate {
+	running, _, _ := t.load(l.now)
+	slots := max(1, t.Slots)
+	took := time.Duration(float64(s.latency.duration()) * t.slowness(l.now))
+	predicted := took
+	if running >= slots {
+		predicted += took * time.Duration(running+1-slots) / time.Duration(slots)
+	}
+	return candidate{
+		cost:   predicted + took*time.Duration(running)/time.Duration(4*slots),
+		room:   running < slots+int(queuedShare*float64(slots)),
+		inputs: Inputs{Running: running, Predicted: predicted, Rank: l.rank},
+	}
+}
