--- a/internal/daemon/command/command.go
+++ b/internal/daemon/command/command.go
@@ -71,9 +71,10 @@
 				Name:      "check",
 				Usage:     "check a settings file",
 				ArgsUsage: "SETTINGS",
-				Flags: []cli.Flag{&cli.BoolFlag{
-					Name: "platform", Usage: "the file is the users' platform's",
-				}},
+				Flags: []cli.Flag{
+					&cli.BoolFlag{Name: "platform", Usage: "the file is the users' platform's"},
+					&cli.BoolFlag{Name: "deploy", Usage: "the file tells the users' platform where to run the router"},
+				},
 				Action: check,
 			},
 			{
@@ -142,22 +143,23 @@
 }
 
 func check(_ context.Context, cmd *cli.Command) error {
-	if cmd.Bool("platform") {
-		if err := checkPlatform(cmd); err != nil {
-			return err
-		}
-	} else if _, err := load(cmd); err != nil {
-		return err
-	}
-	_, err := fmt.Fprintln(output(cmd), "ok")
-	return err
-}
-
-func checkPlatform(cmd *cli.Command) error {
 	if cmd.Args().Len() != 1 {
-		return errors.Wrap(errUsage, "name one settings file")
+		return errors.Wrap(errUsage, "name one file")
+	}
+	path := cmd.Args().First()
+	var err error
+	switch {
+	case cmd.Bool("platform"):
+		_, err = platform.ReadSettings(path)
+	case cmd.Bool("deploy"):
+		err = platform.CheckDeploy(path)
+	default:
+		_, err = settings.Load(path)
+	}
+	if err != nil {
+		return err
 	}
-	_, err := platform.ReadSettings(cmd.Args().First())
+	_, err = fmt.Fprintln(output(cmd), "ok")
 	return err
 }
 
