Idle connections to a target stay within what it accepts from all routers

Cause: a target resets connections beyond its bound (110 for the plain service of the ledus site), and each of 8 routers kept up to 64 idle ones there: maxConns was decoded and not used. Not seen to break anything yet.

Change: all routers together keep at most half of a target's bound idle, each its part, one at least.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,10 +35,14 @@
 	// the live heap is small against the memory limit.
 	gcPercent = 400
 	// Connections to targets.
-	dialTimeout   = 400 * time.Millisecond
-	idleTimeout   = 20 * time.Second
-	unackedFor    = 2 * time.Second
+	dialTimeout = 400 * time.Millisecond
+	idleTimeout = 20 * time.Second
+	unackedFor  = 2 * time.Second
+	// maxIdleConns bounds the idle connections to a target, idleShare is the part of
+	// the connections that a target accepts which all routers together keep idle: the
+	// rest is for those under a request.
 	maxIdleConns  = 64
+	idleShare     = 0.5
 	sweepInterval = time.Second
 	// Callers' connections.
 	readHeaderTimeout = 15 * time.Second
@@ -115,6 +119,8 @@
 	refresher Refresher
 
 	draining atomic.Bool
+	// routers is the number of routers of the fleet, 0 where not known.
+	routers atomic.Int64
 	// duties run from Run's start to its end.
 	duties []duty.Duty
 	// background runs the listeners' servers, which Run closes.
@@ -141,7 +147,7 @@
 		DialTimeout: dialTimeout,
 		Idle:        idleTimeout,
 		Unacked:     unackedFor,
-		MaxIdle:     maxIdleConns,
+		MaxIdle:     n.maxIdle,
 	})
 	n.log = newRequestLog(n.logger)
 	n.callers = connlimit.New(int(callerFDs * float64(s.MaxFDs)))
@@ -310,6 +316,22 @@
 	return err
 }
 
+// maxIdle is the number of idle connections to a target that this router may keep.
+func (n *Node) maxIdle(e upstream.Endpoint) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	t, known := n.targets.Get(e.Target)
+	if !known || n.config == nil {
+		return maxIdleConns
+	}
+	s := n.config.Services[t.Service]
+	if s == nil || s.MaxConns <= 0 {
+		return maxIdleConns
+	}
+	share := int(idleShare * float64(s.MaxConns) / float64(max(1, n.routers.Load())))
+	return min(max(share, 1), maxIdleConns)
+}
+
 // sweep closes idle connections: those to targets that are gone, and on both sides
 // those that were idle for too long.
 func (n *Node) sweep(ctx context.Context) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -23,8 +23,8 @@
 	// Unacked is the time after which the kernel gives a connection up whose
 	// bytes are not acknowledged.
 	Unacked time.Duration
-	// MaxIdle bounds the idle connections of one target.
-	MaxIdle int
+	// MaxIdle bounds the idle connections to an endpoint.
+	MaxIdle func(Endpoint) int
 }
 
 // idleMargin is the part of the idle time stated by a target for which a
@@ -113,9 +113,10 @@
 		idle = min(idle, time.Duration(idleMargin*float64(c.keepAlive)))
 	}
 	c.reusable = time.Now().Add(idle)
+	most := p.opts.MaxIdle(c.endpoint)
 	p.mu.Lock()
 	list := p.idle[c.endpoint]
-	full := len(list) >= p.opts.MaxIdle
+	full := len(list) >= most
 	if !full {
 		p.idle[c.endpoint] = append(list, c)
 	}
