--- a/internal/node/fresh_test.go
+++ b/internal/node/fresh_test.go
@@ -5,9 +5,6 @@
 	"testing"
 	"time"
 
-	logtest "github.com/sirupsen/logrus/hooks/test"
-
-	"github.com/umberhill/umberhill/internal/core/hub"
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
@@ -45,19 +42,7 @@
 
 // In a large fleet the routers that hubs feed call the store less often.
 func TestRoutersWithAHubSpareTheStore(t *testing.T) {
-	logger, _ := logtest.NewNullLogger()
-	fleetOf := func(routers int) *Node {
-		n := New(Settings{Instance: "r-0", Domain: "a", Peer: "127.0.0.1:1", ShareWindow: time.Second}, noDialect{}, logger)
-		n.JoinFleet(nil)
-		var list []Router
-		for i := range routers {
-			name := ids.Instance(fmt.Sprintf("r-%d", i))
-			list = append(list, Router{Address: "127.0.0.1:1", Router: hub.Router{Instance: name, Domain: "a", Capacity: float64(i)}})
-		}
-		n.SetRouters(list)
-		return n
-	}
-	small, large := fleetOf(8), fleetOf(80)
+	small, large := newInFleet(8), newInFleet(80)
 	if small.OutagePause() != 0 || large.OutagePause() == 0 {
 		t.Errorf("after a failed call 8 routers pause for %v more, 80 for %v", small.OutagePause(), large.OutagePause())
 	}
--- a/internal/node/idle_test.go
+++ b/internal/node/idle_test.go
@@ -1,14 +1,8 @@
 package node
 
 import (
-	"fmt"
 	"testing"
-	"time"
 
-	logtest "github.com/sirupsen/logrus/hooks/test"
-
-	"github.com/umberhill/umberhill/internal/core/hub"
-	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/routing"
 	"github.com/umberhill/umberhill/internal/upstream"
 )
@@ -17,14 +11,7 @@
 func TestIdleConnectionsOfTheFleetFitATarget(t *testing.T) {
 	const accepts = 110
 	for _, routers := range []int{1, 8, 80, 400} {
-		logger, _ := logtest.NewNullLogger()
-		n := New(Settings{Instance: "r-0", Domain: "a", Peer: "127.0.0.1:1", ShareWindow: time.Second}, noDialect{}, logger)
-		n.JoinFleet(nil)
-		var list []Router
-		for i := range routers {
-			list = append(list, Router{Address: "127.0.0.1:1", Router: hub.Router{Instance: ids.Instance(fmt.Sprintf("r-%d", i)), Domain: "a"}})
-		}
-		n.SetRouters(list)
+		n := newInFleet(routers)
 		n.SetConfig(&routing.Config{Version: 1, Services: map[string]*routing.Service{"app": {Name: "app", MaxConns: accepts}}}, "test")
 		n.setTargets([]routing.Target{{ID: "t", Service: "app"}})
 		idle := n.maxIdle(upstream.Endpoint{Target: "t"})
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
+	"github.com/umberhill/umberhill/internal/core/hub"
 	"github.com/umberhill/umberhill/internal/duty"
 	"github.com/umberhill/umberhill/internal/edge"
+	"github.com/umberhill/umberhill/internal/ids"
 )
 
 // noDialect is for nodes that get no requests.
@@ -20,6 +23,21 @@
 func (noDialect) Reply(*http.Response) edge.Reply                     { return edge.Reply{} }
 func (noDialect) Answer(_, _ http.Header)                             {}
 
+// newInFleet returns a node that knows a fleet of so many routers, the smallest of
+// which it is.
+func newInFleet(routers int) *Node {
+	logger, _ := logtest.NewNullLogger()
+	n := New(Settings{Instance: "r-0", Domain: "a", Peer: "127.0.0.1:1", ShareWindow: time.Second}, noDialect{}, logger)
+	n.JoinFleet(nil)
+	list := make([]Router, 0, routers)
+	for i := range routers {
+		name := ids.Instance(fmt.Sprintf("r-%d", i))
+		list = append(list, Router{Address: "127.0.0.1:1", Router: hub.Router{Instance: name, Domain: "a", Capacity: float64(i)}})
+	}
+	n.SetRouters(list)
+	return n
+}
+
 // A router that has lost a controller must not go on as if it were whole.
 func TestPanicOfADutyEndsTheRouter(t *testing.T) {
 	logger, _ := logtest.NewNullLogger()
