A flooded router refuses the flood, not the workspaces beside it

Change: the router still refuses the same share of its requests, but those of the workspaces that ask it for most, by max-min over a second (core/pressure.Shedder).

Test: TestFloodedInstanceRefusesTheFlood: with 0.95 to refuse, nine tenths of the requests of the workspaces beside the flood are taken; by lot it is one in twenty.

--- /dev/null
+++ b/internal/core/pressure/shed_test.go
@@ -0,0 +1,52 @@
+package pressure_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/core/pressure"
+	"github.com/umberhill/umberhill/internal/ids"
+)
+
+// One workspace floods an instance that must refuse nearly all: those beside it
+// are served.
+func TestFloodedInstanceRefusesTheFlood(t *testing.T) {
+	const refused = 0.95
+	random := rand.New(rand.NewPCG(1, 2))
+	now := time.Unix(1000, 0)
+	var s pressure.Shedder
+	asked, taken := map[ids.Workspace]int{}, map[ids.Workspace]int{}
+	for i := range 20_000 {
+		now = now.Add(400 * time.Microsecond)
+		ws := ids.Workspace("flood")
+		switch {
+		case i%500 == 0:
+			ws = "small"
+		case i%100 == 0:
+			ws = "middle"
+		}
+		asked[ws]++
+		if !s.Refuses(now, ws, refused, random.Float64()) {
+			taken[ws]++
+		}
+	}
+	for _, ws := range []ids.Workspace{"small", "middle"} {
+		if taken[ws] < asked[ws]*9/10 {
+			t.Errorf("%s: %d of %d requests are taken", ws, taken[ws], asked[ws])
+		}
+	}
+	all := taken["small"] + taken["middle"] + taken["flood"]
+	if want := int((1 - refused) * 20_000); all < want*8/10 || all > want*12/10 {
+		t.Errorf("%d requests are taken, want about %d", all, want)
+	}
+}
+
+func TestInstanceThatKeepsUpRefusesNobody(t *testing.T) {
+	var s pressure.Shedder
+	for range 100 {
+		if s.Refuses(time.Unix(1000, 0), "a", 0, 0) {
+			t.Fatal("refused")
+		}
+	}
+}
--- a/internal/edge/pressure.go
+++ b/internal/edge/pressure.go
@@ -5,12 +5,14 @@
 	"math"
 	"math/rand/v2"
 	"runtime/metrics"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/umberhill/umberhill/internal/core/pressure"
+	"github.com/umberhill/umberhill/internal/ids"
 )
 
 const (
@@ -29,7 +31,12 @@
 )
 
 // Pressure knows which share of the requests this router must refuse to keep up.
-type Pressure struct{ share atomic.Uint64 }
+type Pressure struct {
+	share atomic.Uint64
+
+	mu   sync.Mutex
+	shed pressure.Shedder
+}
 
 // errNoDelays: without the histogram the router never refuses for its own sake.
 var errNoDelays = errors.New("the runtime has no histogram " + latencies)
@@ -85,10 +92,11 @@
 // Share is the share to refuse.
 func (p *Pressure) Share() float64 { return math.Float64frombits(p.share.Load()) }
 
-// refuses decides on one request.
-func (p *Pressure) refuses() bool {
-	share := p.Share()
-	return share > 0 && rand.Float64() < share
+// refuses decides on one request of a workspace.
+func (p *Pressure) refuses(ws ids.Workspace) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.shed.Refuses(time.Now(), ws, p.Share(), rand.Float64())
 }
 
 func busyRetry() time.Duration {
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -179,7 +179,7 @@
 	if e.conf == nil || e.conf.Engine == nil {
 		return nil
 	}
-	if p := e.server.opts.Pressure; p != nil && p.refuses() {
+	if p := e.server.opts.Pressure; p != nil && p.refuses(e.workspace) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "router_busy", retryAfter: busyRetry()}
 	}
 	v, refused := e.server.opts.Scheduler.RefuseEarly(e.request())
