platform: fields of the configuration that nothing uses are no longer decoded

Cause: read as a newcomer: priorities, the health path, bounds of headers, an engine's slots and the tokens of an event were decoded into types and used by nothing. Besides, one of them with another type than expected would have made the whole configuration unreadable.

Change: they are left out, as other fields that the router has no use for.

--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -29,7 +29,7 @@
 	l := admit.New(admit.Options{Domain: "z", Window: 4 * time.Second, Seed: 1})
 	l.SetConfig(&routing.Config{
 		Services: map[string]*routing.Service{
-			"llm": {Name: "llm", Engine: &routing.Engine{Slots: 8, MemoryTokens: 200_000}},
+			"llm": {Name: "llm", Engine: &routing.Engine{MemoryTokens: 200_000}},
 			"app": {Name: "app"},
 		},
 		// 30 tokens a ms at each engine.
--- a/internal/core/admit/bench_test.go
+++ b/internal/core/admit/bench_test.go
@@ -45,7 +45,7 @@
 func fleetOf(engines, peers int, full bool) (*admit.Controller, []routing.Target) {
 	l := admit.New(admit.Options{Domain: "z", Window: 4 * time.Second, Seed: 1})
 	l.SetConfig(&routing.Config{
-		Services: map[string]*routing.Service{"llm": {Name: "llm", Engine: &routing.Engine{Slots: 16, MemoryTokens: 400_000}}},
+		Services: map[string]*routing.Service{"llm": {Name: "llm", Engine: &routing.Engine{MemoryTokens: 400_000}}},
 		Limits:   routing.Limits{TokensPerSecond: 1e6},
 	})
 	var all []routing.Target
--- a/internal/replay/policy.go
+++ b/internal/replay/policy.go
@@ -47,7 +47,7 @@
 	l := admit.New(admit.Options{Domain: "z", Window: 4 * time.Second, Seed: seed})
 	l.SetConfig(&routing.Config{
 		Services: map[string]*routing.Service{"llm": {
-			Name: "llm", Engine: &routing.Engine{Slots: p.Spec.Slots, MemoryTokens: p.Spec.MemoryTokens},
+			Name: "llm", Engine: &routing.Engine{MemoryTokens: p.Spec.MemoryTokens},
 		}},
 		Limits: routing.Limits{TokensPerSecond: p.TokensPerSecond},
 	})
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -40,13 +40,10 @@
 
 // Limits bound callers' requests.
 type Limits struct {
-	// HeaderBytes and BodyBytes bound a request's size.
-	HeaderBytes int
-	BodyBytes   int64
-	// HeaderTimeout bounds the reading of a request's header, IdleTimeout an
-	// idle connection.
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// BodyBytes bounds a request's body.
+	BodyBytes int64
+	// IdleTimeout bounds an idle connection.
+	IdleTimeout time.Duration
 	// TokensPerSecond is about what all engines produce together: each token
 	// read counts once, each token generated twice. Zero where not known.
 	TokensPerSecond float64
@@ -65,8 +62,6 @@
 	Objective time.Duration
 	// GapObjective is the longest pause between events of a stream on time.
 	GapObjective time.Duration
-	// Priority of the route, 0 the highest.
-	Priority int
 	// Split divides the requests over services by weight.
 	Split []Weighted
 	// MaxAttempts is the number of targets that may run one request.
@@ -85,8 +80,7 @@
 
 // Service is a set of targets that serve the same work.
 type Service struct {
-	Name       string
-	HealthPath string
+	Name string
 	// MaxConns is the number of connections that a target accepts from all
 	// routers together.
 	MaxConns int
@@ -96,12 +90,8 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	// Slots is the number of requests in a batch.
-	Slots int
 	// MemoryTokens is the KV cache's size in tokens.
 	MemoryTokens int
-	// EventTokens is the number of tokens in one event of a stream.
-	EventTokens int
 }
 
 // Pick returns the service at a point of the split, x in [0, 1).
