admit: engines take shared parts of prompts from each other's caches

An engine can take them from another one: about 3.5 us a token there against 15 us to read it, and a twentieth of the price.

Change: where an engine lacks shared parts that another has read, the request names that engine (same failure domain first, then the one that gives least already); the transfer's time and price are in the cost, from the configuration's sizes and rates. Parts are noted with the time at which they will have been read. First events after a transfer do not teach the reading rate. The tokens taken are in the log's lines.

--- a/internal/core/admit/cache.go
+++ b/internal/core/admit/cache.go
@@ -19,35 +19,63 @@
 
 // prefixCache is what one engine is believed to hold of prompts.
 type prefixCache struct {
-	used map[uint64]time.Time
+	parts map[uint64]cachedPart
 	// unreported are shared parts that this router sent there and peers do not know of.
 	unreported []uint64
 }
 
+// cachedPart is a part of a prompt in an engine's cache.
+type cachedPart struct {
+	used time.Time
+	// ready is when it is expected to have been read.
+	ready time.Time
+}
+
 // hold tells whether the part was used there lately.
 func (c *prefixCache) hold(now time.Time, key uint64) bool {
-	at, ok := c.used[key]
-	return ok && now.Sub(at) < cacheLife
+	p, ok := c.parts[key]
+	return ok && now.Sub(p.used) < cacheLife
+}
+
+// prefix returns the tokens of the leading parts that have been read, and whether
+// all parts are held or about to be.
+func (c *prefixCache) prefix(now time.Time, parts []Part) (read int, all bool) {
+	unread := false
+	for _, p := range parts {
+		known, ok := c.parts[p.Key]
+		if !ok || now.Sub(known.used) >= cacheLife {
+			return read, false
+		}
+		unread = unread || now.Before(known.ready)
+		if !unread {
+			read += p.Tokens
+		}
+	}
+	return read, true
 }
 
-// send notes that this router sent a prompt there. Peers are told of all parts but
-// the last, which no other request has.
-func (c *prefixCache) send(now time.Time, parts []Part) {
+// send notes that this router sent a prompt there, which is expected to have been
+// read at a time. Peers are told of all parts but the last, which no other request has.
+func (c *prefixCache) send(now, ready time.Time, parts []Part) {
 	for i, p := range parts {
-		at, known := c.used[p.Key]
-		if i < len(parts)-1 && (!known || now.Sub(at) >= reportAgain) && len(c.unreported) < maxUnreported {
+		known, ok := c.parts[p.Key]
+		if i < len(parts)-1 && (!ok || now.Sub(known.used) >= reportAgain) && len(c.unreported) < maxUnreported {
 			c.unreported = append(c.unreported, p.Key)
 		}
-		c.touch(now, p.Key)
+		c.touch(now, ready, p.Key)
 	}
 }
 
-func (c *prefixCache) touch(now time.Time, key uint64) {
-	if c.used == nil {
-		c.used = make(map[uint64]time.Time)
+// touch notes a use of a part. One that is held already stays ready.
+func (c *prefixCache) touch(now, ready time.Time, key uint64) {
+	if c.parts == nil {
+		c.parts = make(map[uint64]cachedPart)
+	}
+	if known, ok := c.parts[key]; ok && now.Sub(known.used) < cacheLife && known.ready.Before(ready) {
+		ready = known.ready
 	}
-	c.used[key] = now
-	if len(c.used) > maxCached {
+	c.parts[key] = cachedPart{used: now, ready: ready}
+	if len(c.parts) > maxCached {
 		c.trim(now)
 	}
 }
@@ -61,12 +89,12 @@
 
 // trim forgets what has expired, and everything where that is not enough.
 func (c *prefixCache) trim(now time.Time) {
-	for key, at := range c.used {
-		if now.Sub(at) >= cacheLife {
-			delete(c.used, key)
+	for key, p := range c.parts {
+		if now.Sub(p.used) >= cacheLife {
+			delete(c.parts, key)
 		}
 	}
-	if len(c.used) > maxCached {
-		clear(c.used)
+	if len(c.parts) > maxCached {
+		clear(c.parts)
 	}
 }
--- a/internal/core/admit/choose.go
+++ b/internal/core/admit/choose.go
@@ -30,6 +30,14 @@
 	// rereadCost is what each token of a shared part adds that another engine
 	// holds already: reading it again takes engines' time from others.
 	rereadCost = 200 * time.Microsecond
+	// fetchSetup, untuned, is the time before a transfer between engines begins.
+	fetchSetup = 5 * time.Millisecond
+	// fetchCost is what each token adds that is taken from another engine's cache: its
+	// price against that of reading again, from the users' price lists. Untuned.
+	fetchCost = 12 * time.Microsecond
+	// leastFetch is the number of tokens that are worth a transfer: below it, reading
+	// takes about as long.
+	leastFetch = 256
 	// strayCost is what each token of a shared part that no engine holds adds at
 	// engines other than the one that routers agree on.
 	strayCost = 20 * time.Microsecond
@@ -59,6 +67,8 @@
 	inputs   Inputs
 	uncached int
 	ahead    int
+	// source is the engine from which the target takes shared parts, nil for none.
+	source *target
 }
 
 // choose returns the cheapest target, which may be one to wait for, or nothing
@@ -97,19 +107,31 @@
 	return best, found
 }
 
-// firstHome is the engine at which all routers agree to read a prompt's shared
-// parts first, or nil where an engine holds them already.
-func (s *service) firstHome(now time.Time, r *Request) *target {
-	if !s.engine() || len(r.Parts) < 2 {
-		return nil
+// findShared looks for the engines that hold the prompt's shared parts: where none
+// holds them all, first is the one at which all routers agree to read them.
+func (s *service) findShared(l *look) {
+	if !s.engine() || len(l.req.Parts) < 2 {
+		return
 	}
-	key := r.Parts[len(r.Parts)-2].Key
+	shared := l.req.Parts[:len(l.req.Parts)-1]
+	complete := false
 	for _, t := range s.targets {
-		if !t.Leaving && t.cache.hold(now, key) {
-			return nil
+		if t.Leaving {
+			continue
+		}
+		tokens, all := t.cache.prefix(l.now, shared)
+		complete = complete || all
+		if tokens >= max(leastFetch, l.sourceTokens) && t.health.failures == 0 && s.conf.Engine.Fetches() {
+			if tokens > l.sourceTokens {
+				l.sources = l.sources[:0]
+			}
+			l.sources, l.sourceTokens = append(l.sources, t), tokens
 		}
 	}
-	return home(s.targets, key)
+	s.sources = l.sources
+	if !complete {
+		l.first = home(s.targets, shared[len(shared)-1].Key)
+	}
 }
 
 // look is what is the same for all targets while one is chosen for a request.
@@ -120,6 +142,10 @@
 	// first is the engine at which a shared part is to be read first, nil where an
 	// engine holds it already.
 	first *target
+	// sources are the engines that hold most of the shared parts, sourceTokens of them;
+	// none where engines can't take parts from each other.
+	sources      []*target
+	sourceTokens int
 	// left is the time in which the answer must begin.
 	left time.Duration
 	// scale of an engine's bounds: 1, less for a workspace that has had its share
@@ -129,7 +155,8 @@
 
 // newLook prepares a choice.
 func (s *service) newLook(now time.Time, r *Request, rank share.Rank) *look {
-	l := &look{now: now, req: r, rank: rank, first: s.firstHome(now, r), left: r.onTime().Sub(now), scale: 1}
+	l := &look{now: now, req: r, rank: rank, left: r.onTime().Sub(now), scale: 1, sources: s.sources[:0]}
+	s.findShared(l)
 	if rank == share.Excess {
 		l.scale = s.excessScale(now)
 	}
@@ -145,6 +172,44 @@
 	return l.scale * rankShare[l.rank]
 }
 
+// fetch returns the engine from which a target that holds the first tokens of the
+// prompt takes shared parts, and how many tokens; nil where it takes none.
+func (l *look) fetch(t *target, held int) (*target, int) {
+	tokens := min(l.sourceTokens, l.req.Prompt) - held
+	if tokens < leastFetch {
+		return nil, 0
+	}
+	var best *target
+	for _, o := range l.sources {
+		if o != t && (best == nil || o.nearer(best, t.Domain)) {
+			best = o
+		}
+	}
+	if best == nil {
+		return nil, 0
+	}
+	return best, tokens
+}
+
+// nearer tells whether a source is better than another one: in the same failure
+// domain, then with fewer transfers under way.
+func (t *target) nearer(o *target, to ids.Domain) bool {
+	if here, there := t.Domain == to, o.Domain == to; here != there {
+		return here
+	}
+	return t.sending < o.sending
+}
+
+// fetchTime is how long a transfer between two engines is expected to take: those of
+// one engine run one after another.
+func (s *service) fetchTime(from, to *target, tokens int) time.Duration {
+	d := s.conf.Engine.FetchTime(from.sending + tokens)
+	if from.Domain != to.Domain {
+		d *= 2
+	}
+	return fetchSetup + d
+}
+
 // weigh judges a target.
 func (s *service) weigh(l *look, t *target) candidate {
 	var c candidate
@@ -162,16 +227,22 @@
 	r := l.req
 	running, pending, memory := t.load(l.now)
 	held, sharedMissing := t.cached(l.now, r)
-	uncached := r.Prompt - held
+	source, fetched := l.fetch(t, held)
+	sharedMissing -= fetched
+	uncached := r.Prompt - held - fetched
 	ahead := pending + uncached
 	slow := t.slowness(l.now)
 	predicted := time.Duration(float64(s.latency.predict(ahead)) * slow)
+	if source != nil {
+		predicted += s.fetchTime(source, t, fetched)
+	}
 	slots := max(1, t.Slots)
 	c := candidate{
-		cost:     predicted + busyPenalty*time.Duration(running)/time.Duration(slots),
+		cost:     predicted + busyPenalty*time.Duration(running)/time.Duration(slots) + fetchCost*time.Duration(fetched),
 		uncached: uncached,
 		ahead:    ahead,
-		inputs:   Inputs{Running: running, Pending: pending, Uncached: uncached, Predicted: predicted, Rank: l.rank},
+		source:   source,
+		inputs:   Inputs{Running: running, Pending: pending, Uncached: uncached, Fetched: fetched, Predicted: predicted, Rank: l.rank},
 	}
 	switch {
 	case l.first == nil:
--- a/internal/core/admit/flight.go
+++ b/internal/core/admit/flight.go
@@ -8,15 +8,23 @@
 	t := c.target
 	f := &flight{req: r, target: t, sent: now, uncached: c.uncached, ahead: c.ahead}
 	ac.flights[r.ID] = f
+	if c.source != nil {
+		f.source, f.fetched = c.source, c.inputs.Fetched
+		f.source.sending += f.fetched
+	}
 	t.running++
 	t.pending += f.uncached
 	t.memory += r.Prompt + r.Output
 	t.health.sent(r.ID)
 	if s.engine() {
 		ac.window.Start(now, r.Workspace, r.tokens())
-		t.cache.send(now, r.Parts)
+		t.cache.send(now, now.Add(c.inputs.Predicted), r.Parts)
+	}
+	v := Verdict{ID: r.ID, Target: t.Target, Inputs: c.inputs}
+	if f.source != nil {
+		v.FetchFrom = f.source.Target
 	}
-	return Verdict{ID: r.ID, Target: t.Target, Inputs: c.inputs}
+	return v
 }
 
 // Began tells that a request's answer began: at an engine, its prompt has been
@@ -26,10 +34,9 @@
 	if f == nil || f.began {
 		return
 	}
-	f.began = true
-	f.target.pending -= f.uncached
+	f.begin()
 	s := ac.services[f.req.Service]
-	if s == nil || !s.engine() {
+	if s == nil || !s.engine() || f.source != nil {
 		return
 	}
 	took := now.Sub(f.sent)
@@ -37,6 +44,18 @@
 	s.latency.observe(f.ahead, took)
 }
 
+// begin takes the request's prompt off what is to be read and transferred.
+func (f *flight) begin() {
+	if f.began {
+		return
+	}
+	f.began = true
+	f.target.pending -= f.uncached
+	if f.source != nil {
+		f.source.sending -= f.fetched
+	}
+}
+
 // Ended tells that a request has left its target.
 func (ac *Controller) Ended(now time.Time, id ID, result Result) {
 	f := ac.flights[id]
@@ -47,9 +66,7 @@
 	t := f.target
 	t.running--
 	t.memory -= f.req.Prompt + f.req.Output
-	if !f.began {
-		t.pending -= f.uncached
-	}
+	f.begin()
 	was := t.health.failures
 	t.health.result(now, id, result)
 	if (was == 0) != (t.health.failures == 0) {
--- a/internal/core/admit/report.go
+++ b/internal/core/admit/report.go
@@ -14,9 +14,7 @@
 		said[load.Target] = true
 		if t := ac.targets[load.Target]; t != nil {
 			t.setPeerLoad(now, peer, load)
-			for _, key := range load.Cached {
-				t.cache.touch(now, key)
-			}
+			ac.setCached(now, t, load)
 		}
 	}
 	for id, t := range ac.targets {
@@ -35,6 +33,18 @@
 	ac.window.Report(now, peer, use)
 }
 
+// setCached notes the parts that a peer had an engine read.
+func (ac *Controller) setCached(now time.Time, t *target, load Load) {
+	s := ac.services[t.Service]
+	if s == nil || s.latency == nil {
+		return
+	}
+	ready := now.Add(s.latency.predict(load.Pending))
+	for _, key := range load.Cached {
+		t.cache.touch(now, ready, key)
+	}
+}
+
 // fleetPeer stands for all other routers where their sum is reported.
 const fleetPeer ids.Instance = "the fleet"
 
--- a/internal/core/admit/request.go
+++ b/internal/core/admit/request.go
@@ -67,6 +67,9 @@
 	Waiting bool
 	// Target to which it goes; its ID is empty where the request is refused.
 	Target routing.Target
+	// FetchFrom is the engine from whose cache the target takes shared parts of the
+	// prompt that it lacks; its ID is empty for none.
+	FetchFrom routing.Target
 	// Refused and RetryAfter are set where it is refused.
 	Refused    Reason
 	RetryAfter time.Duration
@@ -77,8 +80,9 @@
 // Inputs are the beliefs that a verdict rests on.
 type Inputs struct {
 	// Running and Pending are the requests and the tokens not yet read that the
-	// target was believed to hold, Uncached the tokens it must read.
-	Running, Pending, Uncached int
+	// target was believed to hold, Uncached the tokens it must read, Fetched those it
+	// takes from another engine's cache.
+	Running, Pending, Uncached, Fetched int
 	// Predicted is the expected time to the first event from the sending on.
 	Predicted time.Duration
 	// Rank of the workspace by its fair share.
--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -26,6 +26,9 @@
 	// refused remembers the last refusals for a moment.
 	refused map[refusalKind]refusal
 
+	// sources is memory for looks.
+	sources []*target
+
 	queue   queue
 	backlog map[ids.Instance]peerBacklog
 }
--- a/internal/core/admit/target.go
+++ b/internal/core/admit/target.go
@@ -33,7 +33,10 @@
 	uncached int
 	// ahead are the tokens that were to be read before and with this request.
 	ahead int
-	began bool
+	// source is the engine from which fetched tokens are taken, nil for none.
+	source  *target
+	fetched int
+	began   bool
 }
 
 // target is what is known of one run of a back end.
@@ -43,7 +46,9 @@
 
 	// running, pending and memory are this router's own load there.
 	running, pending, memory int
-	peers                    map[ids.Instance]peerLoad
+	// sending are the tokens that other engines take from its cache for this router.
+	sending int
+	peers   map[ids.Instance]peerLoad
 	// sum of the peers' loads, as of sumAt.
 	sum   Load
 	sumAt time.Time
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -116,6 +116,7 @@
 			Workspace: a.workspace,
 			Left:      time.Until(a.deadline),
 			LastEvent: last,
+			FetchFrom: a.verdict.FetchFrom.Address,
 		}),
 		Body: a.body,
 	}
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -33,6 +33,9 @@
 	Left time.Duration
 	// LastEvent is the id of the event after which a stream goes on.
 	LastEvent string
+	// FetchFrom is the address of the engine from whose cache the target takes what
+	// it lacks of the prompt, empty for none.
+	FetchFrom string
 }
 
 // Reply is what a target says of its answer.
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -132,6 +132,7 @@
 		"running":         in.Running,
 		"pending_tokens":  in.Pending,
 		"uncached_tokens": in.Uncached,
+		"fetched_tokens":  in.Fetched,
 		"predicted_ms":    in.Predicted.Milliseconds(),
 		"queue_wait_ms":   in.QueueWait.Milliseconds(),
 		"rank":            int(in.Rank),
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -92,6 +92,19 @@
 type Engine struct {
 	// MemoryTokens is the KV cache's size in tokens.
 	MemoryTokens int
+	// TokenBytes is the size of a token in the KV cache in bytes, 0 where not known.
+	TokenBytes float64
+	// LinkBits is the rate at which an engine sends its KV cache to another one, in
+	// bits a second, 0 where not known.
+	LinkBits float64
+}
+
+// Fetches tells whether an engine can take parts of a prompt from another's cache.
+func (e *Engine) Fetches() bool { return e.TokenBytes > 0 && e.LinkBits > 0 }
+
+// FetchTime is how long the tokens take on an engine's link.
+func (e *Engine) FetchTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) * e.TokenBytes * 8 / e.LinkBits * float64(time.Second))
 }
 
 // Pick returns the service at a point of the split, x in [0, 1).
