admit: requests stay in their failure domain, also by taking small shared parts

Parts under 256 tokens were read again rather than taken.

Change: another failure domain costs 15 ms and 5 us a token, a token taken from another engine 1 us instead of 12, parts are taken from 32 tokens on.

--- a/internal/core/admit/choose.go
+++ b/internal/core/admit/choose.go
@@ -7,8 +7,9 @@
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
-// readyShare and rereadCost come from the replay and the bench
-// (docs/design/ADMISSION.md); the others are untuned first values.
+// readyShare and rereadCost come from the replay and the bench, crossDomain to
+// leastFetch from the bench (docs/design/ADMISSION.md); the others are untuned first
+// values.
 const (
 	// readyShare is the part of the tightest latency objective that the tokens
 	// not yet read at an engine may take.
@@ -22,8 +23,10 @@
 	// queuedShare is the part of a plain target's slots that may wait there.
 	queuedShare = 0.5
 	// crossDomain is what a target in another failure domain adds to the
-	// expected latency: the delay of the network and its price.
-	crossDomain = 4 * time.Millisecond
+	// expected latency: the delay of the network and its price. crossToken adds the
+	// same for each token, since prompts and answers cross as text.
+	crossDomain = 15 * time.Millisecond
+	crossToken  = 5 * time.Microsecond
 	// busyPenalty is what a full batch adds to the expected latency of an
 	// engine, whose steps take longer the more requests run.
 	busyPenalty = 60 * time.Millisecond
@@ -32,12 +35,12 @@
 	rereadCost = 200 * time.Microsecond
 	// fetchSetup, untuned, is the time before a transfer between engines begins.
 	fetchSetup = 5 * time.Millisecond
-	// fetchCost is what each token adds that is taken from another engine's cache: its
-	// price against that of reading again, from the users' price lists. Untuned.
-	fetchCost = 12 * time.Microsecond
-	// leastFetch is the number of tokens that are worth a transfer: below it, reading
-	// takes about as long.
-	leastFetch = 256
+	// fetchCost is what each token adds that is taken from another engine's cache. It
+	// is small, since what was taken serves later requests too.
+	fetchCost = time.Microsecond
+	// leastFetch is the number of tokens that are worth a transfer: about two blocks
+	// of an engine's memory.
+	leastFetch = 32
 	// strayCost is what each token of a shared part that no engine holds adds at
 	// engines other than the one that routers agree on.
 	strayCost = 20 * time.Microsecond
@@ -98,7 +101,7 @@
 		}
 		c := s.weigh(l, t)
 		if t.Domain != self {
-			c.cost += crossDomain
+			c.cost += crossDomain + crossToken*time.Duration(r.Prompt+r.Output)
 		}
 		if !found || less(c, best) {
 			best, found = c, true
