peer: the test of a peer that does not read waits for its link to close

Cause: a peer that neither reads nor sends is not live from its timeout on, and its link closes a moment after that; the test looked at the count as soon as the peer was not live.

Change: the test waits (at most gomega's second) for the count, then checks as before that it is one, and what was dropped.

--- a/internal/peer/hostile_test.go
+++ b/internal/peer/hostile_test.go
@@ -285,6 +285,8 @@
 	}
 	g.Expect(taken).To(BeNumerically("<", messages))
 	g.Eventually(a.Live).WithTimeout(5 * time.Second).Should(BeEmpty())
+	// A silent peer is not live from its timeout on, its link closes after that.
+	g.Eventually(counters(scope, "peer.links_closed")).Should(BeEquivalentTo(1))
 	// What waited in the ring at the end is dropped too.
 	kind := a.Traffic().Kinds["sched"]
 	g.Expect(kind.Dropped).To(BeNumerically(">=", messages-taken))
