Priorities of routes and workspaces order the queue; the operator's bound of headers holds

Change: of requests whose workspaces stand alike to their fair share the more urgent ones leave the queue first; a new one is not sent past a more urgent one that waits, and what is less urgent does not count in its expected wait. A workspace's priority goes before its route's. Headers over the operator's bound are answered 431. The time for a header stays the router's own 15 s, since net/http fixes it when the server starts.

--- a/internal/core/admit/controller.go
+++ b/internal/core/admit/controller.go
@@ -168,9 +168,9 @@
 	if !found {
 		return Verdict{ID: r.ID, Refused: NoTarget, RetryAfter: ac.spread(noTargetRetry)}
 	}
-	wait := s.queueWait(now)
+	wait := time.Duration(float64(s.queueWait(now)) * s.queue.ahead(r.Priority))
 	c.inputs.QueueWait = wait
-	if c.room && !s.queue.hasBefore(rank) {
+	if c.room && !s.queue.hasBefore(rank, r.Priority) {
 		return ac.send(now, s, &r, c)
 	}
 	return ac.enqueue(now, s, &r, c, wait)
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -41,13 +41,31 @@
 	return true
 }
 
-// hasBefore tells whether requests wait that go before one of a rank.
-func (q *queue) hasBefore(rank share.Rank) bool {
-	return slices.ContainsFunc(q.waiting, func(e *entry) bool { return e.rank < rank })
+// hasBefore tells whether requests wait that go before one by their workspaces' ranks
+// or their priorities.
+func (q *queue) hasBefore(rank share.Rank, priority int) bool {
+	return slices.ContainsFunc(q.waiting, func(e *entry) bool {
+		return e.rank < rank || e.rank == rank && e.req.Priority < priority
+	})
+}
+
+// ahead is the part of the queue, from 0 to 1, that does not stand behind requests of
+// a priority; 1 where nothing waits.
+func (q *queue) ahead(priority int) float64 {
+	if len(q.waiting) == 0 {
+		return 1
+	}
+	n := 0
+	for _, e := range q.waiting {
+		if e.req.Priority <= priority {
+			n++
+		}
+	}
+	return float64(n) / float64(len(q.waiting))
 }
 
-// order sorts the queue by the workspaces' ranks, of the same rank the ones that
-// can still be on time first, then by the earliest objective.
+// order sorts the queue by the workspaces' ranks, of the same rank by priority, then
+// the ones that can still be on time first, then by the earliest objective.
 func (q *queue) order(now time.Time, rank func(*Request) share.Rank) {
 	for _, e := range q.waiting {
 		e.rank = rank(e.req)
@@ -56,6 +74,9 @@
 		if a.rank != b.rank {
 			return cmp.Compare(a.rank, b.rank)
 		}
+		if a.req.Priority != b.req.Priority {
+			return cmp.Compare(a.req.Priority, b.req.Priority)
+		}
 		aLate, bLate := now.After(a.req.onTime()), now.After(b.req.onTime())
 		if aLate != bLate {
 			return boolFirst(bLate)
--- a/internal/core/admit/refusal.go
+++ b/internal/core/admit/refusal.go
@@ -11,10 +11,11 @@
 const refusalLife = 5 * time.Millisecond
 
 // refusalKind says which requests are alike: those over their workspace's share
-// whatever their objective, the others by it.
+// whatever their objective, the others by it and their priority.
 type refusalKind struct {
 	excess    bool
 	objective time.Duration
+	priority  int
 }
 
 // refusal is what the last refused request of a kind was told.
@@ -29,7 +30,7 @@
 	if rank == share.Excess {
 		return refusalKind{excess: true}
 	}
-	return refusalKind{objective: r.Objective}
+	return refusalKind{objective: r.Objective, priority: r.Priority}
 }
 
 func (s *service) remember(now time.Time, r *Request, rank share.Rank, wait time.Duration) {
--- a/internal/core/admit/request.go
+++ b/internal/core/admit/request.go
@@ -25,6 +25,9 @@
 	ID        ID
 	Service   string
 	Workspace ids.Workspace
+	// Priority is the urgency: of requests whose workspaces stand alike to their fair
+	// share, those with a lower number go first.
+	Priority int
 	// Parts of the prompt; the last belongs to this request or its session.
 	Parts []Part
 	// Prompt and Output are the tokens read and the most tokens generated.
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -33,6 +33,7 @@
 	service   string
 	conf      *routing.Service
 	workspace ids.Workspace
+	priority  int
 	body      []byte
 	// reserved are the bytes held for the body.
 	reserved int64
@@ -137,6 +138,7 @@
 	return admit.Request{
 		Service:   e.service,
 		Workspace: e.workspace,
+		Priority:  e.priority,
 		Parts:     e.meta.Parts,
 		Prompt:    e.meta.Prompt,
 		Output:    e.meta.Output,
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -158,6 +158,9 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no_configuration", retryAfter: unknownRetry}
 	}
 	e.record.Version = v.config.Version
+	if most := v.config.Limits.HeaderBytes; most > 0 && headerBytes(e.r) > most {
+		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header_too_large"}
+	}
 	e.route = v.table.Find(e.r.Host, e.r.URL.Path)
 	if e.route == nil {
 		return &refusal{status: http.StatusNotFound, reason: "no_route"}
@@ -171,6 +174,7 @@
 		e.workspace = ws
 		e.record.Workspace = ws
 	}
+	e.priority = v.config.Priority(e.route, e.workspace)
 	e.service = e.route.Pick(rand.Float64())
 	e.conf = v.config.Services[e.service]
 	e.deadline = e.arrived.Add(e.timeout())
@@ -180,6 +184,18 @@
 	return e.readBody(v.config.Limits.BodyBytes)
 }
 
+// headerBytes is the size of a request's header with its first line.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host: \r\n") + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return n
+}
+
 // shed refuses a request before its body is read, where this router falls behind
 // or where nothing could come of it. Plain services cost little and are spared.
 func (e *exchange) shed() *refusal {
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -30,6 +30,9 @@
 	Services map[string]*Service
 	// Keys maps an API key to its workspace. It is empty where no keys are used.
 	Keys map[string]ids.Workspace
+	// Priorities of workspaces, which go before those of routes; a workspace that has
+	// none is left out.
+	Priorities map[ids.Workspace]int
 	// KeysRequired is set where requests on routes that are not public need a key.
 	KeysRequired bool
 	// Limits of what callers may send.
@@ -42,6 +45,8 @@
 type Limits struct {
 	// BodyBytes bounds a request's body.
 	BodyBytes int64
+	// HeaderBytes bounds its header, 0 for the router's own bound.
+	HeaderBytes int
 	// IdleTimeout bounds an idle connection.
 	IdleTimeout time.Duration
 	// TokensPerSecond is about what all engines produce together: each token
@@ -66,12 +71,23 @@
 	Split []Weighted
 	// MaxAttempts is the number of targets that may run one request.
 	MaxAttempts int
+	// Priority is the route's urgency: requests with a lower number go first.
+	Priority int
 	// Public routes need no key.
 	Public bool
 	// Resumable streams may go on at another target.
 	Resumable bool
 }
 
+// Priority is the urgency of a workspace's request on a route: requests with a lower
+// number go first.
+func (c *Config) Priority(r *Route, ws ids.Workspace) int {
+	if p, ok := c.Priorities[ws]; ok {
+		return p
+	}
+	return r.Priority
+}
+
 // Weighted is a service's part of a route.
 type Weighted struct {
 	Service string
