admit: a failure domain without room passes work on to others

Ruled out: transfers themselves: prices fell as expected.

Change: the cost of another domain by the request's size holds while the cheapest engine has room; where it has none, the delay alone counts, as before.

Test: TestFullFailureDomainPassesWorkOn fails before. make test green.

--- a/internal/core/admit/choose.go
+++ b/internal/core/admit/choose.go
@@ -27,6 +27,8 @@
 	// same for each token, since prompts and answers cross as text.
 	crossDomain = 15 * time.Millisecond
 	crossToken  = 5 * time.Microsecond
+	// crossDelay is what it adds where the own domain has no room: the delay alone.
+	crossDelay = 4 * time.Millisecond
 	// busyPenalty is what a full batch adds to the expected latency of an
 	// engine, whose steps take longer the more requests run.
 	busyPenalty = 60 * time.Millisecond
@@ -75,39 +77,75 @@
 }
 
 // choose returns the cheapest target, which may be one to wait for, or nothing
-// where no target can be used.
+// where no target can be used. Requests stay in the router's failure domain while
+// it has room.
 func (s *service) choose(now time.Time, r *Request, self ids.Domain, rank share.Rank) (candidate, bool) {
-	return s.cheapest(now, r, self, rank, func(a, b candidate) bool { return a.cost < b.cost })
+	l := s.newLook(now, r, rank)
+	stay := crossDomain + crossToken*time.Duration(r.Prompt+r.Output)
+	near, anywhere := choice{less: cheaper}, choice{less: cheaper}
+	s.each(l, func(c candidate) {
+		if c.target.Domain == self {
+			near.offer(c)
+			anywhere.offer(c)
+			return
+		}
+		anywhere.offer(c.dearer(crossDelay))
+		near.offer(c.dearer(stay))
+	})
+	if near.best.room {
+		return near.best, near.found
+	}
+	return anywhere.best, anywhere.found
 }
 
 // chooseWithRoom returns the cheapest target that has room for a workspace that has
 // had its share, or else the cheapest.
 func (s *service) chooseWithRoom(now time.Time, r *Request, self ids.Domain) (candidate, bool) {
-	return s.cheapest(now, r, self, share.Excess, func(a, b candidate) bool {
+	l := s.newLook(now, r, share.Excess)
+	stay := crossDomain + crossToken*time.Duration(r.Prompt+r.Output)
+	first := choice{less: func(a, b candidate) bool {
 		if a.room != b.room {
 			return a.room
 		}
-		return a.cost < b.cost
+		return cheaper(a, b)
+	}}
+	s.each(l, func(c candidate) {
+		if c.target.Domain != self {
+			c = c.dearer(stay)
+		}
+		first.offer(c)
 	})
+	return first.best, first.found
 }
 
-func (s *service) cheapest(now time.Time, r *Request, self ids.Domain, rank share.Rank, less func(a, b candidate) bool) (candidate, bool) {
-	var best candidate
-	found := false
-	l := s.newLook(now, r, rank)
+// each judges the targets that can be used.
+func (s *service) each(l *look, judged func(candidate)) {
 	for _, t := range s.targets {
-		if !t.usable(now, r) {
-			continue
-		}
-		c := s.weigh(l, t)
-		if t.Domain != self {
-			c.cost += crossDomain + crossToken*time.Duration(r.Prompt+r.Output)
-		}
-		if !found || less(c, best) {
-			best, found = c, true
+		if t.usable(l.now, l.req) {
+			judged(s.weigh(l, t))
 		}
 	}
-	return best, found
+}
+
+// choice keeps the best of the candidates that it is offered.
+type choice struct {
+	less  func(a, b candidate) bool
+	best  candidate
+	found bool
+}
+
+func (ch *choice) offer(c candidate) {
+	if !ch.found || ch.less(c, ch.best) {
+		ch.best, ch.found = c, true
+	}
+}
+
+func cheaper(a, b candidate) bool { return a.cost < b.cost }
+
+// dearer returns the candidate with a cost on top.
+func (c candidate) dearer(by time.Duration) candidate {
+	c.cost += by
+	return c
 }
 
 // findShared looks for the engines that hold the prompt's shared parts: where none
--- a/internal/core/admit/fetch_test.go
+++ b/internal/core/admit/fetch_test.go
@@ -132,3 +132,14 @@
 		b.serve(v, now)
 	}
 }
+
+// A failure domain without room passes work on to others at once.
+func TestFullFailureDomainPassesWorkOn(t *testing.T) {
+	b := fetchingBed(t, "y", "z")
+	b.Report(start, "peer", []admit.Load{{Target: "e1", Cached: []uint64{7}}}, nil, nil)
+	now := start.Add(time.Second)
+	b.Report(now, "peer", []admit.Load{{Target: "e1", Running: 3, Pending: 1_500, Memory: 168_000}}, nil, nil)
+	if v := b.submit(now, "a", "llm", prompt(7, 6000, 4000)...); v.Target.ID != "e0" {
+		t.Errorf("verdict %+v, e0 has room and e1 has not", v)
+	}
+}
