pressure: a router that has refused much of its load for a while takes no new connections

Callers that come back on a new connection come to the same router.

Change: a router that refuses half of its load or more for a second is not ready for 5 s, and for as long as it refuses that much; the platform's balancer sends new connections to others meanwhile. Open connections are served as before.

--- a/internal/edge/pressure.go
+++ b/internal/edge/pressure.go
@@ -32,7 +32,12 @@
 
 // Pressure knows which share of the requests this router must refuse to keep up.
 type Pressure struct {
-	share atomic.Uint64
+	share    atomic.Uint64
+	relieved atomic.Bool
+
+	// gauge and relief belong to the goroutine that observes.
+	gauge  pressure.Gauge
+	relief pressure.Relief
 
 	mu   sync.Mutex
 	shed pressure.Shedder
@@ -43,7 +48,6 @@
 
 // Run observes the delays of goroutines until ctx ends.
 func (p *Pressure) Run(ctx context.Context) error {
-	var gauge pressure.Gauge
 	sample := []metrics.Sample{{Name: latencies}}
 	var last []uint64
 	ticker := time.NewTicker(pressureTick)
@@ -59,12 +63,18 @@
 			return errNoDelays
 		}
 		h := sample[0].Value.Float64Histogram()
-		share := gauge.Observe(lateQuantile(h, last))
+		p.Observe(time.Now(), lateQuantile(h, last))
 		last = append(last[:0], h.Counts...)
-		p.share.Store(math.Float64bits(share))
 	}
 }
 
+// Observe takes by how much work was late. Run calls it; it is for one goroutine.
+func (p *Pressure) Observe(now time.Time, late time.Duration) {
+	share := p.gauge.Observe(late)
+	p.share.Store(math.Float64bits(share))
+	p.relieved.Store(p.relief.Observe(now, share))
+}
+
 // lateQuantile returns the quantile latePart of what came to a histogram since
 // the counts last.
 func lateQuantile(h *metrics.Float64Histogram, last []uint64) time.Duration {
@@ -89,6 +99,10 @@
 	return 0
 }
 
+// Relieved tells whether new connections should go to other routers, since this one
+// has refused much of its load for a while.
+func (p *Pressure) Relieved() bool { return p.relieved.Load() }
+
 // Share is the share to refuse.
 func (p *Pressure) Share() float64 { return math.Float64frombits(p.share.Load()) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -240,6 +240,9 @@
 
 // ready tells whether the node can serve new connections.
 func (n *Node) ready() bool {
+	if n.pressure.Relieved() {
+		return false
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return !n.draining.Load() && n.config != nil && n.targets.Len() > 0
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -13,6 +13,7 @@
 	"github.com/umberhill/umberhill/internal/duty"
 	"github.com/umberhill/umberhill/internal/edge"
 	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/routing"
 )
 
 // noDialect is for nodes that get no requests.
@@ -54,3 +55,29 @@
 		t.Error("the router goes on without its duty")
 	}
 }
+
+// A router that has refused much of its load for a while takes no new connections;
+// callers come to others.
+func TestFloodedRouterIsNotReady(t *testing.T) {
+	logger, _ := logtest.NewNullLogger()
+	n := New(Settings{Instance: "r-0", Domain: "a", ShareWindow: time.Second}, noDialect{}, logger)
+	n.SetConfig(&routing.Config{Version: 1, Services: map[string]*routing.Service{"s": {Name: "s"}}}, "test")
+	n.setTargets([]routing.Target{{ID: "t", Service: "s", Address: "127.0.0.1:1", Slots: 1}})
+	if !n.ready() {
+		t.Fatal("not ready before the flood")
+	}
+	now := time.Unix(1000, 0)
+	observe := func(lasting, late time.Duration) {
+		for end := now.Add(lasting); now.Before(end); now = now.Add(50 * time.Millisecond) {
+			n.pressure.Observe(now, late)
+		}
+	}
+	observe(2*time.Second, 50*time.Millisecond)
+	if n.ready() {
+		t.Error("ready in the midst of a flood")
+	}
+	observe(10*time.Second, 0)
+	if !n.ready() {
+		t.Error("not ready after the flood")
+	}
+}
