--- a/internal/core/admit/cache.go
+++ b/internal/core/admit/cache.go
@@ -31,10 +31,13 @@
 	ready time.Time
 }
 
+// alive tells whether the part was used lately.
+func (p cachedPart) alive(now time.Time) bool { return now.Sub(p.used) < cacheLife }
+
 // hold tells whether the part was used there lately.
 func (c *prefixCache) hold(now time.Time, key uint64) bool {
 	p, ok := c.parts[key]
-	return ok && now.Sub(p.used) < cacheLife
+	return ok && p.alive(now)
 }
 
 // prefix returns the tokens of the leading parts that have been read, and whether
@@ -43,7 +46,7 @@
 	unread := false
 	for _, p := range parts {
 		known, ok := c.parts[p.Key]
-		if !ok || now.Sub(known.used) >= cacheLife {
+		if !ok || !known.alive(now) {
 			return read, false
 		}
 		unread = unread || now.Before(known.ready)
@@ -71,7 +74,7 @@
 	if c.parts == nil {
 		c.parts = make(map[uint64]cachedPart)
 	}
-	if known, ok := c.parts[key]; ok && now.Sub(known.used) < cacheLife && known.ready.Before(ready) {
+	if known, ok := c.parts[key]; ok && known.alive(now) && known.ready.Before(ready) {
 		ready = known.ready
 	}
 	c.parts[key] = cachedPart{used: now, ready: ready}
@@ -90,7 +93,7 @@
 // trim forgets what has expired, and everything where that is not enough.
 func (c *prefixCache) trim(now time.Time) {
 	for key, p := range c.parts {
-		if now.Sub(p.used) >= cacheLife {
+		if !p.alive(now) {
 			delete(c.parts, key)
 		}
 	}
--- a/internal/core/admit/choose.go
+++ b/internal/core/admit/choose.go
@@ -7,8 +7,8 @@
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
-// readyShare and rereadCost come from the replay and the bench, crossDomain to
-// leastFetch from the bench (docs/design/ADMISSION.md); the others are untuned first
+// readyShare and rereadCost come from the replay and the bench, crossDomain and
+// crossToken from the bench (docs/design/ADMISSION.md); the others are untuned first
 // values.
 const (
 	// readyShare is the part of the tightest latency objective that the tokens
@@ -35,14 +35,6 @@
 	// rereadCost is what each token of a shared part adds that another engine
 	// holds already: reading it again takes engines' time from others.
 	rereadCost = 200 * time.Microsecond
-	// fetchSetup, untuned, is the time before a transfer between engines begins.
-	fetchSetup = 5 * time.Millisecond
-	// fetchCost is what each token adds that is taken from another engine's cache. It
-	// is small, since what was taken serves later requests too.
-	fetchCost = time.Microsecond
-	// leastFetch is the number of tokens that are worth a transfer: about two blocks
-	// of an engine's memory.
-	leastFetch = 32
 	// strayCost is what each token of a shared part that no engine holds adds at
 	// engines other than the one that routers agree on.
 	strayCost = 20 * time.Microsecond
@@ -81,7 +73,7 @@
 // it has room.
 func (s *service) choose(now time.Time, r *Request, self ids.Domain, rank share.Rank) (candidate, bool) {
 	l := s.newLook(now, r, rank)
-	stay := crossDomain + crossToken*time.Duration(r.Prompt+r.Output)
+	stay := crossCost(r)
 	near, anywhere := choice{less: cheaper}, choice{less: cheaper}
 	s.each(l, func(c candidate) {
 		if c.target.Domain == self {
@@ -102,7 +94,7 @@
 // had its share, or else the cheapest.
 func (s *service) chooseWithRoom(now time.Time, r *Request, self ids.Domain) (candidate, bool) {
 	l := s.newLook(now, r, share.Excess)
-	stay := crossDomain + crossToken*time.Duration(r.Prompt+r.Output)
+	stay := crossCost(r)
 	first := choice{less: func(a, b candidate) bool {
 		if a.room != b.room {
 			return a.room
@@ -118,6 +110,11 @@
 	return first.best, first.found
 }
 
+// crossCost is what a target in another failure domain adds for a request.
+func crossCost(r *Request) time.Duration {
+	return crossDomain + crossToken*time.Duration(r.Prompt+r.Output)
+}
+
 // each judges the targets that can be used.
 func (s *service) each(l *look, judged func(candidate)) {
 	for _, t := range s.targets {
@@ -148,33 +145,6 @@
 	return c
 }
 
-// findShared looks for the engines that hold the prompt's shared parts: where none
-// holds them all, first is the one at which all routers agree to read them.
-func (s *service) findShared(l *look) {
-	if !s.engine() || len(l.req.Parts) < 2 {
-		return
-	}
-	shared := l.req.Parts[:len(l.req.Parts)-1]
-	complete := false
-	for _, t := range s.targets {
-		if t.Leaving {
-			continue
-		}
-		tokens, all := t.cache.prefix(l.now, shared)
-		complete = complete || all
-		if tokens >= max(leastFetch, l.sourceTokens) && t.health.failures == 0 && s.conf.Engine.Fetches() {
-			if tokens > l.sourceTokens {
-				l.sources = l.sources[:0]
-			}
-			l.sources, l.sourceTokens = append(l.sources, t), tokens
-		}
-	}
-	s.sources = l.sources
-	if !complete {
-		l.first = home(s.targets, shared[len(shared)-1].Key)
-	}
-}
-
 // look is what is the same for all targets while one is chosen for a request.
 type look struct {
 	now  time.Time
@@ -213,44 +183,6 @@
 	return l.scale * rankShare[l.rank]
 }
 
-// fetch returns the engine from which a target that holds the first tokens of the
-// prompt takes shared parts, and how many tokens; nil where it takes none.
-func (l *look) fetch(t *target, held int) (*target, int) {
-	tokens := min(l.sourceTokens, l.req.Prompt) - held
-	if tokens < leastFetch {
-		return nil, 0
-	}
-	var best *target
-	for _, o := range l.sources {
-		if o != t && (best == nil || o.nearer(best, t.Domain)) {
-			best = o
-		}
-	}
-	if best == nil {
-		return nil, 0
-	}
-	return best, tokens
-}
-
-// nearer tells whether a source is better than another one: in the same failure
-// domain, then with fewer transfers under way.
-func (t *target) nearer(o *target, to ids.Domain) bool {
-	if here, there := t.Domain == to, o.Domain == to; here != there {
-		return here
-	}
-	return t.sending < o.sending
-}
-
-// fetchTime is how long a transfer between two engines is expected to take: those of
-// one engine run one after another.
-func (s *service) fetchTime(from, to *target, tokens int) time.Duration {
-	d := s.conf.Engine.FetchTime(from.sending + tokens)
-	if from.Domain != to.Domain {
-		d *= 2
-	}
-	return fetchSetup + d
-}
-
 // weigh judges a target.
 func (s *service) weigh(l *look, t *target) candidate {
 	var c candidate
