--- a/internal/faultlink/relay.go
+++ b/internal/faultlink/relay.go
@@ -47,9 +47,9 @@
 	Listen string
 	// Target is the address relayed to.
 	Target string
-	// Client names the client of an accepted connection, so that rules can be
-	// set by client; none where nil.
-	Client func(remote net.Addr) string
+	// Client names the client of an accepted connection by both its ends, so that
+	// rules can be set by client; none where nil.
+	Client func(client, relay net.Addr) string
 }
 
 // Relay forwards connections under the rules in force.
@@ -161,7 +161,7 @@
 	defer client.Close()
 	l := &link{relay: r, near: client}
 	if r.opts.Client != nil {
-		l.client = r.opts.Client(client.RemoteAddr())
+		l.client = r.opts.Client(client.RemoteAddr(), client.LocalAddr())
 	}
 	rule, _ := r.rule(l.client)
 	if rule.Reset {
--- a/internal/faultlink/relay_test.go
+++ b/internal/faultlink/relay_test.go
@@ -62,7 +62,7 @@
 		var err error
 		relay, err = faultlink.New(faultlink.Options{
 			Target: echo(),
-			Client: func(net.Addr) string { return "c" },
+			Client: func(_, _ net.Addr) string { return "c" },
 		})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(relay.Close)
--- a/internal/harness/links.go
+++ b/internal/harness/links.go
@@ -145,11 +145,11 @@
 	ownerPause = 5 * time.Millisecond
 )
 
-// owner returns the id of the router that holds the other end of a connection,
-// empty for the connections of others.
-func (l *Links) owner(remote net.Addr) string {
+// owner returns the id of the router that holds the client's end of a connection to a
+// relay, empty for the connections of others.
+func (l *Links) owner(client, relay net.Addr) string {
 	for range ownerTries {
-		if id := l.findOwner(remote); id != "" {
+		if id := l.findOwner(client, relay); id != "" {
 			return id
 		}
 		time.Sleep(ownerPause)
@@ -157,8 +157,8 @@
 	return ""
 }
 
-func (l *Links) findOwner(remote net.Addr) string {
-	inode, ok := socketInode(remote)
+func (l *Links) findOwner(client, relay net.Addr) string {
+	inode, ok := socketInode(client, relay)
 	if !ok {
 		return ""
 	}
--- a/internal/harness/sockets.go
+++ b/internal/harness/sockets.go
@@ -10,16 +10,25 @@
 	"strings"
 )
 
-// inodeField is the column of the inode in /proc/net/tcp.
-const inodeField = 9
+// Columns of /proc/net/tcp.
+const (
+	localField  = 1
+	remoteField = 2
+	inodeField  = 9
+)
 
-// socketInode returns the inode of the local TCP socket with an address.
-func socketInode(addr net.Addr) (string, bool) {
-	tcp, ok := addr.(*net.TCPAddr)
-	if !ok || tcp.IP.To4() == nil {
+// socketInode returns the inode of the TCP socket of this machine with the two ends.
+// One end does not tell: the system gives a local port to several connections, as long
+// as their other ends differ.
+func socketInode(local, remote net.Addr) (string, bool) {
+	wantLocal, ok := tableAddress(local)
+	if !ok {
+		return "", false
+	}
+	wantRemote, ok := tableAddress(remote)
+	if !ok {
 		return "", false
 	}
-	want := fmt.Sprintf("%08X:%04X", binary.LittleEndian.Uint32(tcp.IP.To4()), tcp.Port)
 	table, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return "", false
@@ -28,13 +37,22 @@
 	scanner := bufio.NewScanner(table)
 	for scanner.Scan() {
 		fields := strings.Fields(scanner.Text())
-		if len(fields) > inodeField && fields[1] == want {
+		if len(fields) > inodeField && fields[localField] == wantLocal && fields[remoteField] == wantRemote {
 			return fields[inodeField], true
 		}
 	}
 	return "", false
 }
 
+// tableAddress returns an IPv4 address as it stands in /proc/net/tcp.
+func tableAddress(a net.Addr) (string, bool) {
+	tcp, ok := a.(*net.TCPAddr)
+	if !ok || tcp.IP.To4() == nil {
+		return "", false
+	}
+	return fmt.Sprintf("%08X:%04X", binary.LittleEndian.Uint32(tcp.IP.To4()), tcp.Port), true
+}
+
 // holdsSocket says whether one of the harness's own processes holds a socket.
 func holdsSocket(pid int, inode string) bool {
 	dir := fmt.Sprintf("/proc/%d/fd", pid)
