Read as a newcomer: a request's flight holds its candidate; charts from the results; pages corrected

Cause, found on reading the whole change: flight repeated four fields of the candidate, and candidate one of its inputs; two things were called ahead; the replay's page copied each result into a row of texts of its own; a constant was explained by the size of a block, which no process sees, and the model's time before a transfer was that of the users' sheet.

Ruled out: a change of decisions: with the model's old time before a transfer the replay prints the same to the last digit.

No check, bound or assertion is touched.

--- a/internal/core/admit/cache.go
+++ b/internal/core/admit/cache.go
@@ -40,9 +40,9 @@
 	return ok && p.alive(now)
 }
 
-// prefix returns the tokens of the leading parts that have been read, and whether
+// readPrefix returns the tokens of the leading parts that have been read, and whether
 // all parts are held or about to be.
-func (c *prefixCache) prefix(now time.Time, parts []Part) (read int, all bool) {
+func (c *prefixCache) readPrefix(now time.Time, parts []Part) (read int, all bool) {
 	unread := false
 	for _, p := range parts {
 		known, ok := c.parts[p.Key]
--- a/internal/core/admit/choose.go
+++ b/internal/core/admit/choose.go
@@ -59,11 +59,11 @@
 	target *target
 	cost   time.Duration
 	// wait is the expected time until the target has a free slot.
-	wait     time.Duration
-	room     bool
-	inputs   Inputs
-	uncached int
-	ahead    int
+	wait   time.Duration
+	room   bool
+	inputs Inputs
+	// ahead are the tokens to be read there before and with this request.
+	ahead int
 	// source is the engine from which the target takes shared parts, nil for none.
 	source *target
 }
@@ -211,11 +211,10 @@
 	}
 	slots := max(1, t.Slots)
 	c := candidate{
-		cost:     predicted + busyPenalty*time.Duration(running)/time.Duration(slots) + fetchCost*time.Duration(fetched),
-		uncached: uncached,
-		ahead:    ahead,
-		source:   source,
-		inputs:   Inputs{Running: running, Pending: pending, Uncached: uncached, Fetched: fetched, Predicted: predicted, Rank: l.rank},
+		cost:   predicted + busyPenalty*time.Duration(running)/time.Duration(slots) + fetchCost*time.Duration(fetched),
+		ahead:  ahead,
+		source: source,
+		inputs: Inputs{Running: running, Pending: pending, Uncached: uncached, Fetched: fetched, Predicted: predicted, Rank: l.rank},
 	}
 	switch {
 	case l.first == nil:
--- a/internal/core/admit/controller.go
+++ b/internal/core/admit/controller.go
@@ -168,7 +168,7 @@
 	if !found {
 		return Verdict{ID: r.ID, Refused: NoTarget, RetryAfter: ac.spread(noTargetRetry)}
 	}
-	wait := time.Duration(float64(s.queueWait(now)) * s.queue.ahead(r.Priority))
+	wait := time.Duration(float64(s.queueWait(now)) * s.queue.partAhead(r.Priority))
 	c.inputs.QueueWait = wait
 	if c.room && !s.queue.hasBefore(rank, r.Priority) {
 		return ac.send(now, s, &r, c)
--- a/internal/core/admit/fetch.go
+++ b/internal/core/admit/fetch.go
@@ -14,11 +14,11 @@
 	// fetchCost is what each token adds that is taken from another engine's cache. It
 	// is small, since what was taken serves later requests too.
 	fetchCost = time.Microsecond
-	// leastFetch is the number of tokens that are worth a transfer: about two blocks
-	// of an engine's memory.
+	// leastFetch is the number of tokens that are worth a transfer: 32 served more than
+	// 256.
 	leastFetch = 32
-	// farFetch is how many times as long a transfer to another failure domain takes, as
-	// the users' page on engines says of moves.
+	// farFetch is how many times as long a transfer to another failure domain takes: the
+	// protocol says so of running requests that are moved. Not measured for transfers.
 	farFetch = 2
 )
 
@@ -34,7 +34,7 @@
 		if t.Leaving {
 			continue
 		}
-		tokens, all := t.cache.prefix(l.now, shared)
+		tokens, all := t.cache.readPrefix(l.now, shared)
 		complete = complete || all
 		if tokens >= max(leastFetch, l.sourceTokens) && t.health.failures == 0 && s.conf.Engine.Fetches() {
 			if tokens > l.sourceTokens {
--- a/internal/core/admit/flight.go
+++ b/internal/core/admit/flight.go
@@ -6,24 +6,20 @@
 
 func (ac *Controller) send(now time.Time, s *service, r *Request, c candidate) Verdict {
 	t := c.target
-	f := &flight{req: r, target: t, sent: now, uncached: c.uncached, ahead: c.ahead}
-	ac.flights[r.ID] = f
+	ac.flights[r.ID] = &flight{candidate: c, req: r, sent: now}
+	v := Verdict{ID: r.ID, Target: t.Target, Inputs: c.inputs}
 	if c.source != nil {
-		f.source, f.fetched = c.source, c.inputs.Fetched
-		f.source.sending += f.fetched
+		c.source.sending += c.inputs.Fetched
+		v.FetchFrom = c.source.Target
 	}
 	t.running++
-	t.pending += f.uncached
+	t.pending += c.inputs.Uncached
 	t.memory += r.Prompt + r.Output
 	t.health.sent(r.ID)
 	if s.engine() {
 		ac.window.Start(now, r.Workspace, r.tokens())
 		t.cache.send(now, now.Add(c.inputs.Predicted), r.Parts)
 	}
-	v := Verdict{ID: r.ID, Target: t.Target, Inputs: c.inputs}
-	if f.source != nil {
-		v.FetchFrom = f.source.Target
-	}
 	return v
 }
 
@@ -50,9 +46,9 @@
 		return
 	}
 	f.began = true
-	f.target.pending -= f.uncached
+	f.target.pending -= f.inputs.Uncached
 	if f.source != nil {
-		f.source.sending -= f.fetched
+		f.source.sending -= f.inputs.Fetched
 	}
 }
 
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -49,9 +49,9 @@
 	})
 }
 
-// ahead is the part of the queue, from 0 to 1, that does not stand behind requests of
-// a priority; 1 where nothing waits.
-func (q *queue) ahead(priority int) float64 {
+// partAhead is the part of the queue, from 0 to 1, that does not stand behind requests
+// of a priority; 1 where nothing waits.
+func (q *queue) partAhead(priority int) float64 {
 	if len(q.waiting) == 0 {
 		return 1
 	}
--- a/internal/core/admit/target.go
+++ b/internal/core/admit/target.go
@@ -27,16 +27,11 @@
 
 // flight is a request at a target.
 type flight struct {
-	req      *Request
-	target   *target
-	sent     time.Time
-	uncached int
-	// ahead are the tokens that were to be read before and with this request.
-	ahead int
-	// source is the engine from which fetched tokens are taken, nil for none.
-	source  *target
-	fetched int
-	began   bool
+	// candidate is the target as it was judged at the sending.
+	candidate
+	req   *Request
+	sent  time.Time
+	began bool
 }
 
 // target is what is known of one run of a back end.
--- a/internal/replay/html.go
+++ b/internal/replay/html.go
@@ -2,7 +2,6 @@
 
 import (
 	_ "embed"
-	"fmt"
 	"html/template"
 	"io"
 
@@ -28,34 +27,28 @@
 	Charts []chart
 }
 
-// chart has a bar for each policy.
+// chart has a bar for each policy; results are those of one pattern.
 type chart struct {
 	Pattern, About string
 	Height         int
 	Bars           []bar
-	Rows           []row
+	Results        []Result
 }
 
-// bar is divided by how requests ended: on time, late, refused or left.
+// bar is divided by how requests ended; a line across it marks the worth.
 type bar struct {
-	Policy        string
-	Y, LabelY     int
-	Pieces        []piece
-	WorthX        float64
-	Worth         string
-	WorthY1, Ends int
+	Result
+	Top, Baseline                 int
+	Pieces                        []piece
+	WorthX                        float64
+	WorthTop, WorthBottom, Height int
 }
 
+// piece is a part of a bar; its class is how the requests ended.
 type piece struct {
-	Class   string
-	X, Wide float64
-	Title   string
-}
-
-type row struct {
-	Policy                                Policy
-	Asked, OnTime, Late, Refused, Left    int
-	Worth, WorstWorkspace, Reread, AtWork string
+	Class    string
+	X, Width float64
+	Requests int
 }
 
 // WriteHTML writes a self-contained page with a chart and a table for each pattern.
@@ -75,33 +68,37 @@
 	return errors.Wrap(reportPage.Execute(out, r), "write the report")
 }
 
+// overhang is by how much the line of the worth is longer than its bar is high, and
+// textRise by how much a label's baseline lies above the bar's end.
+const (
+	overhang = 2
+	textRise = 4
+)
+
 func (c *chart) add(r Result) {
-	y := len(c.Bars) * (barHeight + barGap)
-	asked := float64(max(1, r.Asked))
-	b := bar{
-		Policy: string(r.Policy), Y: y, LabelY: y + barHeight - 4, Worth: fmt.Sprintf("%.3f", r.Worth),
-		WorthX: chartLeft + r.Worth*chartWide, WorthY1: y - 2, Ends: y + barHeight + 2,
+	top := len(c.Bars) * (barHeight + barGap)
+	c.Bars = append(c.Bars, bar{
+		Result: r, Top: top, Height: barHeight, Baseline: top + barHeight - textRise, Pieces: pieces(r),
+		WorthX: chartLeft + r.Worth*chartWide, WorthTop: top - overhang, WorthBottom: top + barHeight + overhang,
+	})
+	c.Results = append(c.Results, r)
+	c.Height = top + barHeight + barGap
+}
+
+func pieces(r Result) []piece {
+	all := []piece{
+		{Class: "on-time", Requests: r.OnTime},
+		{Class: "late", Requests: r.Late},
+		{Class: "refused", Requests: r.Refused},
+		{Class: "left", Requests: r.Abandoned},
 	}
 	x := float64(chartLeft)
-	for _, part := range []struct {
-		class string
-		n     int
-	}{{"on-time", r.OnTime}, {"late", r.Late}, {"refused", r.Refused}, {"left", r.Abandoned}} {
-		wide := float64(part.n) / asked * chartWide
-		b.Pieces = append(b.Pieces, piece{Class: part.class, X: x, Wide: wide, Title: fmt.Sprintf("%s: %d of %d", part.class, part.n, r.Asked)})
-		x += wide
+	for i := range all {
+		all[i].X, all[i].Width = x, float64(all[i].Requests)/float64(max(1, r.Asked))*chartWide
+		x += all[i].Width
 	}
-	c.Bars = append(c.Bars, b)
-	c.Height = y + barHeight + barGap
-	three := func(v float64) string { return fmt.Sprintf("%.3f", v) }
-	c.Rows = append(c.Rows, row{
-		Policy: r.Policy, Asked: r.Asked, OnTime: r.OnTime, Late: r.Late, Refused: r.Refused, Left: r.Abandoned,
-		Worth: three(r.Worth), WorstWorkspace: three(r.WorstWorkspace), Reread: three(r.Reread), AtWork: three(r.Utilisation),
-	})
+	return all
 }
 
-// Width of a chart, for the template.
+// Width is for the template.
 func (chart) Width() int { return chartLeft + chartWide + barGap }
-
-// BarHeight, for the template.
-func (chart) BarHeight() int { return barHeight }
--- a/internal/replay/play.go
+++ b/internal/replay/play.go
@@ -17,7 +17,7 @@
 	reportEvery = 50 * time.Millisecond
 	reportDelay = 5 * time.Millisecond
 	// transferSetup is the time before an engine gets the first byte of another's cache.
-	transferSetup = 4 * time.Millisecond
+	transferSetup = 5 * time.Millisecond
 	// pollEvery is how often queues are looked at.
 	pollEvery = 10 * time.Millisecond
 	// patience of a caller for the next event.
