--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -100,5 +100,5 @@
 	Outcome string
 	// NotRun is set if the target certainly did not run the request.
 	NotRun bool
-	Error   string
+	Error  string
 }
