--- a/internal/replay/pattern.go
+++ b/internal/replay/pattern.go
@@ -43,6 +43,9 @@
 	HotSubjectShare float64
 	// IsDown reports whether an engine is down at a time since the start; nil stands for never.
 	IsDown func(engine int, at time.Duration) bool
+	// RoutersReached returns the number of routers to which a workspace's callers are
+	// connected; nil stands for all.
+	RoutersReached func(workspace int) int
 	// EventGapObjective bounds the pauses between the events of a stream that is on time.
 	EventGapObjective time.Duration
 	// TokensPerSecond is the configured capacity of all engines together.
@@ -55,6 +58,7 @@
 	kind           *RequestKind
 	arrivedAt      time.Duration // arrival of the first attempt, since the start
 	router         int
+	routersReached int // the caller is connected to the routers before this one
 	attempts       int
 	isFirstAttempt bool
 }
@@ -173,7 +177,11 @@
 	uniqueTokens := max(16, int(float64(kind.UniqueTokens)*math.Exp(uniqueTokensSigma*random.NormFloat64()-uniqueTokensSigma*uniqueTokensSigma/2)))
 	output := max(1, int(float64(kind.OutputTokens)*(0.5+random.Float64())))
 	sharedKey := uint64(len(kind.Name))<<40 | uint64(kind.SharedTokens)<<20 | uint64(subject)
-	r := &request{kind: kind, arrivedAt: at, router: random.IntN(p.Routers), isFirstAttempt: true}
+	routers := p.Routers
+	if p.RoutersReached != nil {
+		routers = p.RoutersReached(ws)
+	}
+	r := &request{kind: kind, arrivedAt: at, router: random.IntN(routers), routersReached: routers, isFirstAttempt: true}
 	r.Request = admit.Request{
 		Service:      "llm",
 		Workspace:    ids.Workspace(rune('a' + ws)),
--- a/internal/replay/simulation.go
+++ b/internal/replay/simulation.go
@@ -44,6 +44,10 @@
 	// WorstWorkspaceWorth is the lowest worth of a workspace, without the workspace that
 	// floods.
 	WorstWorkspaceWorth float64
+	// WorstShare is the least share of what it was due that a workspace received within
+	// a few seconds in which it was denied requests, from 0 to 1. A workspace is due what
+	// it requests, or what the workspace that received most did if that is less.
+	WorstShare float64
 	// RepeatedPrefillShare is the share of prefilled tokens that belong to shared parts which
 	// some engine had prefilled before.
 	RepeatedPrefillShare float64
@@ -95,6 +99,7 @@
 	prefilledParts map[uint64]bool
 	servedWorth    map[ids.Workspace]float64
 	requests       map[ids.Workspace]int
+	fairness       fairness
 	result         Result
 }
 
@@ -159,6 +164,7 @@
 		r.Deadline = r.ArrivedAt.Add(r.kind.Deadline)
 	}
 	r.attempts++
+	s.fairness.recordRequested(s.now, r)
 	s.lastID++
 	r.ID = s.lastID
 	s.applyVerdict(r, s.routers[r.router].submit(s.virtualTime(), r))
@@ -179,6 +185,7 @@
 // or counts the request as refused after maxAttempts attempts or where the delay is
 // more than a third of the time left until the deadline.
 func (s *simulation) retryOrRefuse(r *request, after time.Duration) {
+	s.fairness.recordDenied(s.now, r)
 	remaining := r.arrivedAt + r.kind.Deadline - s.now
 	if r.attempts >= maxAttempts || after > remaining/3 {
 		s.result.Refused++
@@ -186,7 +193,7 @@
 	}
 	r.isFirstAttempt = false
 	s.schedule(after, func() {
-		r.router = (r.router + 1) % len(s.routers)
+		r.router = (r.router + 1) % r.routersReached
 		s.submit(r)
 	})
 }
@@ -249,6 +256,7 @@
 	delete(s.inFlight, id)
 	s.routers[j.req.router].attemptEnded(s.virtualTime(), id, admit.Canceled)
 	s.result.Abandoned++
+	s.fairness.recordDenied(s.now, j.req)
 }
 
 // startStep starts an engine's next step unless one runs or the engine has no requests.
@@ -296,6 +304,7 @@
 	if !j.hasStarted {
 		j.hasStarted = true
 		s.routers[j.req.router].answerStarted(s.virtualTime(), j.req.ID)
+		s.fairness.recordBegun(s.now, j.req)
 		j.longestGap = 0
 		j.lastEventAt = s.now
 	}
@@ -363,6 +372,7 @@
 			r.WorstWorkspaceWorth = min(r.WorstWorkspaceWorth, s.servedWorth[ws]/float64(requests))
 		}
 	}
+	r.WorstShare = s.fairness.worstShare()
 	prefilled, repeated, busy := 0, 0, time.Duration(0)
 	for _, e := range s.engines {
 		prefilled += e.prefilledTokens
