share: usage decays instead of leaving a sliding window

Callers saw: under overlapping floods a workspace was refused as over_share for seconds and then served in a burst, again and again. Cause: usage left the window of 4 s as abruptly as it had come. A workspace that used its share in a burst could use it again in a burst 4 s later, and got nothing in between; the rule compares six seconds, into which one or two bursts fall.

Change: usage decays exponentially with the mean age that it had in the window. Reports keep their unit, so that old and new routers agree.

--- a/internal/core/admit/controller.go
+++ b/internal/core/admit/controller.go
@@ -41,8 +41,7 @@
 type Options struct {
 	// Domain is the failure domain of this router.
 	Domain ids.Domain
-	// ShareWindow is the length of the sliding window over which fair shares are
-	// computed.
+	// ShareWindow is the time over which fair shares are computed, see share.New.
 	ShareWindow time.Duration
 	// Seed is the seed of the jitter of Retry-After.
 	Seed uint64
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -6,6 +6,7 @@
 package share
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,36 +14,42 @@
 )
 
 const (
-	// bucketSpan is the resolution of the sliding window.
-	bucketSpan = 250 * time.Millisecond
+	// levelsInterval is the minimum time between two computations of the levels.
+	levelsInterval = 250 * time.Millisecond
 	// peerUsageTTL is how long a peer's last report counts, so that the usage reported
 	// by a router that became unreachable does not stay in the sum.
 	peerUsageTTL = 2 * time.Second
 	// growthFactor scales the tokens that were started when the fair level is computed,
 	// so that the level can rise while engines have room for more.
 	growthFactor = 1.05
+	// windowPerDecayTime is the length of the sliding window in which usage has the same
+	// mean age, as a multiple of the decay time.
+	windowPerDecayTime = 2
 )
 
-// Usage is what a workspace requested and what was started for it within the window, in
-// tokens: each prompt token counts once, each generated token twice.
+// Usage is what a workspace requested and what was started for it recently, in tokens:
+// each prompt token counts once, each generated token twice.
 type Usage struct {
 	Requested, Started float64
 }
 
-// Window sums the usage of the fleet's workspaces over a sliding window. It is not safe
-// for concurrent use.
+func (u Usage) times(factor float64) Usage {
+	return Usage{Requested: factor * u.Requested, Started: factor * u.Started}
+}
+
+// Window sums the recent usage of the fleet's workspaces. Usage decays exponentially: if
+// it left a sliding window all at once, a workspace could use its share of the whole
+// window again at that moment, so that bursts would repeat with the window's length.
+// Window is not safe for concurrent use.
 type Window struct {
-	span time.Duration
-	// epoch is the origin of the bucket numbers. Counting from it uses the monotonic
-	// clock; the wall clock may be set.
-	epoch time.Time
-	own   map[ids.Workspace]*series
-	peers map[ids.Instance]peerUsage
+	// decayTime is the time in which usage decays to 1/e.
+	decayTime time.Duration
+	own       map[ids.Workspace]*decayingUsage
+	peers     map[ids.Instance]peerUsage
 	// peerSum is the sum of the peers' usage.
 	peerSum map[ids.Workspace]Usage
 
-	// levelsAt is when the levels of the ranks were computed, at most once per
-	// bucketSpan.
+	// levelsAt is when the levels of the ranks were computed.
 	levelsAt                   time.Time
 	guaranteedLevel, fairLevel float64
 }
@@ -53,83 +60,76 @@
 	usage map[ids.Workspace]Usage
 }
 
-// series is the usage of one workspace at this router. Its buckets are a ring buffer
-// over the window.
-type series struct {
-	buckets    []Usage
-	lastBucket int64
-	sum        Usage
+// decayingUsage is the usage of one workspace at this router as of a time.
+type decayingUsage struct {
+	Usage
+	at time.Time
 }
 
-// New returns a window of the given length, at least 250 ms.
-func New(span time.Duration) *Window {
+// New returns a window in which usage has the same mean age as in a sliding window of
+// the given length, at least 500 ms.
+func New(length time.Duration) *Window {
 	return &Window{
-		span:    max(span, bucketSpan),
-		own:     make(map[ids.Workspace]*series),
-		peers:   make(map[ids.Instance]peerUsage),
-		peerSum: make(map[ids.Workspace]Usage),
+		decayTime: max(length/windowPerDecayTime, levelsInterval),
+		own:       make(map[ids.Workspace]*decayingUsage),
+		peers:     make(map[ids.Instance]peerUsage),
+		peerSum:   make(map[ids.Workspace]Usage),
 	}
 }
 
 // RecordRequested records that a workspace requested tokens at this router.
 func (w *Window) RecordRequested(now time.Time, ws ids.Workspace, tokens float64) {
-	w.series(now, ws).add(Usage{Requested: tokens})
+	w.ownUsage(now, ws).Requested += tokens
 }
 
 // RecordStarted records that a workspace's request of the given tokens was sent to an
 // engine.
 func (w *Window) RecordStarted(now time.Time, ws ids.Workspace, tokens float64) {
-	w.series(now, ws).add(Usage{Started: tokens})
+	w.ownUsage(now, ws).Started += tokens
 }
 
 // ReturnStarted undoes RecordStarted at an earlier time, for a request that no engine ran.
 func (w *Window) ReturnStarted(now, startedAt time.Time, ws ids.Workspace, tokens float64) {
-	s := w.series(now, ws)
-	bucket := int64(startedAt.Sub(w.epoch) / bucketSpan)
-	if s.lastBucket-bucket >= int64(len(s.buckets)) {
-		return
-	}
-	b := &s.buckets[bucket%int64(len(s.buckets))]
-	returned := min(tokens, b.Started)
-	b.Started -= returned
-	s.sum.Started = max(0, s.sum.Started-returned)
+	u := w.ownUsage(now, ws)
+	u.Started = max(0, u.Started-tokens*w.decay(now.Sub(startedAt)))
 }
 
-// LocalUsage returns the usage at this router, for the reports to peers.
+// LocalUsage returns the usage at this router for the reports to peers, in tokens within
+// the window.
 func (w *Window) LocalUsage(now time.Time) map[ids.Workspace]Usage {
 	out := make(map[ids.Workspace]Usage, len(w.own))
 	for ws := range w.own {
-		s := w.series(now, ws)
-		if s.sum.Requested <= 0 && s.sum.Started <= 0 {
+		u := w.ownUsage(now, ws)
+		if u.Requested < 1 && u.Started < 1 {
 			delete(w.own, ws)
 			continue
 		}
-		out[ws] = s.sum
+		out[ws] = u.times(windowPerDecayTime)
 	}
 	return out
 }
 
-// SetPeerUsage replaces the usage reported by a peer. The window keeps the map, which
-// the caller must not change afterwards.
+// SetPeerUsage replaces the usage reported by a peer, in tokens within the window. The
+// window keeps the map, which the caller must not change afterwards.
 func (w *Window) SetPeerUsage(now time.Time, peer ids.Instance, usage map[ids.Workspace]Usage) {
 	w.removePeer(peer)
 	w.peers[peer] = peerUsage{at: now, usage: usage}
 	for ws, u := range usage {
-		w.addToPeerSum(ws, u, 1)
+		w.addToPeerSum(ws, u.times(1./windowPerDecayTime))
 	}
 }
 
 func (w *Window) removePeer(peer ids.Instance) {
 	for ws, u := range w.peers[peer].usage {
-		w.addToPeerSum(ws, u, -1)
+		w.addToPeerSum(ws, u.times(-1./windowPerDecayTime))
 	}
 	delete(w.peers, peer)
 }
 
-func (w *Window) addToPeerSum(ws ids.Workspace, u Usage, sign float64) {
+func (w *Window) addToPeerSum(ws ids.Workspace, u Usage) {
 	sum := w.peerSum[ws]
-	sum.Requested += sign * u.Requested
-	sum.Started += sign * u.Started
+	sum.Requested += u.Requested
+	sum.Started += u.Started
 	if sum.Requested <= 0 && sum.Started <= 0 {
 		delete(w.peerSum, ws)
 		return
@@ -172,7 +172,7 @@
 func (w *Window) fleetUsage(now time.Time, ws ids.Workspace) Usage {
 	var sum Usage
 	if _, ok := w.own[ws]; ok {
-		sum = w.series(now, ws).sum
+		sum = w.ownUsage(now, ws).Usage
 	}
 	peerSum := w.peerSum[ws]
 	sum.Requested += peerSum.Requested
@@ -180,8 +180,7 @@
 	return sum
 }
 
-// Standing is what a workspace's rank is based on. Usage and levels are in tokens within
-// the window.
+// Standing is what a workspace's rank is based on. Usage and levels are in tokens.
 type Standing struct {
 	// Own is the usage at this router, Peers the usage reported by the others.
 	Own, Peers Usage
@@ -196,7 +195,7 @@
 func (w *Window) Standing(now time.Time, ws ids.Workspace) Standing {
 	st := Standing{Peers: w.peerSum[ws], GuaranteedLevel: w.guaranteedLevel, FairLevel: w.fairLevel}
 	if _, ok := w.own[ws]; ok {
-		st.Own = w.series(now, ws).sum
+		st.Own = w.ownUsage(now, ws).Usage
 	}
 	for _, p := range w.peers {
 		st.ReportAge = max(st.ReportAge, now.Sub(p.at))
@@ -208,20 +207,23 @@
 }
 
 // TimeUntilFair returns the approximate time after which a workspace beyond its share
-// is within it again, as older usage leaves the window.
+// is within it again, if it starts nothing until then.
 func (w *Window) TimeUntilFair(now time.Time, ws ids.Workspace) time.Duration {
 	started := w.fleetUsage(now, ws).Started
-	if started <= w.fairLevel {
+	switch {
+	case started <= w.fairLevel:
 		return 0
+	case w.fairLevel <= 0:
+		return w.decayTime
 	}
-	return time.Duration((1 - w.fairLevel/started) * float64(w.span))
+	return time.Duration(math.Log(started/w.fairLevel) * float64(w.decayTime))
 }
 
 // updateLevels computes the levels, the largest L for which sum(min(requested, L)) does
 // not exceed a capacity: the configured one for guaranteed, and what was actually
 // started for fair.
 func (w *Window) updateLevels(now time.Time, capacity float64) {
-	if !w.levelsAt.IsZero() && now.Sub(w.levelsAt) < bucketSpan {
+	if !w.levelsAt.IsZero() && now.Sub(w.levelsAt) < levelsInterval {
 		return
 	}
 	for peer, p := range w.peers {
@@ -243,7 +245,7 @@
 		requested = append(requested, max(usage.Requested, usage.Started))
 		started += usage.Started
 	}
-	configured := capacity * w.span.Seconds()
+	configured := capacity * w.decayTime.Seconds()
 	w.guaranteedLevel = MaxMinLevel(requested, configured)
 	w.fairLevel = max(w.guaranteedLevel, MaxMinLevel(requested, growthFactor*started))
 	w.levelsAt = now
@@ -266,42 +268,23 @@
 	return capacity
 }
 
-func (w *Window) series(now time.Time, ws ids.Workspace) *series {
-	if w.epoch.IsZero() {
-		w.epoch = now
-	}
-	bucket := int64(now.Sub(w.epoch) / bucketSpan)
-	s := w.own[ws]
-	if s == nil {
-		s = &series{buckets: make([]Usage, int(w.span/bucketSpan)), lastBucket: bucket}
-		w.own[ws] = s
-	}
-	s.advance(bucket)
-	return s
-}
-
-// advance removes the usage in buckets that have left the window.
-func (s *series) advance(to int64) {
-	bucketCount := int64(len(s.buckets))
-	if to-s.lastBucket >= bucketCount {
-		clear(s.buckets)
-		s.sum = Usage{}
-		s.lastBucket = to
-		return
+// ownUsage returns the usage of a workspace at this router, decayed to now.
+func (w *Window) ownUsage(now time.Time, ws ids.Workspace) *decayingUsage {
+	u := w.own[ws]
+	if u == nil {
+		u = &decayingUsage{at: now}
+		w.own[ws] = u
 	}
-	for s.lastBucket < to {
-		s.lastBucket++
-		b := &s.buckets[s.lastBucket%bucketCount] // the expired bucket is reused
-		s.sum.Requested = max(0, s.sum.Requested-b.Requested)
-		s.sum.Started = max(0, s.sum.Started-b.Started)
-		*b = Usage{}
+	if since := now.Sub(u.at); since > 0 {
+		left := w.decay(since)
+		u.Requested *= left
+		u.Started *= left
+		u.at = now
 	}
+	return u
 }
 
-func (s *series) add(u Usage) {
-	b := &s.buckets[s.lastBucket%int64(len(s.buckets))]
-	b.Requested += u.Requested
-	b.Started += u.Started
-	s.sum.Requested += u.Requested
-	s.sum.Started += u.Started
+// decay returns the fraction of usage that is left after a time.
+func (w *Window) decay(after time.Duration) float64 {
+	return math.Exp(-float64(after) / float64(w.decayTime))
 }
--- a/internal/node/request_log.go
+++ b/internal/node/request_log.go
@@ -148,7 +148,7 @@
 	return f
 }
 
-// addStandingFields adds what the rank is based on, in tokens within the window.
+// addStandingFields adds what the rank is based on, in tokens.
 func addStandingFields(f logrus.Fields, in admit.Inputs) {
 	st := in.Standing
 	f["charged_tokens"] = in.ChargedTokens
--- a/internal/replay/fairness_test.go
+++ b/internal/replay/fairness_test.go
@@ -1,6 +1,7 @@
 package replay_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -30,3 +31,36 @@
 		}
 	}
 }
+
+// Guards against shares that are exact only over long times: workspaces that flood at
+// different times must not be denied what they are due for seconds.
+func TestWorkspacesKeepTheirSharesWhileFloodsOverlap(t *testing.T) {
+	for seed := range 8 {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			p := patterns()["overload"]
+			p.Routers, p.Engines, p.Workspaces, p.Duration = 24, 16, 8, 24*time.Second
+			p.TokensPerSecond, p.Spec.Slots = 100_000, 16
+			p.Kinds = p.Kinds[1:]                  // small requests, so that shares are exact enough
+			p.ReportDelay = 150 * time.Millisecond // through hubs
+			p.LoadFactor = func(time.Duration) float64 { return 2 }
+			p.RoutersReached = func(workspace int) int {
+				if workspace%2 == 0 {
+					return p.Routers
+				}
+				return 2
+			}
+			p.RateFactor = func(workspace int, at time.Duration) float64 {
+				from := time.Duration(3+(5*workspace+3*seed)%13) * time.Second
+				to := from + time.Duration(6+workspace+seed%3)*time.Second
+				if workspace < 4 && at >= from && at < to {
+					return 8
+				}
+				return 0.6
+			}
+			if r := replay.Simulate(p, replay.Admit, uint64(seed)); r.WorstShare < 0.5 {
+				t.Errorf("a workspace received %.2f of what it was due, want at least 0.5", r.WorstShare)
+			}
+		})
+	}
+}
--- a/internal/replay/pattern.go
+++ b/internal/replay/pattern.go
@@ -39,6 +39,9 @@
 	// FloodFactor returns the factor by which the first workspace's rate is multiplied
 	// at a time since the start; nil stands for 1.
 	FloodFactor func(at time.Duration) float64
+	// RateFactor returns the factor by which a workspace's rate is multiplied at a time
+	// since the start; nil stands for 1.
+	RateFactor func(workspace int, at time.Duration) float64
 	// HotSubjectShare is the share of a kind's requests, 0 to 1, that have the same subject.
 	HotSubjectShare float64
 	// IsDown reports whether an engine is down at a time since the start; nil stands for never.
@@ -46,6 +49,8 @@
 	// RoutersReached returns the number of routers to which a workspace's callers are
 	// connected; nil stands for all.
 	RoutersReached func(workspace int) int
+	// ReportDelay is the time until a router's load report arrives at the others.
+	ReportDelay time.Duration
 	// EventGapObjective bounds the pauses between the events of a stream that is on time.
 	EventGapObjective time.Duration
 	// TokensPerSecond is the configured capacity of all engines together.
@@ -95,6 +100,7 @@
 			PromptTokensPerMs: 50, ChunkTokens: 1024, TokensPerEvent: 4, TokenBytes: 100_000, LinkBitsPerSecond: 200e9,
 		},
 		EventGapObjective: 250 * time.Millisecond,
+		ReportDelay:       defaultReportDelay,
 		LoadFactor:        func(time.Duration) float64 { return 0.6 },
 		TokensPerSecond:   200_000,
 	}
@@ -152,8 +158,8 @@
 	return out
 }
 
-// workspaceShares returns each workspace's share of the load. The shares sum to 1, or to
-// more during a flood.
+// workspaceShares returns each workspace's share of the load. The shares sum to 1 unless
+// the rates of workspaces are multiplied.
 func (p *Pattern) workspaceShares(weights []float64, at time.Duration) []float64 {
 	sum := 0.0
 	for _, w := range weights {
@@ -163,6 +169,11 @@
 	for i, w := range weights {
 		out[i] = w / sum
 	}
+	if p.RateFactor != nil {
+		for i := range out {
+			out[i] *= p.RateFactor(i, at)
+		}
+	}
 	if p.FloodFactor != nil {
 		out[0] *= p.FloodFactor(at)
 	}
--- a/internal/replay/simulation.go
+++ b/internal/replay/simulation.go
@@ -12,10 +12,10 @@
 
 // Parameters of the model. Load reports are as frequent as those of real routers.
 const (
-	// reportInterval is the interval of the load reports between routers; reportDelay
-	// is the time until they arrive.
-	reportInterval = 50 * time.Millisecond
-	reportDelay    = 5 * time.Millisecond
+	// reportInterval is the interval of the load reports between routers;
+	// defaultReportDelay is the time until they arrive on direct links.
+	reportInterval     = 50 * time.Millisecond
+	defaultReportDelay = 5 * time.Millisecond
 	// transferSetupTime is the time until the first byte of another engine's cache arrives.
 	transferSetupTime = 5 * time.Millisecond
 	// pollInterval is the interval at which routers dispatch from their queues.
@@ -344,8 +344,8 @@
 	}
 }
 
-// exchangeReports sends each router's load to the others, which receive it after
-// reportDelay.
+// exchangeReports sends each router's load to the others, which receive it after the
+// pattern's ReportDelay.
 func (s *simulation) exchangeReports() {
 	for i, d := range s.routers {
 		from, ok := d.(admitDispatcher)
@@ -353,7 +353,7 @@
 			return
 		}
 		loads, backlogs, use := from.controller.LocalReport(s.virtualTime())
-		s.schedule(reportDelay, func() {
+		s.schedule(s.pattern.ReportDelay, func() {
 			for k, receiver := range s.routers {
 				if to, ok := receiver.(admitDispatcher); ok && k != i {
 					to.controller.ApplyPeerReport(s.virtualTime(), ids.Instance(rune('A'+i)), loads, backlogs, use)
