peer: end reads and writes on streams when their session ends

Cause: at the end of a session yamux closes shutdownCh first, then the connection, and only then the streams. In between, Stream.Read without data and Stream.Write without window return to their start without blocking. On one processor this takes the time slices that the end of the session needs.

--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -109,10 +109,48 @@
 }
 
 // cpuTime returns the user and system CPU time of this process.
-func cpuTime(b *testing.B) time.Duration {
+func cpuTime(t testing.TB) time.Duration {
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		b.Fatal(err)
+		t.Fatal(err)
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// BenchmarkLostLinks reports the CPU time of a router on one processor, and of the other
+// ends in this process, from the loss of 20 links until they are reported lost.
+func BenchmarkLostLinks(b *testing.B) {
+	const links = 20
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	var spent time.Duration
+	for b.Loop() {
+		b.StopTimer()
+		hub := start(b, "hub")
+		var seeds []settings.Seed
+		var others []*node
+		for i := range links {
+			n := start(b, fmt.Sprintf("p%02d", i))
+			others, seeds = append(others, n), append(seeds, n.seed)
+		}
+		hub.SetPeers(seeds)
+		for len(hub.Live()) < links {
+			time.Sleep(time.Millisecond)
+		}
+		before := cpuTime(b)
+		b.StartTimer()
+		for _, n := range others {
+			go n.stop()
+		}
+		for len(hub.Live()) > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		b.StopTimer()
+		spent += cpuTime(b) - before
+		hub.stop()
+		for _, n := range others {
+			n.stop()
+		}
+		b.StartTimer()
+	}
+	b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "cpu-us/op")
+}
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -74,7 +74,7 @@
 	}
 	defer discard(stream)
 	// A deadline in the past aborts reads and writes once ctx is done.
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(expired) })
 	defer stop()
 	response, err := m.exchange(stream, &peerv1.CallRequest{Method: method, Body: body})
 	if err != nil {
@@ -89,7 +89,7 @@
 	return response.GetBody(), nil
 }
 
-func (l *link) openCall(ctx context.Context) (*yamux.Stream, error) {
+func (l *link) openCall(ctx context.Context) (*stream, error) {
 	select {
 	case <-l.opened:
 	case <-l.done:
@@ -97,10 +97,14 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	return l.session.OpenStream()
+	s, err := l.session.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	return l.streams.add(s), nil
 }
 
-func (m *Mesh) exchange(stream *yamux.Stream, request *peerv1.CallRequest) (*peerv1.CallResponse, error) {
+func (m *Mesh) exchange(stream *stream, request *peerv1.CallRequest) (*peerv1.CallResponse, error) {
 	frame, err := appendFrame(nil, request)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode request")
@@ -127,10 +131,11 @@
 	slots := make(chan struct{}, maxConcurrentCalls)
 	excess := rate.NewLimiter(excessCallRate, excessCallBurst)
 	for {
-		stream, err := session.AcceptStreamWithContext(ctx)
+		accepted, err := session.AcceptStreamWithContext(ctx)
 		if err != nil {
 			return errors.Wrap(err, "accept calls")
 		}
+		stream := l.streams.add(accepted)
 		select {
 		case slots <- struct{}{}:
 		default:
@@ -150,7 +155,7 @@
 
 // serveCall answers one call. It returns an error, which ends the link, only for
 // malformed input.
-func (l *link) serveCall(ctx context.Context, stream *yamux.Stream) error {
+func (l *link) serveCall(ctx context.Context, stream *stream) error {
 	defer discard(stream)
 	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
 	defer cancel()
@@ -171,7 +176,7 @@
 	return nil
 }
 
-func (l *link) answer(ctx context.Context, stream *yamux.Stream, request *peerv1.CallRequest) {
+func (l *link) answer(ctx context.Context, stream *stream, request *peerv1.CallRequest) {
 	response := new(peerv1.CallResponse)
 	body, err := l.mesh.opts.Handler.Serve(ctx, *l.peer.Load(), request.GetMethod(), request.GetBody())
 	if err == nil && len(body) > MaxCallResponseBytes-maxHelloBytes {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -51,6 +51,7 @@
 	// session is set before opened is closed, and is read only after that.
 	opened  chan struct{}
 	session *yamux.Session
+	streams openStreams
 
 	// lastReceivedNanos is when the last message arrived, in ns since
 	// Mesh.createdAt.
@@ -148,7 +149,7 @@
 
 // openSession starts the yamux session and opens the control stream. The side
 // that dialed opens the stream; the other side accepts it.
-func (l *link) openSession() (*yamux.Session, *yamux.Stream, error) {
+func (l *link) openSession() (*yamux.Session, *stream, error) {
 	session, err := l.newSession()
 	if err != nil {
 		discard(l.conn)
@@ -161,7 +162,7 @@
 	}
 	l.session = session
 	close(l.opened)
-	return session, control, nil
+	return session, l.streams.add(control), nil
 }
 
 func (l *link) newSession() (*yamux.Session, error) {
@@ -173,7 +174,10 @@
 	cfg.StreamOpenTimeout = l.mesh.opts.Timeout
 	cfg.StreamCloseTimeout = streamCloseTimeout
 	cfg.LogOutput = io.Discard
-	conn := &coalescingConn{Conn: &validatingConn{Conn: l.conn, reject: l.cancel}}
+	conn := &releasingConn{
+		Conn:    &coalescingConn{Conn: &validatingConn{Conn: l.conn, reject: l.cancel}},
+		streams: &l.streams,
+	}
 	if l.dialed {
 		return yamux.Client(conn, cfg)
 	}
--- /dev/null
+++ b/internal/peer/stream_test.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"io"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/umberhill/umberhill/internal/core/member"
+)
+
+// heldConn is a connection whose Close blocks until released.
+type heldConn struct {
+	net.Conn
+	closing, released chan struct{}
+}
+
+func (c *heldConn) Close() error {
+	close(c.closing)
+	<-c.released
+	return c.Conn.Close()
+}
+
+// Guards against readers and writers that use a processor from the end of a session until
+// its connection is closed.
+func TestEndOfSessionDoesNotUseTheProcessor(t *testing.T) {
+	ends := map[string]func(l *link, remote net.Conn){
+		"closed here":        func(l *link, _ net.Conn) { go l.session.Close() },
+		"closed by the peer": func(_ *link, remote net.Conn) { _ = remote.Close() },
+		"timeout of a call that the peer does not accept": func(l *link, _ net.Conn) { _, _ = l.session.OpenStream() },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+			local, remote := net.Pipe()
+			conn := &heldConn{Conn: local, closing: make(chan struct{}), released: make(chan struct{})}
+			peer, err := yamux.Server(remote, quietConfig())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer peer.Close()
+			l := newLink(start(t, "a").Mesh, 1, member.Info{Instance: "b"}, conn, true)
+			ended := make(chan error, 3)
+			go func() { ended <- l.runSession() }()
+			if _, err := peer.AcceptStream(); err != nil {
+				t.Fatal(err)
+			}
+			<-l.opened
+			stream, err := l.openCall(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() { ended <- fill(stream) }()
+			go func() { _, err := stream.Read(make([]byte, 1)); ended <- err }()
+			end(l, remote)
+			<-conn.closing
+			const held, limit = 500 * time.Millisecond, 100 * time.Millisecond
+			before := cpuTime(t)
+			time.Sleep(held)
+			if used := cpuTime(t) - before; used > limit {
+				t.Errorf("%v of processor time in %v after the end of the session, want at most %v", used, held, limit)
+			}
+			close(conn.released)
+			for range 3 {
+				if err := <-ended; err == nil {
+					t.Error("a reader or writer ended without an error")
+				}
+			}
+		})
+	}
+}
+
+// fill writes until an error, which the stream's window causes to block first.
+func fill(w io.Writer) error {
+	buf := make([]byte, streamWindowBytes)
+	for {
+		if _, err := w.Write(buf); err != nil {
+			return err
+		}
+	}
+}
+
+func quietConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = false
+	cfg.LogOutput = io.Discard
+	return cfg
+}
