share: a workspace below half of its fair share goes first

Callers saw: a workspace within its share was refused as saturated for seconds while others, also within theirs, were served more than twice as much. Cause: all workspaces between the guaranteed and the fair level have one rank; among them those with more requests at more routers won the free slots. Change: rank behind, for workspaces below half of the fair level, precedes rank fair; the expected wait of a new request counts the waiting requests of its rank or a better one only. Logs show the ranks 0 to 3.

--- a/internal/core/admit/choose.go
+++ b/internal/core/admit/choose.go
@@ -43,7 +43,7 @@
 
 // rankBoundShare is the fraction of an engine's bounds that is open to workspaces of
 // each rank, so that room is left for those of better rank.
-var rankBoundShare = [...]float64{share.Guaranteed: 1, share.Fair: 0.85, share.Excess: 0.6}
+var rankBoundShare = [...]float64{share.Guaranteed: 1, share.Behind: 1, share.Fair: 0.85, share.Excess: 0.6}
 
 const (
 	// duplicatePrefillShare is the fraction of an engine's bounds within which a
--- a/internal/core/admit/controller.go
+++ b/internal/core/admit/controller.go
@@ -184,7 +184,7 @@
 	if !found {
 		return Verdict{ID: r.ID, Refused: NoTarget, RetryAfter: ac.jitteredRetryAfter(noTargetRetryAfter)}
 	}
-	wait := time.Duration(float64(s.expectedQueueWait(now)) * s.queue.shareAhead(r.Priority))
+	wait := time.Duration(float64(s.expectedQueueWait(now)) * s.queue.shareAhead(rank, r.Priority))
 	c.inputs.QueueWait = wait
 	if c.hasRoom && !s.queue.hasAhead(rank, r.Priority) {
 		return ac.send(now, s, r, c)
--- a/internal/core/admit/priority_test.go
+++ b/internal/core/admit/priority_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/umberhill/umberhill/internal/core/admit"
+	"github.com/umberhill/umberhill/internal/core/share"
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
@@ -71,3 +72,23 @@
 		}
 	}
 }
+
+// Guards against workspaces that get far less than their share because others, within
+// theirs too, have more requests in the queues.
+func TestWorkspaceBelowHalfOfItsShareGoesFirst(t *testing.T) {
+	h := newHarness(t, 1, 0)
+	h.ApplyPeerReport(start, "peer", nil, nil, map[ids.Workspace]share.Usage{
+		"near": {Requested: 9e6, Started: 1e6}, "behind": {Requested: 9e6, Started: 4e5}, "excess": {Requested: 9e6, Started: 2e6},
+	})
+	running := h.submitWithPriority(start, "other", 1, 5000, objective)
+	near := h.submitWithPriority(start, "near", 1, 5000, objective)
+	behind := h.submitWithPriority(start, "behind", 1, 5000, 2*objective)
+	if near.Inputs.Rank != share.Fair || behind.Inputs.Rank != share.Behind || !near.Waiting || !behind.Waiting {
+		t.Fatalf("got verdicts %+v and %+v, want both waiting, with the ranks fair and behind", near, behind)
+	}
+	now := start.Add(50 * time.Millisecond)
+	h.ResponseStarted(now, running.ID)
+	if got := h.Poll(now); len(got) != 1 || got[0].ID != behind.ID {
+		t.Errorf("got verdicts %+v, want one for the request of the workspace that is behind", got)
+	}
+}
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -49,15 +49,15 @@
 	})
 }
 
-// shareAhead returns the fraction of the waiting requests, from 0 to 1, that are at
-// least as urgent as the given priority; 1 if the queue is empty.
-func (q *queue) shareAhead(priority int) float64 {
+// shareAhead returns the fraction of the waiting requests, from 0 to 1, that a new one of
+// the given rank and priority does not precede; 1 if the queue is empty.
+func (q *queue) shareAhead(rank share.Rank, priority int) float64 {
 	if len(q.waiting) == 0 {
 		return 1
 	}
 	n := 0
 	for _, e := range q.waiting {
-		if e.req.Priority <= priority {
+		if e.rank < rank || e.rank == rank && e.req.Priority <= priority {
 			n++
 		}
 	}
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -144,8 +144,10 @@
 const (
 	// Guaranteed means within the max-min share of the configured capacity.
 	Guaranteed Rank = iota
-	// Fair means within the max-min share of what the engines actually start, which may
-	// be more than the configured capacity.
+	// Behind means within half of the max-min share of what the engines actually start,
+	// which may be more than the configured capacity.
+	Behind
+	// Fair means within all of that share.
 	Fair
 	// Excess means beyond the fair share; only idle capacity may be used.
 	Excess
@@ -163,6 +165,8 @@
 	switch {
 	case startedAfter <= w.guaranteedLevel:
 		return Guaranteed
+	case startedAfter <= w.fairLevel/2:
+		return Behind
 	case startedAfter <= w.fairLevel:
 		return Fair
 	}
