platform, roster: order the store's states by era, then by revision

A router then ignored the lists of targets and the changes that followed, until revisions had passed the old ones, and so went on to use draining targets; a watch whose revision the store had already passed again missed changes. Cause: revisions were compared without the store's era. Change: client, roster and reports between routers hold the era with each revision. A later era wins; an entry of the copy that its target has changed since does not replace the newer one; a watch lists again in another era; a condition on a version of an earlier era is not sent.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -5,12 +5,15 @@
 //
 // Invariants: targets whose entries expire while the store is unavailable are
 // kept until the store has been available for long enough for them to register
-// again. An update with an older revision than the recorded one has no effect.
+// again. An update with an older revision than the recorded one has no effect; revisions
+// are ordered as in package revision. After the store has returned from an older copy, an
+// entry in it that its target has changed since does not replace the newer one.
 package roster
 
 import (
 	"time"
 
+	"github.com/umberhill/umberhill/internal/core/revision"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/routing"
 )
@@ -26,6 +29,10 @@
 	// tombstoneTTL is how long the tombstone of a removed entry is kept, so that
 	// updates with an older revision cannot add the entry again. It is far above any delay of a read.
 	tombstoneTTL = time.Minute
+	// olderCopyTTL is how long after the store's return from an older copy an entry of a
+	// removed target may be from that copy. Without its target it lapses within three
+	// check-ins.
+	olderCopyTTL = 5 * time.Second
 )
 
 // Entry is a target as recorded in the store.
@@ -33,6 +40,17 @@
 	routing.Target
 	// Revision is the store revision of the entry's last change.
 	Revision uint64
+	// Seq counts the changes of the entry by this run of the target, 0 if unknown.
+	Seq uint64
+}
+
+// isOlderThan reports whether the entry is an earlier state than o of the same target:
+// an earlier run, or an earlier change by the same run.
+func (e Entry) isOlderThan(o Entry) bool {
+	if e.StartTimeMS != o.StartTimeMS {
+		return e.StartTimeMS < o.StartTimeMS
+	}
+	return e.Seq < o.Seq
 }
 
 // Change is an update or the removal of one entry.
@@ -59,6 +77,9 @@
 	// storeUpSince is when the store last recovered, zero if it was never
 	// unavailable.
 	storeUpSince time.Time
+	// eraSince is when the store was first seen to have returned from an older copy, zero
+	// if it never has.
+	eraSince time.Time
 }
 
 type state struct {
@@ -72,6 +93,8 @@
 type tombstone struct {
 	revision uint64
 	at       time.Time
+	// last is the entry that was removed.
+	last Entry
 }
 
 // New returns an empty roster. A draining target must get no more requests after
@@ -86,11 +109,12 @@
 // Apply applies changes in order. asOf is the store revision up to which the
 // changes are complete.
 func (r *Roster) Apply(now time.Time, changes []Change, asOf uint64) {
+	r.observeEra(now, asOf)
 	for _, c := range changes {
 		if c.Removed {
 			r.handleRemoval(now, c.ID, c.Revision, r.isSettling(now))
 		} else {
-			r.upsert(c.Entry)
+			r.upsert(now, c.Entry)
 		}
 	}
 	r.asOf = max(r.asOf, asOf)
@@ -100,6 +124,7 @@
 // Replace replaces the list by the store's full list at revision asOf. A list
 // that is older than the current one is ignored.
 func (r *Roster) Replace(now time.Time, list []Entry, asOf uint64) {
+	r.observeEra(now, asOf)
 	r.replace(now, list, asOf, r.isSettling(now))
 }
 
@@ -107,6 +132,7 @@
 // older than the current one. If the peer's list is settled, entries that are not
 // on it are removed, even if this router cannot reach the store itself.
 func (r *Roster) Merge(now time.Time, list []Entry, asOf uint64, settled bool) {
+	r.observeEra(now, asOf)
 	r.replace(now, list, asOf, !settled)
 }
 
@@ -131,7 +157,7 @@
 	listed := make(map[ids.Target]bool, len(list))
 	for _, e := range list {
 		listed[e.ID] = true
-		r.upsert(e)
+		r.upsert(now, e)
 	}
 	for id := range r.entries {
 		if !listed[id] {
@@ -142,21 +168,34 @@
 	r.markSettled(keepMissing)
 }
 
-func (r *Roster) upsert(e Entry) {
-	if current := r.entries[e.ID]; current != nil && e.Revision < current.Revision {
-		return
+// observeEra handles the store's return from an older copy. Entries that were written
+// after the copy are missing until their targets write them again.
+func (r *Roster) observeEra(now time.Time, asOf uint64) {
+	if r.asOf > 0 && revision.IsLaterEra(asOf, r.asOf) {
+		r.storeUpSince, r.eraSince = now, now
 	}
-	if t, removed := r.tombstones[e.ID]; removed && e.Revision <= t.revision {
-		return
+}
+
+func (r *Roster) upsert(now time.Time, e Entry) {
+	if current := r.entries[e.ID]; current != nil {
+		if e.Revision < current.Revision || revision.IsLaterEra(e.Revision, current.Revision) && e.isOlderThan(current.Entry) {
+			return
+		}
+	}
+	if t, removed := r.tombstones[e.ID]; removed {
+		fromOlderCopy := revision.IsLaterEra(e.Revision, t.revision) && now.Sub(r.eraSince) < olderCopyTTL && !t.last.isOlderThan(e)
+		if e.Revision <= t.revision || fromOlderCopy {
+			return
+		}
 	}
 	r.entries[e.ID] = &state{Entry: e}
 }
 
 // handleRemoval marks the entry as missing if keepMissing is true, and deletes it
 // otherwise. A removal older than the entry is ignored.
-func (r *Roster) handleRemoval(now time.Time, id ids.Target, revision uint64, keepMissing bool) {
+func (r *Roster) handleRemoval(now time.Time, id ids.Target, asOf uint64, keepMissing bool) {
 	current := r.entries[id]
-	if current == nil || revision < current.Revision {
+	if current == nil || asOf < current.Revision {
 		return
 	}
 	if keepMissing {
@@ -165,12 +204,12 @@
 		}
 		return
 	}
-	r.deleteEntry(now, id, revision)
+	r.deleteEntry(now, id, asOf)
 }
 
-func (r *Roster) deleteEntry(now time.Time, id ids.Target, revision uint64) {
+func (r *Roster) deleteEntry(now time.Time, id ids.Target, asOf uint64) {
+	r.tombstones[id] = tombstone{revision: asOf, at: now, last: r.entries[id].Entry}
 	delete(r.entries, id)
-	r.tombstones[id] = tombstone{revision: revision, at: now}
 	for old, t := range r.tombstones {
 		if now.Sub(t.at) > tombstoneTTL {
 			delete(r.tombstones, old)
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/umberhill/umberhill/internal/core/revision"
 	"github.com/umberhill/umberhill/internal/core/roster"
 	"github.com/umberhill/umberhill/internal/routing"
 )
@@ -129,3 +130,67 @@
 		t.Errorf("targets %v at the follower after the removal, want none", got)
 	}
 }
+
+// inSecondEra returns an entry of target a in the second era of the store.
+func inSecondEra(storeRevision, seq uint64, draining bool) roster.Entry {
+	e := entry(revision.Join(2, storeRevision), draining)
+	e.Seq = seq
+	return e
+}
+
+func newRosterInFirstEra(seq uint64, draining bool) *roster.Roster {
+	r := roster.New(drainTimeout)
+	e := entry(revision.Join(1, 90), draining)
+	e.Seq = seq
+	r.Apply(start, []roster.Change{{Entry: e}}, revision.Join(1, 100))
+	return r
+}
+
+func TestLowerRevisionOfALaterEraIsNewer(t *testing.T) {
+	r := newRosterInFirstEra(1, false)
+	r.Replace(start, []roster.Entry{inSecondEra(7, 2, true)}, revision.Join(2, 8))
+	if got := r.Targets(); len(got) != 1 || !got[0].Draining {
+		t.Errorf("targets %v, want the draining target of the later era", got)
+	}
+	r.Merge(start, []roster.Entry{entry(revision.Join(1, 200), false)}, revision.Join(1, 200), true)
+	if got := r.Targets(); len(got) != 1 || !got[0].Draining {
+		t.Errorf("targets %v after a list of the earlier era, want the draining target", got)
+	}
+}
+
+func TestEntryThatAnOlderCopyLacksIsKeptUntilItIsWrittenAgain(t *testing.T) {
+	r := newRosterInFirstEra(1, false)
+	r.Replace(start, nil, revision.Join(2, 8))
+	if r.DropMissing(start.Add(1400*time.Millisecond)) || len(r.Targets()) != 1 {
+		t.Error("the entry was dropped before the target could write it again")
+	}
+	r.Apply(start.Add(1500*time.Millisecond), []roster.Change{{Entry: inSecondEra(9, 2, false)}}, revision.Join(2, 9))
+	if r.DropMissing(start.Add(time.Minute)) || len(r.Targets()) != 1 {
+		t.Error("the entry was dropped although the target has written it again")
+	}
+}
+
+func TestEntryOfAnOlderCopyDoesNotReplaceANewerOne(t *testing.T) {
+	r := newRosterInFirstEra(2, true)
+	r.Replace(start, []roster.Entry{inSecondEra(7, 1, false)}, revision.Join(2, 8))
+	if got := r.Targets(); len(got) != 1 || !got[0].Draining {
+		t.Errorf("targets %v after the entry of an older copy, want the draining target", got)
+	}
+	r.Apply(start, []roster.Change{{Entry: inSecondEra(9, 3, false)}}, revision.Join(2, 9))
+	if got := r.Targets(); len(got) != 1 || got[0].Draining {
+		t.Errorf("targets %v after the target has changed its entry, want the new entry", got)
+	}
+}
+
+func TestEntryOfAnOlderCopyDoesNotAddARemovedTarget(t *testing.T) {
+	r := newRosterInFirstEra(2, true)
+	r.Replace(start, nil, revision.Join(1, 110))
+	r.Replace(start, []roster.Entry{inSecondEra(7, 2, true)}, revision.Join(2, 8))
+	if got := r.Targets(); len(got) != 0 {
+		t.Errorf("targets %v after the entry of an older copy, want none", got)
+	}
+	r.Replace(start.Add(6*time.Second), []roster.Entry{inSecondEra(7, 2, true)}, revision.Join(2, 20))
+	if got := r.Targets(); len(got) != 1 {
+		t.Errorf("targets %v although the entry has outlived three check-ins, want one", got)
+	}
+}
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -5,6 +5,7 @@
 	"time"
 
 	fleetv1 "github.com/umberhill/umberhill/api/fleet/v1"
+	"github.com/umberhill/umberhill/internal/core/revision"
 	"github.com/umberhill/umberhill/internal/core/roster"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/routing"
@@ -99,7 +100,7 @@
 func (d *Directory) merge(list *fleetv1.TargetList) {
 	entries := make([]roster.Entry, 0, len(list.GetTargets()))
 	for _, e := range list.GetTargets() {
-		entries = append(entries, roster.Entry{Revision: e.GetRevision(), Target: routing.Target{
+		entries = append(entries, roster.Entry{Revision: revision.Join(e.GetEra(), e.GetRevision()), Seq: e.GetSeq(), Target: routing.Target{
 			ID:          ids.Target(e.GetId()),
 			Address:     e.GetAddress(),
 			Service:     e.GetService(),
@@ -110,7 +111,7 @@
 		}})
 	}
 	d.enqueue(func(now time.Time) bool {
-		d.roster.Merge(now, entries, list.GetAsOf(), list.GetSettled())
+		d.roster.Merge(now, entries, revision.Join(list.GetEra(), list.GetAsOf()), list.GetSettled())
 		return true
 	})
 }
@@ -119,8 +120,10 @@
 func (d *Directory) list(ctx context.Context) *fleetv1.TargetList {
 	result := make(chan *fleetv1.TargetList, 1)
 	d.enqueue(func(now time.Time) bool {
-		out := &fleetv1.TargetList{AsOf: d.roster.AsOf(), Settled: d.roster.IsSettled(now)}
+		era, asOf := revision.Split(d.roster.AsOf())
+		out := &fleetv1.TargetList{Era: era, AsOf: asOf, Settled: d.roster.IsSettled(now)}
 		for _, e := range d.roster.Entries() {
+			entryEra, entryRevision := revision.Split(e.Revision)
 			out.Targets = append(out.Targets, &fleetv1.TargetEntry{
 				Id:       string(e.ID),
 				Address:  e.Address,
@@ -129,7 +132,9 @@
 				Slots:    uint32(e.Slots),
 				Leaving:  e.Draining,
 				Born:     e.StartTimeMS,
-				Revision: e.Revision,
+				Revision: entryRevision,
+				Era:      entryEra,
+				Seq:      e.Seq,
 			})
 		}
 		result <- out
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -9,6 +9,7 @@
 	peerv1 "github.com/umberhill/umberhill/api/peer/v1"
 	quarantinev1 "github.com/umberhill/umberhill/api/quarantine/v1"
 	"github.com/umberhill/umberhill/internal/core/hub"
+	"github.com/umberhill/umberhill/internal/core/revision"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/peer"
 	"github.com/umberhill/umberhill/internal/routing"
@@ -204,7 +205,7 @@
 
 // setRevisions sets the revisions of the store's state that this router holds.
 func (f *fleet) setRevisions(r *fleetv1.Report) {
-	r.TargetsAsOf = f.revisionOf(methodTargets)
+	r.StoreEra, r.TargetsAsOf = revision.Split(f.revisionOf(methodTargets))
 	r.ConfigVersion = f.revisionOf(methodConfig)
 	r.RefreshedAgeMs = uint32(min(f.node.freshness.age(time.Now()), maxRefreshAge).Milliseconds())
 }
@@ -232,7 +233,7 @@
 		return
 	}
 	f.handleReport(from, report)
-	f.requestPull(pullRequest{peer: from.Instance, method: methodTargets, revision: report.GetTargetsAsOf()})
+	f.requestPull(pullRequest{peer: from.Instance, method: methodTargets, revision: revision.Join(report.GetStoreEra(), report.GetTargetsAsOf())})
 	f.requestPull(pullRequest{peer: from.Instance, method: methodConfig, revision: report.GetConfigVersion()})
 	f.node.freshness.observe(time.Now(), time.Duration(report.GetRefreshedAgeMs())*time.Millisecond)
 }
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/umberhill/umberhill/internal/core/revision"
 )
 
 // maxRetryAfter is the longest Retry-After of the service that is honored. A longer
@@ -77,6 +79,8 @@
 	header     http.Header
 	retryAfter time.Duration
 	body       []byte
+	// era is the era of the store that responded.
+	era uint64
 }
 
 // do sends the call once and reads a response body of at most limit bytes. connected
@@ -98,6 +102,7 @@
 	}
 	defer httpResp.Body.Close()
 	resp = response{status: httpResp.StatusCode, header: httpResp.Header, retryAfter: retryAfter(httpResp.Header)}
+	resp.era = c.observeEra(c.wire.Era(httpResp.Header))
 	resp.body, err = readAll(httpResp.Body, limit)
 	return resp, true, err
 }
@@ -130,7 +135,7 @@
 
 // read executes a call that changes no object. It returns ErrNotFound, ErrCompacted
 // or a *ReadError.
-func (c *Client) read(ctx context.Context, cl Call, limit int64, decode func(body []byte) error) error {
+func (c *Client) read(ctx context.Context, cl Call, limit int64, decode func(body []byte, era uint64) error) error {
 	resp, _, err := c.do(ctx, cl, limit)
 	if err == nil {
 		err = c.readResult(cl, resp, decode)
@@ -142,10 +147,10 @@
 	return &ReadError{Step: cl.step(), URL: c.url(), Status: resp.status, RetryAfter: resp.retryAfter, Err: err}
 }
 
-func (c *Client) readResult(cl Call, resp response, decode func(body []byte) error) error {
+func (c *Client) readResult(cl Call, resp response, decode func(body []byte, era uint64) error) error {
 	switch c.wire.Outcome(cl.Op, resp.status, resp.header) {
 	case Succeeded:
-		return decode(resp.body)
+		return decode(resp.body, resp.era)
 	case NotFound:
 		return ErrNotFound
 	case Compacted:
@@ -157,7 +162,7 @@
 
 // write executes a call that changes an object. It returns ErrNotFound, or a
 // *ConflictError, *NotAppliedError or *UnconfirmedError.
-func (c *Client) write(ctx context.Context, cl Call, decode func(body []byte) error) error {
+func (c *Client) write(ctx context.Context, cl Call, decode func(body []byte, era uint64) error) error {
 	resp, connected, err := c.do(ctx, cl, maxObjectBytes)
 	switch {
 	case err != nil && !connected:
@@ -171,10 +176,10 @@
 	return err
 }
 
-func (c *Client) writeResult(cl Call, resp response, decode func(body []byte) error) error {
+func (c *Client) writeResult(cl Call, resp response, decode func(body []byte, era uint64) error) error {
 	switch c.wire.Outcome(cl.Op, resp.status, resp.header) {
 	case Succeeded:
-		if err := decode(resp.body); err != nil {
+		if err := decode(resp.body, resp.era); err != nil {
 			return &UnconfirmedError{Step: cl.step(), URL: c.url(), Err: err}
 		}
 		return nil
@@ -197,6 +202,9 @@
 	if err != nil {
 		return &NotAppliedError{Step: cl.step(), URL: c.url(), Status: resp.status, Err: err}
 	}
+	if current != nil {
+		current.Version = revision.Join(resp.era, current.Version)
+	}
 	return &ConflictError{Current: current}
 }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -1,6 +1,10 @@
 // Package platform is a client for the platform's object service. It uses the
 // protocol of docs/PROTOCOLS.md, or another one implemented by a Wire.
 //
+// Revisions and versions that the client takes and returns include the store's era, see
+// package revision. A condition on a version of an earlier era than the store's is not
+// sent, since the store gives out its revisions again.
+//
 // A write is sent at most once: neither this package nor net/http retries it. A failed
 // write was either certainly not applied (NotAppliedError, ConflictError, ErrNotFound)
 // or may have been applied (UnconfirmedError).
@@ -18,6 +22,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/umberhill/umberhill/internal/api"
+	"github.com/umberhill/umberhill/internal/core/revision"
 )
 
 // Limits of bodies, in bytes.
@@ -84,6 +89,8 @@
 	wire    Wire
 	scope   tally.Scope
 	http    *http.Client
+	// era is the highest era of a response so far.
+	era atomic.Uint64
 }
 
 // New returns a client.
@@ -116,14 +123,42 @@
 
 func (c *Client) url() string { return *c.baseURL.Load() }
 
+// observeEra records the era in a response's header and returns it, or the highest era so
+// far if the header has none.
+func (c *Client) observeEra(era uint64) uint64 {
+	for {
+		highest := c.era.Load()
+		if era == 0 {
+			return highest
+		}
+		if era <= highest {
+			return era
+		}
+		if c.era.CompareAndSwap(highest, era) {
+			c.scope.Gauge("store_era").Update(float64(era))
+		}
+	}
+}
+
+// storeVersion returns the store's own version for the condition of a write.
+func (c *Client) storeVersion(cl Call) (uint64, error) {
+	era, version := revision.Split(cl.Condition.Version)
+	if known := c.era.Load(); version > 0 && era < known {
+		err := errors.Newf("condition on a version of era %d; the store is in era %d", era, known)
+		return 0, &NotAppliedError{Step: cl.step(), URL: c.url(), Err: err}
+	}
+	return version, nil
+}
+
 // Get returns an object. The error is ErrNotFound if the object does not exist.
 func (c *Client) Get(ctx context.Context, kind api.Kind, name string) (Object, error) {
 	cl := Call{Op: OpGet, Kind: kind, Name: name}
 	var out Object
-	err := c.read(ctx, cl, maxObjectBytes, func(body []byte) error {
+	err := c.read(ctx, cl, maxObjectBytes, func(body []byte, era uint64) error {
 		obj, err := c.wire.Object(cl, body)
 		if err == nil && obj != nil {
 			out = *obj
+			out.Version = revision.Join(era, out.Version)
 		}
 		return err
 	})
@@ -132,23 +167,34 @@
 
 // List returns the objects of a kind and the revision of the first page. A watch from
 // that revision returns the changes made while the further pages were read.
-func (c *Client) List(ctx context.Context, kind api.Kind) (objs []Object, revision uint64, err error) {
+func (c *Client) List(ctx context.Context, kind api.Kind) (objs []Object, asOf uint64, err error) {
 	cl := Call{Op: OpList, Kind: kind}
+	var listEra uint64
 	for {
 		var page Page
-		err = c.read(ctx, cl, maxListBytes, func(body []byte) (err error) {
+		var pageEra uint64
+		err = c.read(ctx, cl, maxListBytes, func(body []byte, era uint64) (err error) {
 			page, err = c.wire.Page(cl, body)
+			pageEra = era
 			return err
 		})
 		if err != nil {
 			return nil, 0, err
 		}
 		if cl.After == "" {
-			revision = page.Revision
+			listEra, asOf = pageEra, revision.Join(pageEra, page.Revision)
+		}
+		if pageEra != listEra {
+			// The pages are of different copies of the store.
+			objs, cl.After = nil, ""
+			continue
+		}
+		for _, o := range page.Objects {
+			o.Version = revision.Join(pageEra, o.Version)
+			objs = append(objs, o)
 		}
-		objs = append(objs, page.Objects...)
 		if page.Next == "" {
-			return objs, revision, nil
+			return objs, asOf, nil
 		}
 		cl.After = page.Next
 	}
@@ -156,13 +202,23 @@
 
 // Watch waits for changes of the kinds after the revision since, for at most the
 // duration wait. The error is ErrCompacted if the service no longer has the events
-// after since.
+// after since, or has returned from an older copy.
 func (c *Client) Watch(ctx context.Context, kinds []api.Kind, since uint64, wait time.Duration) (WatchResult, error) {
-	cl := Call{Op: OpWatch, Kinds: kinds, Since: since, Wait: wait}
+	sinceEra, storeSince := revision.Split(since)
+	cl := Call{Op: OpWatch, Kinds: kinds, Since: storeSince, Wait: wait}
 	var out WatchResult
-	err := c.read(ctx, cl, maxListBytes, func(body []byte) (err error) {
-		out, err = c.wire.Events(cl, body)
-		return err
+	err := c.read(ctx, cl, maxListBytes, func(body []byte, era uint64) (err error) {
+		if era != sinceEra {
+			return ErrCompacted
+		}
+		if out, err = c.wire.Events(cl, body); err != nil {
+			return err
+		}
+		out.Revision = revision.Join(era, out.Revision)
+		for i := range out.Events {
+			out.Events[i].Object.Version = revision.Join(era, out.Events[i].Object.Version)
+		}
+		return nil
 	})
 	return out, err
 }
@@ -175,11 +231,16 @@
 		err := errors.Newf("value of %d bytes is over the limit of %d", len(value), MaxValueBytes)
 		return Object{}, &NotAppliedError{Step: cl.step(), URL: c.url(), Err: err}
 	}
+	var err error
+	if cl.Condition.Version, err = c.storeVersion(cl); err != nil {
+		return Object{}, err
+	}
 	var out Object
-	err := c.write(ctx, cl, func(body []byte) error {
+	err = c.write(ctx, cl, func(body []byte, era uint64) error {
 		obj, err := c.wire.Object(cl, body)
 		if err == nil && obj != nil {
 			out = *obj
+			out.Version = revision.Join(era, out.Version)
 		}
 		return err
 	})
@@ -189,9 +250,17 @@
 // Delete deletes an object and returns the revision of the deletion, or 0 if the
 // service does not report it. The errors are those of Put.
 func (c *Client) Delete(ctx context.Context, kind api.Kind, name string, cond Condition) (uint64, error) {
+	cl := Call{Op: OpDelete, Kind: kind, Name: name, Condition: cond}
 	var version uint64
-	err := c.write(ctx, Call{Op: OpDelete, Kind: kind, Name: name, Condition: cond}, func(body []byte) (err error) {
-		version, err = c.wire.DeletionRevision(body)
+	var err error
+	if cl.Condition.Version, err = c.storeVersion(cl); err != nil {
+		return 0, err
+	}
+	err = c.write(ctx, cl, func(body []byte, era uint64) error {
+		deleted, err := c.wire.DeletionRevision(body)
+		if deleted > 0 {
+			version = revision.Join(era, deleted)
+		}
 		return err
 	})
 	return version, err
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -88,6 +88,8 @@
 	Encode(c Call) (Request, error)
 	// Outcome derives the outcome of a call from the response's status and header.
 	Outcome(op Op, status int, h http.Header) Outcome
+	// Era returns the era of the store from a response's header, 0 if it has none.
+	Era(h http.Header) uint64
 	// Object decodes the object in the response to a get or put, or in a conflict
 	// response the current object, which is nil if it does not exist.
 	Object(c Call, body []byte) (*Object, error)
@@ -107,6 +109,9 @@
 // defaultWire implements the protocol of docs/PROTOCOLS.md.
 type defaultWire struct{}
 
+// Era implements Wire. The protocol has no eras.
+func (defaultWire) Era(http.Header) uint64 { return 0 }
+
 // Encode implements Wire.
 func (defaultWire) Encode(c Call) (Request, error) {
 	r := Request{Method: http.MethodGet, Path: objectPath(c.Kind, c.Name), Header: make(http.Header)}
