--- a/internal/bench/replay.go
+++ b/internal/bench/replay.go
@@ -79,12 +79,12 @@
 		_, err := fmt.Fprintf(t, strings.Repeat("%v\t", len(cells))+"\n", cells...)
 		return err
 	}
-	if err := row("PATTERN", "POLICY", "ASKED", "ON TIME", "LATE", "REFUSED", "LEFT", "WORTH", "WORST WS", "READ AGAIN", "BUSY"); err != nil {
+	if err := row("PATTERN", "POLICY", "ASKED", "ON TIME", "LATE", "REFUSED", "LEFT", "WORTH", "WORST WS", "WORST SHARE", "READ AGAIN", "BUSY"); err != nil {
 		return err
 	}
 	for _, r := range results {
 		if err := row(r.Pattern, r.Policy, r.Requests, r.OnTime, r.Late, r.Refused, r.Abandoned, formatRatio(r.Worth),
-			formatRatio(r.WorstWorkspaceWorth), formatRatio(r.RepeatedPrefillShare), formatRatio(r.Utilisation)); err != nil {
+			formatRatio(r.WorstWorkspaceWorth), formatRatio(r.WorstShare), formatRatio(r.RepeatedPrefillShare), formatRatio(r.Utilisation)); err != nil {
 			return err
 		}
 	}
