edge: an overloaded router asks the callers that it refuses to close connections

Cause: since such a router is not ready, so new connections go to other routers, but callers kept the connections that they had and sent their requests there first. Change: while the router diverts new connections, its refusals for its own load have Connection: close. A caller retries on a new connection anyway; its next requests then go to other routers too. The test fails without the change.

--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -39,6 +39,8 @@
 	reason     string
 	detail     string
 	retryAfter time.Duration
+	// closesConn asks the caller to close its connection.
+	closesConn bool
 }
 
 // refuse sends an error response of the router to the caller.
@@ -49,6 +51,9 @@
 		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
 		e.record.RetryAfter = f.retryAfter
 	}
+	if f.closesConn {
+		h.Set("Connection", "close")
+	}
 	e.record.Status, e.record.Reason = f.status, f.reason
 	if f.detail != "" {
 		e.record.Reason += ": " + f.detail
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -213,7 +213,11 @@
 		return nil
 	}
 	if shedder := e.server.opts.LoadShedder; shedder != nil && shedder.shouldRefuse(e.workspace) {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "router_busy", retryAfter: busyRetryAfter()}
+		return &refusal{
+			status: http.StatusServiceUnavailable, reason: "router_busy", retryAfter: busyRetryAfter(),
+			// The load balancer connects the caller to another router.
+			closesConn: shedder.ShouldDivert(),
+		}
 	}
 	v, refused := e.server.opts.Scheduler.RefuseEarly(e.admitRequest())
 	if !refused {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -83,3 +85,40 @@
 		t.Error("not ready 10 s after the overload")
 	}
 }
+
+// Guards against callers that stay connected to an overloaded router, which refuses most
+// of their requests, while other routers have room.
+func TestOverloadedRouterClosesConnectionsOfRefusedCallers(t *testing.T) {
+	logger, _ := logtest.NewNullLogger()
+	n := New(Settings{Instance: "r-0", Domain: "a", ShareWindow: time.Second}, nopHeaderCodec{}, logger)
+	n.SetConfig(&routing.Config{
+		Version:  1,
+		Services: map[string]*routing.Service{"s": {Name: "s", Engine: &routing.Engine{}}},
+		Routes:   []routing.Route{{Name: "r", Host: "example.com", Prefix: "/", Split: []routing.WeightedService{{Service: "s", Weight: 1}}}},
+	}, "test")
+	now := time.Unix(1000, 0)
+	observe := func(duration time.Duration) {
+		for end := now.Add(duration); now.Before(end); now = now.Add(50 * time.Millisecond) {
+			n.loadShedder.Observe(now, 50*time.Millisecond)
+		}
+	}
+	refusedWithClose := func() bool {
+		for range 1000 {
+			w := httptest.NewRecorder()
+			n.serveCaller(w, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+			if strings.Contains(w.Body.String(), "router_busy") {
+				return w.Header().Get("Connection") == "close"
+			}
+		}
+		t.Fatal("no request of 1000 was refused as router_busy")
+		return false
+	}
+	observe(500 * time.Millisecond)
+	if refusedWithClose() {
+		t.Error("a caller was asked to close its connection although the router takes new ones")
+	}
+	observe(2 * time.Second)
+	if !refusedWithClose() {
+		t.Error("a refused caller was not asked to close its connection")
+	}
+}
