bench: a soak sets faults at a service that an earlier fault has stopped

Cause, by reading: a crash point is chosen when a call begins and taken when it ends. A service may so exit after the fault was cleared and the service found running; the next fault was then sent to a process that had ended, and its error ended the soak. That it was this in the users' run is not recorded. Change: all faults are set by SetServiceFaults, which starts the service first. Test: with SetFaults in its place the new spec fails with the same message.

--- a/internal/bench/orders_faults.go
+++ b/internal/bench/orders_faults.go
@@ -80,7 +80,7 @@
 	fleet.Links.Clear()
 	for _, s := range fleet.Services {
 		s.Resume()
-		if err := restoreService(ctx, s); err != nil {
+		if err := SetServiceFaults(ctx, s, service.Faults{}); err != nil {
 			return err
 		}
 	}
@@ -96,16 +96,17 @@
 	return nil
 }
 
-// restoreService starts a service that is not running and clears its faults. A
-// service that a fault stops meanwhile is started again.
-func restoreService(ctx context.Context, s *harness.Target) error {
+// SetServiceFaults replaces a service's faults. It first starts a service that is not
+// running: an earlier fault may stop it also after that fault was cleared, at the end
+// of a call that had begun before.
+func SetServiceFaults(ctx context.Context, s *harness.Target, faults service.Faults) error {
 	for {
 		if !s.IsRunning() {
 			if err := s.Restart(ctx); err != nil {
 				return err
 			}
 		}
-		err := s.SetFaults(ctx, service.Faults{})
+		err := s.SetFaults(ctx, faults)
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
@@ -192,18 +193,18 @@
 		s.Resume()
 		return nil
 	case 2:
-		if err := s.SetFaults(callCtx, service.Faults{DropResponseEvery: 1 + rng.IntN(3)}); err != nil {
+		if err := SetServiceFaults(callCtx, s, service.Faults{DropResponseEvery: 1 + rng.IntN(3)}); err != nil {
 			return err
 		}
 	default:
 		points := []service.CrashPoint{service.CrashBeforeRun, service.CrashDuringRun, service.CrashAfterRun}
 		f := service.Faults{CrashAt: points[rng.IntN(len(points))], CrashCall: 1 + rng.IntN(10)}
-		if err := s.SetFaults(callCtx, f); err != nil {
+		if err := SetServiceFaults(callCtx, s, f); err != nil {
 			return err
 		}
 	}
 	pause(ctx, randomDuration(rng, minFaultTime, maxFaultTime))
-	return restoreService(callCtx, s)
+	return SetServiceFaults(callCtx, s, service.Faults{})
 }
 
 // AwaitQuiescence waits until the services have run nothing new for
--- a/test/once/faults_test.go
+++ b/test/once/faults_test.go
@@ -278,3 +278,15 @@
 		Expect(result.Done).To(BeNumerically(">", 0))
 	})
 })
+
+var _ = Describe("The faults of a soak", func() {
+	BeforeEach(startFleet)
+	AfterEach(heal)
+
+	It("are set at a service that an earlier one has stopped", func(ctx context.Context) {
+		s := fleet.Services[0]
+		Expect(s.Kill()).To(Succeed())
+		Expect(bench.SetServiceFaults(ctx, s, service.Faults{DropResponseEvery: 1})).To(Succeed())
+		Expect(s.IsRunning()).To(BeTrue())
+	})
+})
