--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -188,7 +188,7 @@
 type Standing struct {
 	// Own is the usage at this router, Peers the usage reported by the others.
 	Own, Peers Usage
-	// GuaranteedLevel and FairLevel are the largest usage of the two better ranks.
+	// GuaranteedLevel and FairLevel are the largest usage of the ranks guaranteed and fair.
 	GuaranteedLevel, FairLevel float64
 	// ReportAge is the time since the oldest report in Peers was received, LevelsAge the
 	// time since the levels were computed.
