--- a/internal/peer/stream_test.go
+++ b/internal/peer/stream_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"io"
 	"net"
 	"runtime"
@@ -8,7 +9,9 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	. "github.com/onsi/gomega"
 
+	peerv1 "github.com/umberhill/umberhill/api/peer/v1"
 	"github.com/umberhill/umberhill/internal/core/member"
 )
 
@@ -89,3 +92,62 @@
 	cfg.LogOutput = io.Discard
 	return cfg
 }
+
+// Guards against a link that stays half closed after its session has ended: the peer must
+// be reported lost once, and be linked again when it connects again.
+func TestPeerIsLostOnceAndLinkedAgain(t *testing.T) {
+	ends := map[string]func(a *node, session *yamux.Session, stopHeartbeats func()){
+		"closed by the peer": func(_ *node, session *yamux.Session, _ func()) { _ = session.Close() },
+		"timeout of a call that the peer does not accept": func(a *node, _ *yamux.Session, _ func()) {
+			_, _ = a.Call(context.Background(), "evil", "hang", nil)
+		},
+		"silent peer": func(_ *node, _ *yamux.Session, stopHeartbeats func()) { stopHeartbeats() },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, scope := startWithScope(t, "a")
+			session, stop := connectPeer(t, a)
+			g.Eventually(a.Live).Should(HaveLen(1))
+			end(a, session, stop)
+			g.Eventually(counterSum(scope, "peer.links_closed")).WithTimeout(5 * time.Second).Should(BeEquivalentTo(1))
+			g.Eventually(a.Live).Should(BeEmpty())
+			stop()
+			connectPeer(t, a)
+			g.Eventually(a.Live).Should(HaveLen(1))
+			g.Expect(counterSum(scope, "peer.links_closed")()).To(BeEquivalentTo(1))
+		})
+	}
+}
+
+// connectPeer links to a node as the peer "evil", which accepts no calls. It sends
+// heartbeats until stop is called.
+func connectPeer(t *testing.T, n *node) (session *yamux.Session, stop func()) {
+	t.Helper()
+	session, err := yamux.Client(dialWithHello(t, n), quietConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	control, err := session.OpenStream()
+	if err != nil {
+		t.Fatal(err)
+	}
+	heartbeat, _, err := encode(&peerv1.Envelope{Body: &peerv1.Envelope_Heartbeat{Heartbeat: &peerv1.Heartbeat{}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			if _, err := control.Write(heartbeat); err != nil {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	stop = func() { cancel(); <-done }
+	t.Cleanup(func() { _ = session.Close(); stop() })
+	return session, stop
+}
