--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/umberhill/umberhill/internal/api"
+	"github.com/umberhill/umberhill/internal/core/revision"
 	"github.com/umberhill/umberhill/internal/loopback"
 )
 
@@ -166,3 +169,79 @@
 }
 
 func isType(err error, target any) bool { return errors.As(err, target) }
+
+// eraWire is the default protocol with eras and lists of several pages.
+type eraWire struct{ defaultWire }
+
+func (w eraWire) Encode(c Call) (Request, error) {
+	r, err := w.defaultWire.Encode(c)
+	if c.After != "" {
+		r.Path += "?after=" + c.After
+	}
+	return r, err
+}
+
+func (w eraWire) Page(c Call, body []byte) (Page, error) {
+	page, err := w.defaultWire.Page(c, body)
+	var out struct {
+		Next string `json:"next"`
+	}
+	_ = json.Unmarshal(body, &out)
+	page.Next = out.Next
+	return page, err
+}
+
+func (eraWire) Era(h http.Header) uint64 {
+	era, _ := strconv.ParseUint(h.Get("Era"), 10, 64)
+	return era
+}
+
+// Guards against a write that takes an object of a later era for that of an earlier one,
+// whose version the store has given out again.
+func TestConditionOnVersionOfAnEarlierEraIsNotSent(t *testing.T) {
+	g := NewWithT(t)
+	era, writes := "1", 0
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodGet {
+			writes++
+		}
+		w.Header().Set("Era", era)
+		w.Write([]byte(`{"kind":"claims","name":"3","version":7,"value":{}}`))
+	})
+	c.wire = eraWire{}
+	before, err := c.Get(t.Context(), "claims", "3")
+	g.Expect(err).NotTo(HaveOccurred())
+	era = "2"
+	after, err := c.Get(t.Context(), "claims", "3")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(after.Version).To(BeNumerically(">", before.Version))
+	_, err = c.Put(t.Context(), "claims", "3", json.RawMessage(`{}`), Condition{Version: before.Version})
+	var notApplied *NotAppliedError
+	g.Expect(errors.As(err, &notApplied)).To(BeTrue(), "error %v", err)
+	g.Expect(writes).To(BeZero())
+	_, err = c.Put(t.Context(), "claims", "3", json.RawMessage(`{}`), Condition{Version: after.Version})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(writes).To(Equal(1))
+}
+
+// Guards against a list with pages of two copies of the store.
+func TestListStartsAgainIfTheEraChanges(t *testing.T) {
+	g := NewWithT(t)
+	var after []string
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		after = append(after, r.URL.Query().Get("after"))
+		w.Header().Set("Era", []string{"1", "2", "2", "2"}[len(after)-1])
+		next := ""
+		if len(after)%2 == 1 {
+			next = "a"
+		}
+		fmt.Fprintf(w, `{"revision":9,"objects":[{"name":"o%d","version":1}],"next":%q}`, len(after), next)
+	})
+	c.wire = eraWire{}
+	objects, asOf, err := c.List(t.Context(), "claims")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(asOf).To(Equal(revision.Join(2, 9)))
+	g.Expect(after).To(Equal([]string{"", "a", "", "a"}))
+	g.Expect(objects).To(HaveLen(2))
+	g.Expect(objects[0].Name).To(Equal("o3"))
+}
