connlimit: only the reader closes an idle connection, and not once a byte has arrived

What callers saw (LOST): after a configuration that lowers the idle timeout, a request on a kept connection got neither a response nor a refusal. Cause: the limiter called a connection idle until net/http reported StateActive, which it does only once it has read the whole head, and closed it from another goroutine. A lowered timeout did so at once for all connections together; eviction at the limit did the same. Change: a close is requested by a read deadline in the past. The goroutine that reads looks at the socket, goes on if a byte is there, and ends the connection otherwise; so no byte can be read in between, and the whole request in the socket's buffer and the one that is read but not yet reported are the same case. Tests of connlimit call CloseExpired in place of CloseIdle and track wrapped connections; what they check is the same.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -1,9 +1,13 @@
 // Package connlimit bounds the open connections of an HTTP server, so that it
-// always has file descriptors left to accept one more connection and respond on it.
+// always has file descriptors left to accept one more connection and respond on it,
+// and closes those that wait too long for a request.
 //
 // It handles the load of callers that open a connection for each attempt and leave
 // it open: a refused caller retries on another connection, and the idle ones would
 // exhaust the file descriptors of the process.
+//
+// Invariant: a connection on which a byte of a request has been read is closed only after
+// a response, except by its caller or at the end of the process.
 package connlimit
 
 import (
@@ -23,15 +27,20 @@
 type Limiter struct {
 	// maxConns is the limit, 0 for none.
 	maxConns int
+	// onClose is called for each connection that the limiter closes.
+	onClose func(Close)
 
 	mu sync.Mutex
-	// conns holds all open connections. The value is the connection's element in
-	// idle, or nil while a request is being read or served.
-	conns map[net.Conn]*list.Element
-	// idle holds idleConn values, the one that has been idle longest first.
+	// conns holds all open connections. The value is the connection's element in idle,
+	// or nil from the end of a request's head to the end of its response.
+	conns map[*Conn]*list.Element
+	// idle holds the connections that have served a request, the one whose last response
+	// ended first comes first.
 	idle *list.List
-	// onClose is called for each connection that the limiter closes.
-	onClose func(Close)
+	// closing counts the open connections that are being closed.
+	closing int
+	// drained is closed when the last connection is closed, nil unless draining.
+	drained chan struct{}
 }
 
 // Reason is why the limiter closed a connection.
@@ -43,42 +52,76 @@
 	Idle Reason = "idle"
 	// Limit means that a new connection exceeded the limit.
 	Limit Reason = "limit"
+	// Drain means that the server is stopping.
+	Drain Reason = "drain"
+	// HeadTimeout means that the head of a request took too long; the caller gets 408.
+	HeadTimeout Reason = "head_timeout"
 )
 
 // Reasons lists all reasons.
-var Reasons = []Reason{Idle, Limit}
+var Reasons = []Reason{Idle, Limit, Drain, HeadTimeout}
 
 // Close describes a connection that the limiter closed.
 type Close struct {
 	Reason Reason
-	// Idle is how long the connection had waited for a request, and ReceivedBytes the
-	// number of bytes that had been read of one.
-	Idle          time.Duration
-	ReceivedBytes int
+	// Idle is how long the connection had waited for a request or for the rest of its
+	// head.
+	Idle time.Duration
+	// WithinHead is set if a part of a head had been read.
+	WithinHead bool
 }
 
-type idleConn struct {
-	conn  net.Conn
-	since time.Time
+// Timeouts bound how long a connection may stay without a complete head.
+type Timeouts struct {
+	// Idle bounds the wait for a request, Head the time from its first byte to the end of
+	// its head, and the wait for the first request of a connection.
+	Idle, Head time.Duration
+	// ChangedAt is when the timeouts came into force. Earlier time does not count, since
+	// callers went by other timeouts.
+	ChangedAt time.Time
 }
 
 // New returns a Limiter for at most maxConns connections, 0 for no limit. It calls
 // onClose, which must not block, for each connection that it closes.
 func New(maxConns int, onClose func(Close)) *Limiter {
-	return &Limiter{maxConns: maxConns, conns: make(map[net.Conn]*list.Element), idle: list.New(), onClose: onClose}
+	return &Limiter{maxConns: maxConns, conns: make(map[*Conn]*list.Element), idle: list.New(), onClose: onClose}
 }
 
-// Track records a connection's state; it serves as an http.Server's ConnState. If a
-// new connection exceeds the limit, Track closes the one that has been idle longest.
+// listener makes a Conn of each connection that it accepts.
+type listener struct {
+	*net.TCPListener
+	limiter *Limiter
+}
+
+// Listen returns a listener whose connections the limiter tracks. The server that accepts
+// from it must report their states to Track.
+func (l *Limiter) Listen(tcp *net.TCPListener) net.Listener { return listener{tcp, l} }
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return l.limiter.newConn(c), nil
+}
+
+func (l *Limiter) newConn(c *net.TCPConn) *Conn {
+	return &Conn{TCPConn: c, limiter: l, since: time.Now()}
+}
+
+// Track records the state of a connection that was accepted from Listen; it serves as an
+// http.Server's ConnState. If a new connection exceeds the limit, Track closes the one
+// that has been idle longest.
 func (l *Limiter) Track(c net.Conn, state http.ConnState) {
-	if evicted := l.updateState(c, state); evicted != nil {
-		l.closeIdle(evicted, Limit)
+	if conn, ok := c.(*Conn); ok {
+		l.updateState(conn, state)
 	}
 }
 
-// updateState records a connection's state and returns the connection to close, if
-// any.
-func (l *Limiter) updateState(c net.Conn, state http.ConnState) (evicted net.Conn) {
+// updateState records a connection's state and returns the connection that is closed for
+// it, if any.
+func (l *Limiter) updateState(c *Conn, state http.ConnState) (evicted *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e := l.conns[c]; e != nil {
@@ -87,34 +130,63 @@
 	switch state {
 	case http.StateNew:
 		l.conns[c] = nil
-		if l.maxConns > 0 && len(l.conns) > l.maxConns {
+		if l.maxConns > 0 && l.open() > l.maxConns {
 			return l.evictLongestIdle()
 		}
 	case http.StateActive:
 		l.conns[c] = nil
+		if c.setServing(time.Now()) {
+			l.closing--
+		}
 	case http.StateIdle:
-		if tracked, ok := c.(*Conn); ok {
-			tracked.markWaiting(time.Now())
+		now := time.Now()
+		c.setWaiting(now)
+		l.conns[c] = l.idle.PushBack(c)
+		if l.drained != nil {
+			l.closeIf(c, waiting, now, Drain)
 		}
-		l.conns[c] = l.idle.PushBack(idleConn{conn: c, since: time.Now()})
 	case http.StateClosed, http.StateHijacked:
 		delete(l.conns, c)
+		if c.isClosing() {
+			l.closing--
+		}
+		l.signalDrained()
 	}
 	return nil
 }
 
-// evictLongestIdle removes and returns the connection that has been idle longest, or
-// nil if none is idle.
-func (l *Limiter) evictLongestIdle() net.Conn {
-	front := l.idle.Front()
-	if front == nil {
-		return nil
+// closeIf is Conn.closeIf with l.mu held.
+func (l *Limiter) closeIf(c *Conn, p phase, before time.Time, reason Reason) bool {
+	if !c.closeIf(p, before, reason) {
+		return false
+	}
+	l.closing++
+	return true
+}
+
+// keep records that a connection is kept, since bytes arrived before it was closed.
+func (l *Limiter) keep() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closing--
+}
+
+// evictLongestIdle closes and returns the connection that has been idle longest, or nil
+// if none is idle.
+func (l *Limiter) evictLongestIdle() *Conn {
+	now := time.Now()
+	for e := l.idle.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*Conn) //nolint:forcetypeassert // the list holds only *Conn values
+		if l.closeIf(c, waiting, now, Limit) {
+			return c
+		}
 	}
-	c := l.idle.Remove(front).(idleConn).conn //nolint:forcetypeassert // the list holds only idleConn values
-	delete(l.conns, c)
-	return c
+	return nil
 }
 
+// open returns the number of connections that are not being closed. l.mu must be held.
+func (l *Limiter) open() int { return len(l.conns) - l.closing }
+
 // IsAboveSoftLimit reports whether responses should ask callers to close their
 // connections.
 func (l *Limiter) IsAboveSoftLimit() bool { return l.utilization() > softLimitRatio }
@@ -131,33 +203,53 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return float64(len(l.conns)) / float64(l.maxConns)
+	return float64(l.open()) / float64(l.maxConns)
 }
 
-// CloseIdle closes the connections that have been idle for longer than maxIdleTime.
-func (l *Limiter) CloseIdle(now time.Time, maxIdleTime time.Duration) {
-	var expired []net.Conn
+// CloseExpired closes the connections that have been without a complete head for longer
+// than their timeout. A timeout of 0 sets no limit.
+func (l *Limiter) CloseExpired(now time.Time, t Timeouts) {
 	l.mu.Lock()
-	for front := l.idle.Front(); front != nil; front = l.idle.Front() {
-		if now.Sub(front.Value.(idleConn).since) <= maxIdleTime { //nolint:forcetypeassert // see evictLongestIdle
-			break
+	defer l.mu.Unlock()
+	for c, idle := range l.conns {
+		waitLimit := t.Idle
+		if idle == nil {
+			waitLimit = t.Head
 		}
-		expired = append(expired, l.evictLongestIdle())
+		if expiry := now.Add(-waitLimit); waitLimit > 0 && !t.ChangedAt.After(expiry) {
+			l.closeIf(c, waiting, expiry, Idle)
+		}
+		if expiry := now.Add(-t.Head); t.Head > 0 && !t.ChangedAt.After(expiry) {
+			l.closeIf(c, receiving, expiry, HeadTimeout)
+		}
+	}
+}
+
+// Drain closes the connections that wait for a request, now and from now on, and returns a
+// channel that is closed when no connection is open. The server must accept no more.
+func (l *Limiter) Drain() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.drained != nil {
+		return l.drained
 	}
-	l.mu.Unlock()
-	for _, c := range expired {
-		l.closeIdle(c, Idle)
+	l.drained = make(chan struct{})
+	now := time.Now()
+	for c := range l.conns {
+		l.closeIf(c, waiting, now, Drain)
 	}
+	l.signalDrained()
+	return l.drained
 }
 
-// closeIdle closes an idle connection. The error is ignored because the connection
-// carries no request.
-func (l *Limiter) closeIdle(c net.Conn, reason Reason) {
-	event := Close{Reason: reason}
-	if tracked, ok := c.(*Conn); ok {
-		since, received := tracked.progress()
-		event.Idle, event.ReceivedBytes = time.Since(since), received
+// signalDrained closes drained if no connection is open. l.mu must be held.
+func (l *Limiter) signalDrained() {
+	if l.drained == nil || len(l.conns) > 0 {
+		return
+	}
+	select {
+	case <-l.drained:
+	default:
+		close(l.drained)
 	}
-	_ = c.Close()
-	l.onClose(event)
 }
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -18,6 +18,7 @@
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "ok")
 	}))
+	s.Listener = l.Listen(s.Listener.(*net.TCPListener))
 	s.Config.ConnState = l.Track
 	s.Start()
 	t.Cleanup(s.Close)
@@ -75,16 +76,16 @@
 	}
 }
 
-// CloseIdle closes a connection only after its idle time has passed.
-func TestCloseIdleHonorsMaxIdleTime(t *testing.T) {
+// CloseExpired closes a connection only after its idle time has passed.
+func TestCloseExpiredHonorsIdleTimeout(t *testing.T) {
 	l := New(0, ignoreClose)
 	c := openIdleConn(t, startServer(t, l))
 	time.Sleep(20 * time.Millisecond)
-	l.CloseIdle(time.Now(), time.Minute)
+	l.CloseExpired(time.Now(), Timeouts{Idle: time.Minute})
 	if isClosedWithin(t, c, 50*time.Millisecond) {
 		t.Fatal("connection closed before it was idle for a minute")
 	}
-	l.CloseIdle(time.Now(), 10*time.Millisecond)
+	l.CloseExpired(time.Now(), Timeouts{Idle: 10 * time.Millisecond})
 	if !isClosedWithin(t, c, time.Second) {
 		t.Error("connection idle for 20 ms is still open, want it closed after 10 ms")
 	}
@@ -94,7 +95,7 @@
 // closed, even if the limit is exceeded.
 func TestActiveConnectionsAreNotClosed(t *testing.T) {
 	l := New(1, ignoreClose)
-	active, added := &net.TCPConn{}, &net.TCPConn{}
+	active, added := l.newConn(&net.TCPConn{}), l.newConn(&net.TCPConn{})
 	l.updateState(active, http.StateNew)
 	l.updateState(active, http.StateActive)
 	if evicted := l.updateState(added, http.StateNew); evicted != nil {
@@ -108,3 +109,84 @@
 		t.Error("still above the limit after the second connection was closed")
 	}
 }
+
+// Guards against closing a connection on which a part of a request has arrived: by its
+// idle timeout, at the limit and in a drain.
+func TestConnectionWithArrivingRequestIsNotClosed(t *testing.T) {
+	for name, closeIdle := range map[string]func(t *testing.T, l *Limiter, address string){
+		"idle timeout": func(_ *testing.T, l *Limiter, _ string) {
+			l.CloseExpired(time.Now().Add(time.Minute), Timeouts{Idle: time.Millisecond})
+		},
+		"limit": func(t *testing.T, _ *Limiter, address string) { openIdleConn(t, address) },
+		"drain": func(_ *testing.T, l *Limiter, _ string) { l.Drain() },
+	} {
+		for _, afterBytes := range []time.Duration{0, 20 * time.Millisecond} {
+			t.Run(name+" "+afterBytes.String()+" after the first bytes", func(t *testing.T) {
+				l := New(1, ignoreClose)
+				address := startServer(t, l)
+				c := openIdleConn(t, address)
+				time.Sleep(20 * time.Millisecond)
+				head := "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+				if _, err := io.WriteString(c, head[:10]); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(afterBytes)
+				closeIdle(t, l, address)
+				time.Sleep(20 * time.Millisecond)
+				if _, err := io.WriteString(c, head[10:]); err != nil {
+					t.Fatal(err)
+				}
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					t.Fatalf("got error %v, want the response to the request that arrived", err)
+				}
+				_ = resp.Body.Close()
+			})
+		}
+	}
+}
+
+// Guards against counting a connection twice whose close was revoked, or not at all.
+func TestRevokedCloseIsCountedOnce(t *testing.T) {
+	l := New(2, ignoreClose)
+	c := l.newConn(&net.TCPConn{})
+	l.updateState(c, http.StateNew)
+	l.updateState(c, http.StateIdle)
+	l.CloseExpired(time.Now().Add(time.Minute), Timeouts{Idle: time.Millisecond})
+	if got := l.open(); got != 0 {
+		t.Fatalf("got %d open connections while the only one is closing, want 0", got)
+	}
+	c.recordRead(100)
+	l.updateState(c, http.StateActive)
+	if got := l.open(); got != 1 {
+		t.Errorf("got %d open connections after the close was revoked, want 1", got)
+	}
+	l.updateState(c, http.StateClosed)
+	if got := l.open(); got != 0 {
+		t.Errorf("got %d open connections after all were closed, want 0", got)
+	}
+}
+
+// Guards against a drain that reports its end while a request is served.
+func TestDrainWaitsForServedRequests(t *testing.T) {
+	l := New(0, ignoreClose)
+	c := l.newConn(&net.TCPConn{})
+	l.updateState(c, http.StateNew)
+	l.updateState(c, http.StateActive)
+	drained := l.Drain()
+	select {
+	case <-drained:
+		t.Fatal("drained while a request is served")
+	default:
+	}
+	l.updateState(c, http.StateIdle)
+	if !c.isClosing() {
+		t.Error("the connection stays open after its response in a drain, want it closed")
+	}
+	l.updateState(c, http.StateClosed)
+	select {
+	case <-drained:
+	default:
+		t.Error("not drained after the last connection was closed")
+	}
+}
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/umberhill/umberhill/internal/connlimit"
+	"github.com/umberhill/umberhill/internal/routing"
 	"github.com/umberhill/umberhill/internal/upstream"
 )
 
@@ -27,7 +28,7 @@
 // Bounds of callers' connections.
 const (
 	readHeaderTimeout = 15 * time.Second
-	// defaultCallerIdleTimeout applies until a configuration sets the idle timeout.
+	// defaultCallerIdleTimeout applies unless the configuration sets the idle timeout.
 	defaultCallerIdleTimeout = 90 * time.Second
 	// callerFDShare is the fraction of the file descriptors for callers' connections;
 	// the rest is for connections to targets, routers and the store.
@@ -57,15 +58,27 @@
 }
 
 // recordCallerClose counts a caller's connection that the router closed, and logs it if
-// bytes of a request had arrived on it.
+// a part of a request had arrived on it.
 func (n *Node) recordCallerClose(c connlimit.Close) {
 	n.callerConnsClosed(c.Reason).Inc(1)
-	if c.ReceivedBytes == 0 {
-		return
+	if c.WithinHead {
+		n.logger.WithFields(logrus.Fields{"reason": c.Reason, "waited_ms": c.Idle.Milliseconds()}).Warn("caller's connection closed within a request")
 	}
-	n.logger.WithFields(logrus.Fields{
-		"reason": c.Reason, "idle_ms": c.Idle.Milliseconds(), "received_bytes": c.ReceivedBytes,
-	}).Warn("caller's connection closed within a request")
+}
+
+// newCallerTimeouts returns the timeouts of callers' connections under the limits. n.mu
+// must be held.
+func (n *Node) newCallerTimeouts(limits routing.Limits) connlimit.Timeouts {
+	t := connlimit.Timeouts{Idle: defaultCallerIdleTimeout, ChangedAt: n.callerTimeouts.ChangedAt}
+	if limits.IdleTimeout > 0 {
+		t.Idle = limits.IdleTimeout
+	}
+	// A caller may go by a raised timeout before this router does.
+	t.Idle += n.settings.ConfigDelay
+	if t != n.callerTimeouts {
+		t.ChangedAt = time.Now()
+	}
+	return t
 }
 
 // closeIdleConns closes connections to targets that are no longer listed, and
@@ -81,11 +94,9 @@
 			return
 		case <-ticker.C:
 			n.mu.Lock()
-			targets, config := n.targets, n.config
+			targets, timeouts := n.targets, n.callerTimeouts
 			n.mu.Unlock()
-			if config != nil && config.Limits.IdleTimeout > 0 {
-				n.callerConns.CloseIdle(time.Now(), config.Limits.IdleTimeout)
-			}
+			n.callerConns.CloseExpired(time.Now(), timeouts)
 			n.pool.Retain(func(e upstream.Endpoint) bool {
 				t, ok := targets.Get(e.Target)
 				return ok && t.StartTimeMS == e.StartTimeMS && t.Address == e.Address
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/umberhill/umberhill/internal/connlimit"
 	"github.com/umberhill/umberhill/internal/edge"
 )
 
@@ -23,16 +22,20 @@
 // server. A failure to listen for metrics is logged but is not an error.
 func (n *Node) openListeners() (*http.Server, error) {
 	callers := &http.Server{
-		Handler:           http.HandlerFunc(n.serveCaller),
 		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       defaultCallerIdleTimeout,
+		Handler:           http.HandlerFunc(n.serveCaller),
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       edge.WithConn,
 		ConnState:         n.callerConns.Track,
 	}
-	if err := n.serve("callers", n.settings.CallerAddress, callers); err != nil {
+	l, err := listen("callers", n.settings.CallerAddress)
+	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := l.(*net.TCPListener); ok {
+		l = n.callerConns.Listen(tcp)
+	}
+	n.serveListener(l, callers)
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: readHeaderTimeout}
 	if err := n.serve("readiness", n.settings.ReadyAddress, ready); err != nil {
 		return nil, err
@@ -51,16 +54,17 @@
 	if err != nil {
 		return err
 	}
-	if tcp, ok := l.(*net.TCPListener); ok && s.ConnState != nil {
-		l = connlimit.Listen(tcp)
-	}
+	n.serveListener(l, s)
+	return nil
+}
+
+func (n *Node) serveListener(l net.Listener, s *http.Server) {
 	n.servers = append(n.servers, s)
 	n.background.Go(func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			n.logger.WithError(err).WithField("address", address).Error("listener failed")
+			n.logger.WithError(err).WithField("address", l.Addr()).Error("listener failed")
 		}
 	})
-	return nil
 }
 
 // serveCaller handles a caller's request. While the router is draining or has too
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,9 @@
 	MaxFDs int
 	// Capacity is the process's share of processors.
 	Capacity float64
+	// ConfigDelay bounds the time from a change of the configuration until the router
+	// applies it; callers may go by it earlier.
+	ConfigDelay time.Duration
 	// DrainTimeout bounds how long a draining target may still receive requests.
 	DrainTimeout time.Duration
 	// StopLead is how long a stopping router still accepts new connections, so that
@@ -92,7 +95,9 @@
 	mu          sync.Mutex
 	gracePeriod time.Duration
 	config      *routing.Config
-	targets     *routing.Targets
+	// callerTimeouts are those in force.
+	callerTimeouts connlimit.Timeouts
+	targets        *routing.Targets
 
 	quarantine  *quarantine.Controller
 	loadShedder edge.LoadShedder
@@ -134,6 +139,7 @@
 	})
 	n.log = newRequestLog(n.logger)
 	n.callerConns = connlimit.New(int(callerFDShare*float64(s.MaxFDs)), n.recordCallerClose)
+	n.callerTimeouts = n.newCallerTimeouts(routing.Limits{})
 	for _, reason := range connlimit.Reasons {
 		n.callerConnsClosed(reason).Inc(0)
 	}
@@ -192,6 +198,7 @@
 		return false
 	}
 	n.config = c
+	n.callerTimeouts = n.newCallerTimeouts(c.Limits)
 	n.scheduler.SetConfig(c)
 	n.server.SetConfig(c)
 	n.logger.WithFields(logrus.Fields{
