node: a stop drains callers' connections instead of http.Server.Shutdown

What callers saw (LOST): a request sent to a router around its SIGTERM was read and ended without a response. Cause: Shutdown closes connections that it calls idle although a head is arriving, and net/http drops a request whose head it has read after Shutdown began (conn.serve returns if shuttingDown), with no response and no log line. Change: the stop closes the listener, lets the limiter's readers close connections that wait, and waits until none is open or the grace period ends.

--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -18,9 +18,9 @@
 	return l, errors.Wrapf(err, "listen for %s on %s", purpose, address)
 }
 
-// openListeners listens and serves on all addresses, and returns the callers'
-// server. A failure to listen for metrics is logged but is not an error.
-func (n *Node) openListeners() (*http.Server, error) {
+// openListeners listens and serves on all addresses, and returns the callers' listener. A
+// failure to listen for metrics is logged but is not an error.
+func (n *Node) openListeners() (net.Listener, error) {
 	callers := &http.Server{
 		ReadHeaderTimeout: readHeaderTimeout,
 		Handler:           http.HandlerFunc(n.serveCaller),
@@ -46,7 +46,7 @@
 			n.logger.WithError(err).Error("cannot listen for metrics; serving without them")
 		}
 	}
-	return callers, nil
+	return l, nil
 }
 
 func (n *Node) serve(purpose, address string, s *http.Server) error {
@@ -61,7 +61,7 @@
 func (n *Node) serveListener(l net.Listener, s *http.Server) {
 	n.servers = append(n.servers, s)
 	n.background.Go(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			n.logger.WithError(err).WithField("address", l.Addr()).Error("listener failed")
 		}
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -314,17 +315,20 @@
 	return err
 }
 
-func (n *Node) stop(server *http.Server) {
+// stop lets running requests finish, and those that arrive on open connections until
+// then. http.Server.Shutdown would drop a request that it reads after it has begun.
+func (n *Node) stop(callers net.Listener) {
 	n.logger.Info("router stopping")
 	n.draining.Store(true)
 	n.mu.Lock()
 	grace := n.gracePeriod
 	n.mu.Unlock()
-	deadline := time.Now().Add(max(grace-exitReserve, n.settings.StopLead))
+	deadline := time.After(max(grace-exitReserve, n.settings.StopLead))
 	time.Sleep(n.settings.StopLead)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		n.logger.WithError(err).Warn("callers' server did not shut down within the grace period; running requests are aborted")
+	_ = callers.Close()
+	select {
+	case <-n.callerConns.Drain():
+	case <-deadline:
+		n.logger.Warn("callers' server did not shut down within the grace period; running requests are aborted")
 	}
 }
