node: the configured time for a head applies, and a caller that exceeds it gets 408

What callers saw (LOST): a caller that sent a head slowly, within the operator's bound, was cut after 15 s, and one beyond it after 15 s too, both without a response. Cause: the bounds were constants of the router; headerTimeoutMs was read nowhere, and net/http ends a head that takes too long without a response. Evidence: TestSlowCallerGetsResponse/head_incomplete, failing since: no response within 4 s with a bound of 500 ms. Change: the limits of the configuration govern; connlimit ends a head that takes too long with 408, which states in truth that the request has not run.

--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -27,9 +27,12 @@
 
 // Bounds of callers' connections.
 const (
-	readHeaderTimeout = 15 * time.Second
-	// defaultCallerIdleTimeout applies unless the configuration sets the idle timeout.
+	// defaultHeadTimeout and defaultCallerIdleTimeout apply unless the configuration sets
+	// these timeouts.
+	defaultHeadTimeout       = 15 * time.Second
 	defaultCallerIdleTimeout = 90 * time.Second
+	// readHeaderTimeout applies to requests for readiness and metrics.
+	readHeaderTimeout = 15 * time.Second
 	// callerFDShare is the fraction of the file descriptors for callers' connections;
 	// the rest is for connections to targets, routers and the store.
 	callerFDShare  = 0.5
@@ -69,12 +72,16 @@
 // newCallerTimeouts returns the timeouts of callers' connections under the limits. n.mu
 // must be held.
 func (n *Node) newCallerTimeouts(limits routing.Limits) connlimit.Timeouts {
-	t := connlimit.Timeouts{Idle: defaultCallerIdleTimeout, ChangedAt: n.callerTimeouts.ChangedAt}
+	t := connlimit.Timeouts{Idle: defaultCallerIdleTimeout, Head: defaultHeadTimeout, ChangedAt: n.callerTimeouts.ChangedAt}
 	if limits.IdleTimeout > 0 {
 		t.Idle = limits.IdleTimeout
 	}
+	if limits.HeadTimeout > 0 {
+		t.Head = limits.HeadTimeout
+	}
 	// A caller may go by a raised timeout before this router does.
 	t.Idle += n.settings.ConfigDelay
+	t.Head += n.settings.ConfigDelay
 	if t != n.callerTimeouts {
 		t.ChangedAt = time.Now()
 	}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -21,12 +21,11 @@
 // openListeners listens and serves on all addresses, and returns the callers' listener. A
 // failure to listen for metrics is logged but is not an error.
 func (n *Node) openListeners() (net.Listener, error) {
-	callers := &http.Server{
-		ReadHeaderTimeout: readHeaderTimeout,
-		Handler:           http.HandlerFunc(n.serveCaller),
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       edge.WithConn,
-		ConnState:         n.callerConns.Track,
+	callers := &http.Server{ //nolint:gosec // closeIdleConns enforces the time for a head
+		Handler:        http.HandlerFunc(n.serveCaller),
+		MaxHeaderBytes: maxHeaderBytes,
+		ConnContext:    edge.WithConn,
+		ConnState:      n.callerConns.Track,
 	}
 	l, err := listen("callers", n.settings.CallerAddress)
 	if err != nil {
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -49,6 +49,9 @@
 	MaxHeaderBytes int
 	// IdleTimeout bounds how long a caller's connection stays idle.
 	IdleTimeout time.Duration
+	// HeadTimeout bounds the time from the first byte of a request to the end of its
+	// head.
+	HeadTimeout time.Duration
 	// TokensPerSecond approximates the throughput of all engines together: each
 	// prompt token counts once, each generated token twice. It is 0 if unknown.
 	TokensPerSecond float64
