edge: a request whose body stops coming gets a response

What callers saw (LOST): a caller that stopped within its body got no response, however long it waited; nor did one that the router refused by its head, since net/http sends a response only after the rest of the body has come. Cause: no deadline on the read of a body, nor on its discarding. Change: a body is read until the request's deadline, then the caller gets 408. A refusal is sent at once; the rest of the body is discarded for at most 500 ms, after which the connection is closed.

--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,9 @@
 	// bodiesFullRetryAfter is the Retry-After of a request that is refused because
 	// the bodies held use up the budget. A request is held for about this long.
 	bodiesFullRetryAfter = 500 * time.Millisecond
+	// unreadBodyTimeout bounds the wait for the rest of a body that is discarded, after
+	// which the connection is closed.
+	unreadBodyTimeout = 500 * time.Millisecond
 )
 
 // byteBudget limits the memory of all bodies that are held at the same time. A
@@ -40,6 +44,7 @@
 func (e *exchange) readBody(limit int64) *refusal {
 	length := e.r.ContentLength
 	if length == 0 {
+		e.bodyRead = true
 		return nil
 	}
 	if limit > 0 && length > limit {
@@ -57,20 +62,54 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(e.w, body, limit)
 	}
-	var err error
-	if length > 0 {
-		e.body = make([]byte, length)
-		_, err = io.ReadFull(body, e.body)
-	} else {
-		e.body, err = io.ReadAll(body)
-	}
+	err := e.receiveBody(body, length)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		e.bodyRead = true
 		return nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{status: http.StatusRequestTimeout, reason: "body_timeout"}
 	case errors.As(err, &tooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
 	default:
 		return &refusal{status: http.StatusBadRequest, reason: "body_cut", detail: err.Error()}
 	}
 }
+
+// receiveBody reads a body of the given length, negative if unknown, until the request's
+// deadline.
+func (e *exchange) receiveBody(body io.Reader, length int64) error {
+	if err := e.setReadDeadline(e.deadline); err != nil {
+		return err
+	}
+	var err error
+	if length > 0 {
+		e.body = make([]byte, length)
+		_, err = io.ReadFull(body, e.body)
+	} else {
+		e.body, err = io.ReadAll(body)
+	}
+	if err != nil {
+		return err
+	}
+	return e.setReadDeadline(time.Time{})
+}
+
+// setReadDeadline sets the deadline for reads from the caller. It does nothing if the
+// response writer has no connection.
+func (e *exchange) setReadDeadline(t time.Time) error {
+	err := http.NewResponseController(e.w).SetReadDeadline(t)
+	if errors.Is(err, http.ErrNotSupported) {
+		return nil
+	}
+	return errors.Wrap(err, "set the read deadline of the caller's connection")
+}
+
+// discardBody lets a response be sent before the rest of the body has arrived.
+func (e *exchange) discardBody() {
+	err := http.NewResponseController(e.w).EnableFullDuplex()
+	if err = errors.CombineErrors(err, e.setReadDeadline(time.Now().Add(unreadBodyTimeout))); err != nil {
+		e.record.Reason += ": " + err.Error()
+	}
+}
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -35,6 +35,8 @@
 	workspace     ids.Workspace
 	priority      int
 	body          []byte
+	// bodyRead is set once the whole body has been read.
+	bodyRead bool
 	// reservedBytes is the part of the server's body budget that the request holds.
 	reservedBytes int64
 	// fingerprint identifies the request to the quarantine. It is the same when the
--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -65,6 +65,9 @@
 	} else {
 		e.server.counts.refused.Inc(1)
 	}
+	if !e.bodyRead && e.r.ContentLength != 0 {
+		e.discardBody()
+	}
 	e.w.WriteHeader(f.status)
 	if _, err := io.WriteString(e.w, f.reason+"\n"); err != nil {
 		e.record.Reason += ": " + err.Error()
