daemon: a stop drains callers' connections instead of http.Server.Shutdown

The same cause as in internal/node, in the daemon of the product's own protocols (LOST): a request whose head was read after Shutdown had begun ended without a response. Evidence: the new spec 'responds to a request whose head arrives during the stop' failed before the change with 'unexpected EOF', 1 of 1. Change: callers' connections, also under TLS, are tracked by connlimit; the stop closes the listener and waits for the drain. Result: the spec passes; test/stops, test/path, test/badinput and test/metrics pass.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -12,6 +12,7 @@
 
 import (
 	"container/list"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -111,9 +112,12 @@
 }
 
 // Track records the state of a connection that was accepted from Listen; it serves as an
-// http.Server's ConnState. If a new connection exceeds the limit, Track closes the one
+// http.Server's ConnState, also for TLS on top of these connections. If a new connection exceeds the limit, Track closes the one
 // that has been idle longest.
 func (l *Limiter) Track(c net.Conn, state http.ConnState) {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
 	if conn, ok := c.(*Conn); ok {
 		l.updateState(conn, state)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 
 	"github.com/umberhill/umberhill/internal/burn"
 	"github.com/umberhill/umberhill/internal/configsync"
+	"github.com/umberhill/umberhill/internal/connlimit"
 	"github.com/umberhill/umberhill/internal/directory"
 	"github.com/umberhill/umberhill/internal/dispatch"
 	"github.com/umberhill/umberhill/internal/duty"
@@ -53,6 +54,8 @@
 
 	listeners listeners
 	tls       tlsConfigs
+	// callerConns tracks the callers' connections for the drain at a stop.
+	callerConns *connlimit.Limiter
 
 	platform   *platform.Client
 	config     *configsync.Controller
@@ -104,6 +107,9 @@
 	d.controlTraffic.lastReadAt = now
 	d.logger = logger.WithFields(logrus.Fields{"instance": s.Instance, "domain": s.Domain})
 	d.scope, d.metrics, d.metricsCloser = obs.NewScope(nil)
+	d.callerConns = connlimit.New(0, func(c connlimit.Close) {
+		d.scope.Tagged(map[string]string{"reason": string(c.Reason)}).Counter("caller_conns_closed").Inc(1)
+	})
 	if s.MemorySoftMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemorySoftMB) << 20)
 	}
@@ -122,6 +128,9 @@
 	if d.listeners.callers, err = listen("callers.address", d.settings.Callers.Address); err != nil {
 		return err
 	}
+	if tcp, ok := d.listeners.callers.(*net.TCPListener); ok {
+		d.listeners.callers = d.callerConns.Listen(tcp)
+	}
 	if d.listeners.admin, err = listen("admin.address", d.settings.Admin.Address); err != nil {
 		d.listeners.close()
 		return err
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -24,8 +24,15 @@
 
 func (d *Daemon) callersServer() *http.Server {
 	c := d.settings.Callers
+	handler := callers.New(d.chain(), d.logger)
 	return &http.Server{
-		Handler:           callers.New(d.chain(), d.logger),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if d.stopping.Load() {
+				w.Header().Set("Connection", "close")
+			}
+			handler.ServeHTTP(w, r)
+		}),
+		ConnState:         d.callerConns.Track,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       seconds(c.ReadSeconds),
 		IdleTimeout:       seconds(c.IdleSeconds),
@@ -49,7 +56,7 @@
 		listener = tls.NewListener(listener, config)
 	}
 	d.background.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			d.logger.WithError(err).Error("HTTP server stopped serving its listener")
 		}
 	})
@@ -64,12 +71,14 @@
 	time.Sleep(milliseconds(d.settings.StopLeadMS))
 	d.hold.Stop()
 	d.dispatcher.Enqueue(drainEvent)
-	ctx, cancel := context.WithTimeout(context.Background(), seconds(d.settings.StopSeconds))
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		d.logger.WithError(err).Warn("connections closed at the shutdown timeout while requests were still running")
-		_ = server.Close()
+	_ = d.listeners.callers.Close()
+	// http.Server.Shutdown would drop a request that it reads after it has begun.
+	select {
+	case <-d.callerConns.Drain():
+	case <-time.After(seconds(d.settings.StopSeconds)):
+		d.logger.Warn("connections closed at the shutdown timeout while requests were still running")
 	}
+	_ = server.Close()
 }
 
 func closeServer(server *http.Server) {
--- a/test/stops/stops_test.go
+++ b/test/stops/stops_test.go
@@ -3,7 +3,11 @@
 package stops_test
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -236,6 +240,35 @@
 		Expect(r.Wait(proctest.EventuallyTimeout)).To(BeZero())
 	})
 
+	It("responds to a request whose head arrives during the stop", SpecTimeout(proctest.SpecLimit), func(ctx context.Context) {
+		r := f.Routers[0]
+		longResponses := newResponseSet(1)
+		longResponses.send(ctx, first, longRequest())
+		waitRunning(ctx, f.Engines[0], 1)
+		conn, err := net.Dial("tcp", r.CallersAddress)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		Expect(conn.SetDeadline(time.Now().Add(proctest.EventuallyTimeout))).To(Succeed())
+		_, err = io.WriteString(conn, "GET /v1/models HTTP/1.1\r\nAuthorization: Bearer "+first.Key+"\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		r.Terminate()
+		Eventually(func() bool {
+			probe, err := net.Dial("tcp", r.CallersAddress)
+			if err == nil {
+				_ = probe.Close()
+			}
+			return err == nil
+		}, proctest.EventuallyTimeout, proctest.PollInterval).Should(BeFalse(), "the router still accepts connections")
+		_, err = io.WriteString(conn, "Host: x\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Expect(resp.Close).To(BeTrue(), "the caller may send more on this connection")
+		expectCorrect(longRequest(), longResponses.wait())
+		Expect(r.Wait(proctest.EventuallyTimeout)).To(BeZero())
+	})
+
 	It("exits immediately on a second signal", SpecTimeout(proctest.SpecLimit), func(ctx context.Context) {
 		r := f.Routers[0]
 		longResponses := newResponseSet(1)
