edge: the rest of a refused body is never taken for a request

What callers saw: after a refusal whose body had not arrived whole, the next request on the connection ended without a response (LOST), and bytes of the body could be served as a request that no caller sent (UNASKED). Cause: EnableFullDuplex skips net/http's check that closes a connection whose body was not read, and starts its reading ahead at the wrong moment. Change: the router itself drops the rest of a refused body, for at most 100 ms and 256 KiB; if it has not ended by then, or reading it failed, the response closes the connection.

--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -16,9 +16,10 @@
 	// bodiesFullRetryAfter is the Retry-After of a request that is refused because
 	// the bodies held use up the budget. A request is held for about this long.
 	bodiesFullRetryAfter = 500 * time.Millisecond
-	// unreadBodyTimeout bounds the wait for the rest of a body that is discarded, after
-	// which the connection is closed.
-	unreadBodyTimeout = 500 * time.Millisecond
+	// unreadBodyTimeout and maxUnreadBytes bound the rest of a body that is read and dropped
+	// before a refusal, so that the connection can be used again.
+	unreadBodyTimeout = 100 * time.Millisecond
+	maxUnreadBytes    = 256 << 10
 )
 
 // byteBudget limits the memory of all bodies that are held at the same time. A
@@ -106,10 +107,23 @@
 	return errors.Wrap(err, "set the read deadline of the caller's connection")
 }
 
-// discardBody lets a response be sent before the rest of the body has arrived.
-func (e *exchange) discardBody() {
-	err := http.NewResponseController(e.w).EnableFullDuplex()
-	if err = errors.CombineErrors(err, e.setReadDeadline(time.Now().Add(unreadBodyTimeout))); err != nil {
-		e.record.Reason += ": " + err.Error()
+// discardBody drops the rest of the body and reports whether the connection can carry
+// another request. Otherwise the rest would be taken for one.
+func (e *exchange) discardBody() bool {
+	if e.bodyRead || e.r.ContentLength == 0 {
+		return true
+	}
+	if e.r.ContentLength > maxUnreadBytes || e.r.Header.Get("Expect") != "" {
+		return false
+	}
+	if err := e.setReadDeadline(time.Now().Add(unreadBodyTimeout)); err != nil {
+		return false
+	}
+	_, err := io.CopyN(io.Discard, e.r.Body, maxUnreadBytes+1)
+	if resetErr := e.setReadDeadline(time.Time{}); resetErr != nil {
+		return false
 	}
+	// net/http starts to read ahead at the end of a body. If the deadline ended that read,
+	// the context of all further requests on the connection is done.
+	return errors.Is(err, io.EOF) && e.r.Context().Err() == nil
 }
--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -51,7 +51,7 @@
 		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
 		e.record.RetryAfter = f.retryAfter
 	}
-	if f.closesConn {
+	if f.closesConn || !e.discardBody() {
 		h.Set("Connection", "close")
 	}
 	e.record.Status, e.record.Reason = f.status, f.reason
@@ -65,9 +65,6 @@
 	} else {
 		e.server.counts.refused.Inc(1)
 	}
-	if !e.bodyRead && e.r.ContentLength != 0 {
-		e.discardBody()
-	}
 	e.w.WriteHeader(f.status)
 	if _, err := io.WriteString(e.w, f.reason+"\n"); err != nil {
 		e.record.Reason += ": " + err.Error()
