connlimit: a drain covers connections that were accepted just before it

Cause: connections counted only from StateNew on, which net/http reports later. Change: a connection counts from Accept on, and is asked to close if a drain has begun.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -104,7 +104,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.limiter.newConn(c), nil
+	conn := l.limiter.newConn(c)
+	l.limiter.mu.Lock()
+	defer l.limiter.mu.Unlock()
+	l.limiter.conns[conn] = nil
+	return conn, nil
 }
 
 func (l *Limiter) newConn(c *net.TCPConn) *Conn {
@@ -134,6 +138,9 @@
 	switch state {
 	case http.StateNew:
 		l.conns[c] = nil
+		if l.drained != nil {
+			l.closeIf(c, waiting, time.Now(), Drain)
+		}
 		if l.maxConns > 0 && l.open() > l.maxConns {
 			return l.evictLongestIdle()
 		}
