connlimit: one response to a slow head, and pipelined parts count as arrived

What callers saw: four responses to a head that took too long, 408 three times and 400 (MIXED), and 400 or nothing for a request of which a part had been read together with the one before (LOST). Cause: each read after the end of the connection ended it again; bytes that net/http holds in its buffer were not seen. Change: a read ends a connection once, with the error of its deadline, to which net/http does not respond. net/http reads into the rest of its buffer only while it holds a part of a request, so a smaller buffer than at the first read means that one has arrived.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -35,9 +35,12 @@
 	phase phase
 	// since is when the phase began.
 	since time.Time
-	// hasNextByte is set if net/http has read the first byte of the next request while
-	// it serves the current one.
-	hasNextByte bool
+	// isTLS is set if TLS runs on the connection, and fullRead is the size of the buffer of
+	// the first read, which net/http reads into while it holds no byte of a request.
+	isTLS    bool
+	fullRead int
+	// closed is set once a read has ended the connection.
+	closed bool
 	// closing is the reason for which the connection is being closed, empty for none.
 	closing Reason
 	// readDeadline is the deadline that net/http has set.
@@ -52,35 +55,44 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.noteRead(len(p))
 	for {
 		n, err := c.TCPConn.Read(p)
 		if n > 0 {
-			c.recordRead(len(p))
+			c.recordRead()
 			return n, err
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.readAgain() {
 			return n, err
 		}
-		if closed, again := c.handleDeadline(); !again {
-			if closed {
-				err = io.EOF
-			}
-			return 0, err
-		}
 	}
 }
 
-// recordRead records that bytes were read into a buffer of the given size. While
-// net/http serves a request whose body has ended, it reads one byte ahead.
-func (c *Conn) recordRead(bufferSize int) {
+// noteRead detects that net/http holds a part of the next request, which it has read
+// together with the one before: it then reads into the rest of its buffer only.
+func (c *Conn) noteRead(bufferSize int) {
 	c.mu.Lock()
 	revoked := false
 	switch {
-	case c.phase == waiting:
+	case c.fullRead == 0:
+		c.fullRead = bufferSize
+	case c.phase == waiting && bufferSize < c.fullRead && !c.isTLS:
+		c.phase, c.since = receiving, time.Now()
+		revoked = c.revokeClose()
+	}
+	c.mu.Unlock()
+	if revoked {
+		c.limiter.keep()
+	}
+}
+
+// recordRead records that bytes were read.
+func (c *Conn) recordRead() {
+	c.mu.Lock()
+	revoked := false
+	if c.phase == waiting {
 		c.phase, c.since = receiving, time.Now()
 		revoked = c.revokeClose()
-	case c.phase == serving && bufferSize == 1:
-		c.hasNextByte = true
 	}
 	c.mu.Unlock()
 	if revoked {
@@ -99,34 +111,40 @@
 	return true
 }
 
-// handleDeadline decides what follows a read whose deadline has passed: the connection is
-// closed, the read is repeated, or, if both are false, its error is net/http's.
-func (c *Conn) handleDeadline() (closed, again bool) {
+// readAgain decides what follows a read whose deadline has passed: either it is repeated,
+// or its error ends the connection.
+func (c *Conn) readAgain() bool {
 	c.mu.Lock()
 	reason := c.closing
+	again, ended := false, false
 	switch {
+	case c.closed:
 	case reason == "":
 		again = c.readDeadline.IsZero() || time.Now().Before(c.readDeadline)
 		_ = c.applyDeadline()
-	case c.phase == waiting:
-		if n, err := sock.Peek(c.TCPConn); n > 0 && err == nil {
-			again = c.revokeClose()
-		}
+	case c.phase == waiting && c.hasUnread():
+		again = c.revokeClose()
+	default:
+		c.closed, ended = true, true
 	}
 	event := Close{Reason: reason, Idle: time.Since(c.since), WithinHead: c.phase == receiving}
 	c.mu.Unlock()
 	switch {
-	case reason == "":
-		return false, again
-	case again:
+	case ended:
+		if event.WithinHead && !c.isTLS {
+			_, _ = io.WriteString(c.TCPConn, requestTimeout)
+		}
+		c.limiter.onClose(event)
+	case again && reason != "":
 		c.limiter.keep()
-		return false, true
 	}
-	if event.WithinHead {
-		_, _ = io.WriteString(c.TCPConn, requestTimeout)
-	}
-	c.limiter.onClose(event)
-	return true, false
+	return again
+}
+
+// hasUnread reports whether bytes have arrived that were not read.
+func (c *Conn) hasUnread() bool {
+	n, err := sock.Peek(c.TCPConn)
+	return err == nil && n > 0
 }
 
 // SetReadDeadline implements net.Conn.
@@ -150,9 +168,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.since = waiting, now
-	if c.hasNextByte {
-		c.phase, c.hasNextByte = receiving, false
-	}
+}
+
+// setTLS records that TLS runs on the connection.
+func (c *Conn) setTLS() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isTLS = true
 }
 
 // setServing records that a request's head has been read, and reports whether that
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -119,10 +119,14 @@
 // http.Server's ConnState, also for TLS on top of these connections. If a new connection exceeds the limit, Track closes the one
 // that has been idle longest.
 func (l *Limiter) Track(c net.Conn, state http.ConnState) {
-	if t, ok := c.(*tls.Conn); ok {
+	t, isTLS := c.(*tls.Conn)
+	if isTLS {
 		c = t.NetConn()
 	}
 	if conn, ok := c.(*Conn); ok {
+		if isTLS && state == http.StateNew {
+			conn.setTLS()
+		}
 		l.updateState(conn, state)
 	}
 }
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -157,7 +157,7 @@
 	if got := l.open(); got != 0 {
 		t.Fatalf("got %d open connections while the only one is closing, want 0", got)
 	}
-	c.recordRead(100)
+	c.recordRead()
 	l.updateState(c, http.StateActive)
 	if got := l.open(); got != 1 {
 		t.Errorf("got %d open connections after the close was revoked, want 1", got)
