upstream: bytes that have arrived are no silence of the target

Cause: a read whose deadline has passed fails although bytes have arrived. Change: after the deadline the socket is looked at; if bytes are there they are read.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/umberhill/umberhill/internal/sock"
 )
 
 const (
@@ -84,24 +86,35 @@
 // Read implements io.Reader.
 func (s source) Read(p []byte) (int, error) {
 	for {
-		deadline := s.limits.Deadline
-		silent := s.limits.Silence > 0 && (deadline.IsZero() || time.Now().Add(s.limits.Silence).Before(deadline))
-		if silent {
-			deadline = time.Now().Add(s.limits.Silence)
+		silence := s.limits.Silence
+		if silence <= 0 || !s.limits.Deadline.IsZero() && !time.Now().Add(silence).Before(s.limits.Deadline) {
+			return s.readUntil(p, s.limits.Deadline)
 		}
-		if err := s.netConn.SetReadDeadline(deadline); err != nil {
-			return 0, err
+		n, err := s.readUntil(p, time.Now().Add(silence))
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
 		}
-		n, err := s.netConn.Read(p)
-		if n > 0 {
-			s.lastReadAt = time.Now()
+		// The read fails although bytes have arrived if this process was suspended.
+		if unread, err := sock.Peek(s.netConn); err == nil && unread > 0 {
+			return s.readUntil(p, s.limits.Deadline)
 		}
-		if n > 0 || !silent || !errors.Is(err, os.ErrDeadlineExceeded) || !s.limits.OnSilence() {
+		if !s.limits.OnSilence() {
 			return n, err
 		}
 	}
 }
 
+func (s source) readUntil(p []byte, deadline time.Time) (int, error) {
+	if err := s.netConn.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	n, err := s.netConn.Read(p)
+	if n > 0 {
+		s.lastReadAt = time.Now()
+	}
+	return n, err
+}
+
 // Close closes the connection, so that it is not reused.
 func (c *Conn) Close() {
 	c.mustClose = true
