edge, node, platform: log software versions of targets and what a stream resumes

The logs could not tell the version of a target, nor which requests resume a stream, after which event and which request. A list of a peer, which has no versions yet, does not blank those of the same runs. Lines of resumed streams have the higher rate bound. No decision changes.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -188,6 +188,10 @@
 			return
 		}
 	}
+	if current := r.entries[e.ID]; current != nil && e.SoftwareVersion == "" && current.IsSameRun(e.Target) {
+		// The list of a peer may lack versions. That of a run does not change.
+		e.SoftwareVersion = current.SoftwareVersion
+	}
 	r.entries[e.ID] = &state{Entry: e}
 }
 
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -194,3 +194,22 @@
 		t.Errorf("targets %v although the entry has outlived three check-ins, want one", got)
 	}
 }
+
+// Guards against a version that is lost when the list of a peer without versions is merged.
+func TestListWithoutVersionsKeepsThoseOfTheSameRuns(t *testing.T) {
+	r := roster.New(drainTimeout)
+	versioned := func(start int64, version string) []roster.Entry {
+		e := entry(5, false)
+		e.StartTimeMS, e.SoftwareVersion = start, version
+		return []roster.Entry{e}
+	}
+	r.Replace(start, versioned(1, "v1"), 5)
+	r.Merge(start, versioned(1, ""), 6, true)
+	if got := r.Targets()[0].SoftwareVersion; got != "v1" {
+		t.Errorf("same run listed without a version: got version %q, want v1", got)
+	}
+	r.Merge(start, versioned(2, ""), 7, true)
+	if got := r.Targets()[0].SoftwareVersion; got != "" {
+		t.Errorf("later run listed without a version: got version %q, want it unknown", got)
+	}
+}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -36,7 +36,7 @@
 
 func (e *exchange) attempt(ctx context.Context, v admit.Verdict, waited time.Duration) attemptOutcome {
 	a := &attempt{exchange: e, verdict: v, startedAt: time.Now(), end: admit.End{Result: admit.Canceled}}
-	a.record = AttemptRecord{Target: v.Target.ID, Inputs: v.Inputs, Waited: waited}
+	a.record = AttemptRecord{Target: v.Target.ID, TargetVersion: v.Target.SoftwareVersion, Inputs: v.Inputs, Waited: waited}
 	defer func() {
 		a.record.Duration, a.record.NotRun = time.Since(a.startedAt), a.end.NotRun
 		a.countTokens()
@@ -116,10 +116,6 @@
 }
 
 func (a *attempt) outgoing() *upstream.Request {
-	lastEventID := a.stream.lastID
-	if lastEventID == "" {
-		lastEventID = a.meta.LastEventID
-	}
 	return &upstream.Request{
 		Method: a.r.Method,
 		URI:    requestURI(a.r),
@@ -128,13 +124,22 @@
 			Target:      a.verdict.Target.ID,
 			Workspace:   a.workspace,
 			Timeout:     time.Until(a.deadline),
-			LastEventID: lastEventID,
+			LastEventID: a.lastEventID(),
 			FetchFrom:   a.verdict.FetchFrom.Address,
 		}),
 		Body: a.body,
 	}
 }
 
+// lastEventID returns the id of the event after which a target is to resume the stream,
+// empty for a stream from its start.
+func (e *exchange) lastEventID() string {
+	if e.stream.lastID != "" {
+		return e.stream.lastID
+	}
+	return e.meta.LastEventID
+}
+
 // requestURI returns the path and query as the caller sent them.
 func requestURI(r *http.Request) string {
 	if len(r.RequestURI) > 0 && r.RequestURI[0] == '/' {
--- a/internal/edge/headers.go
+++ b/internal/edge/headers.go
@@ -24,6 +24,9 @@
 	// LastEventID is the id of the last event that the caller received of a stream
 	// that it resumes. It is empty if the caller does not resume a stream.
 	LastEventID string
+	// ResumedID is the ID of the caller's request whose response had the first event of
+	// the stream that the caller resumes. It is empty if the caller names none.
+	ResumedID string
 }
 
 // OutgoingRequest is the information about a request that the router adds to the
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -23,8 +23,12 @@
 	Step string
 	// Attempt is the number of the attempt, from 1.
 	Attempt int
-	// Target is set if Step is "placed".
-	Target ids.Target
+	// Target and TargetVersion, the version of its software, are set if Step is "placed".
+	Target        ids.Target
+	TargetVersion string
+	// ResumedID is that of the caller's header. LastEventID is the id of the event after
+	// which the target resumes the stream, empty for a stream from its start.
+	ResumedID, LastEventID string
 	// Reason is set if Step is "refused".
 	Reason admit.Reason
 	// Waited is the time in the queue.
@@ -57,6 +61,10 @@
 		Target:    v.Target.ID,
 		Reason:    v.Refused,
 		Inputs:    v.Inputs,
+
+		TargetVersion: v.Target.SoftwareVersion,
+		ResumedID:     e.meta.ResumedID,
+		LastEventID:   e.lastEventID(),
 	}
 }
 
@@ -76,6 +84,8 @@
 	// Reason explains an outcome other than "served".
 	Reason   string
 	Attempts []AttemptRecord
+	// ResumedID and LastEventID are those of the caller's header.
+	ResumedID, LastEventID string
 	// TimeToFirstByte is the time from the arrival to the first byte of the
 	// response.
 	TimeToFirstByte time.Duration
@@ -89,7 +99,9 @@
 // AttemptRecord is the log record of one attempt at a target.
 type AttemptRecord struct {
 	Target ids.Target
-	Inputs admit.Inputs
+	// TargetVersion is the version of the target's software, empty if unknown.
+	TargetVersion string
+	Inputs        admit.Inputs
 	// Waited is the time in the queue.
 	Waited time.Duration
 	// TimeToFirstByte is the time from the start of the attempt to the first event,
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -147,7 +147,9 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := &exchange{server: s, w: w, r: r, arrivedAt: time.Now(), meta: s.opts.Headers.DecodeRequest(r.Header)}
-	e.record = RequestRecord{ID: e.meta.ID, ArrivedAt: e.arrivedAt}
+	e.record = RequestRecord{
+		ID: e.meta.ID, ArrivedAt: e.arrivedAt, ResumedID: e.meta.ResumedID, LastEventID: e.meta.LastEventID,
+	}
 	defer e.finish()
 	if refusal := e.prepare(); refusal != nil {
 		e.refuse(refusal)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -223,6 +223,7 @@
 		if !known || previous != t {
 			n.logger.WithFields(logrus.Fields{
 				"target": t.ID, "service": t.Service, "address": t.Address, "leaving": t.Draining, "born": t.StartTimeMS,
+				"target_version": t.SoftwareVersion,
 			}).Info("target listed")
 		}
 	}
--- a/internal/node/request_log.go
+++ b/internal/node/request_log.go
@@ -15,7 +15,7 @@
 	// logQueueSize is the number of lines that may be queued for writing.
 	logQueueSize = 1024
 	// normalLinesPerSecond bounds the lines of requests that succeed at the first
-	// attempt, problemLinesPerSecond the lines of all other requests.
+	// attempt and resume no stream, problemLinesPerSecond the lines of all other requests.
 	normalLinesPerSecond  = 100
 	problemLinesPerSecond = 200
 )
@@ -46,7 +46,7 @@
 
 // Decision implements edge.Log.
 func (l *requestLog) Decision(d edge.Decision) {
-	l.put(d, d.Step == "placed" && d.Attempt == 1)
+	l.put(d, d.Step == "placed" && d.Attempt == 1 && d.LastEventID == "")
 }
 
 // Request implements edge.Log.
@@ -54,8 +54,11 @@
 	l.put(e, isNormal(e))
 }
 
-// isNormal reports whether a request was served with at most one attempt.
-func isNormal(e edge.RequestRecord) bool { return e.Outcome == "served" && len(e.Attempts) <= 1 }
+// isNormal reports whether a request was served with at most one attempt and resumes no
+// stream.
+func isNormal(e edge.RequestRecord) bool {
+	return e.Outcome == "served" && len(e.Attempts) <= 1 && e.LastEventID == ""
+}
 
 // put queues a line. It drops and counts the line if the rate bound is reached or
 // the queue is full.
@@ -122,7 +125,10 @@
 	}
 	if d.Target != "" {
 		f["target"] = d.Target
+		addStringField(f, "target_version", d.TargetVersion)
 	}
+	addStringField(f, "resumes", d.ResumedID)
+	addStringField(f, "last_event", d.LastEventID)
 	if d.Reason != "" {
 		f["reason"] = d.Reason
 	}
@@ -175,15 +181,28 @@
 	if e.RetryAfter > 0 {
 		f["retry_after_ms"] = e.RetryAfter.Milliseconds()
 	}
+	addStringField(f, "resumes", e.ResumedID)
+	addStringField(f, "last_event", e.LastEventID)
+	if n := len(e.Attempts); n > 0 {
+		addStringField(f, "target_version", e.Attempts[n-1].TargetVersion)
+	}
 	if len(e.Attempts) > 0 && !isNormal(e) {
 		f["attempts"] = loggedAttempts(e.Attempts)
 	}
 	return f
 }
 
+// addStringField adds a field unless its value is empty.
+func addStringField(f logrus.Fields, name, value string) {
+	if value != "" {
+		f[name] = value
+	}
+}
+
 // loggedAttempt is an attempt at a target in the format of the log.
 type loggedAttempt struct {
 	Target        string `json:"target"`
+	TargetVersion string `json:"target_version,omitempty"`
 	End           string `json:"end"`
 	Error         string `json:"error,omitempty"`
 	WaitedMS      int64  `json:"waited_ms"`
@@ -198,6 +217,7 @@
 	for _, a := range entries {
 		out = append(out, loggedAttempt{
 			Target:        string(a.Target),
+			TargetVersion: a.TargetVersion,
 			End:           a.Outcome,
 			Error:         a.Error,
 			WaitedMS:      a.Waited.Milliseconds(),
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -20,6 +20,9 @@
 	// StartTimeMS is the start of this run as a Unix time in ms, 0 if unknown. A later
 	// run with the same ID has no state of the earlier one.
 	StartTimeMS int64
+	// SoftwareVersion is the version of the target's software, empty if unknown. Versions
+	// can only be compared for equality.
+	SoftwareVersion string
 }
 
 // IsSameRun reports whether t and o are the same run of a target.
