--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -99,13 +100,11 @@
 		}
 		return outcomeUnknown, err
 	}
-	if err := conn.SetReadDeadline(a.readDeadline(a.firstEventTimeout())); err != nil {
-		conn.Close()
-		return outcomeUnknown, err
-	}
+	a.limitSilence(a.firstEventTimeout())
 	resp, err := conn.Receive(a.r.Method) //nolint:bodyclose // the body ends with the connection, which the pool or Close takes
 	if err != nil {
 		conn.Close()
+		a.recordSilence(err)
 		a.end.Result, a.connBroken = admit.Unreachable, true
 		if errors.Is(err, upstream.ErrMalformedResponse) {
 			a.end.Result, a.connBroken = admit.Failed, false
@@ -140,6 +139,13 @@
 	return e.meta.LastEventID
 }
 
+// recordSilence records how long the target had sent nothing, if a read timed out.
+func (a *attempt) recordSilence(err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		a.record.Silence = time.Since(a.conn.LastReadAt())
+	}
+}
+
 // requestURI returns the path and query as the caller sent them.
 func requestURI(r *http.Request) string {
 	if len(r.RequestURI) > 0 && r.RequestURI[0] == '/' {
@@ -237,16 +243,3 @@
 	}
 	return body, err
 }
-
-// readDeadline returns the deadline of a read: that of the request, or the end of
-// idleTimeout, after which the target counts as hung, if that is earlier. An
-// idleTimeout of zero sets no limit of its own.
-func (a *attempt) readDeadline(idleTimeout time.Duration) time.Time {
-	if idleTimeout <= 0 {
-		return a.deadline
-	}
-	if deadline := time.Now().Add(idleTimeout); deadline.Before(a.deadline) {
-		return deadline
-	}
-	return a.deadline
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -58,6 +59,9 @@
 	MaxFDs int
 	// Capacity is the process's share of processors.
 	Capacity float64
+	// ConfigDelay bounds the time from a change of the configuration until the router
+	// applies it; callers may go by it earlier.
+	ConfigDelay time.Duration
 	// DrainTimeout bounds how long a draining target may still receive requests.
 	DrainTimeout time.Duration
 	// StopLead is how long a stopping router still accepts new connections, so that
@@ -92,7 +96,9 @@
 	mu          sync.Mutex
 	gracePeriod time.Duration
 	config      *routing.Config
-	targets     *routing.Targets
+	// callerTimeouts are those in force.
+	callerTimeouts connlimit.Timeouts
+	targets        *routing.Targets
 
 	quarantine  *quarantine.Controller
 	loadShedder edge.LoadShedder
@@ -133,7 +139,11 @@
 		MaxIdleConns:   n.maxIdle,
 	})
 	n.log = newRequestLog(n.logger)
-	n.callerConns = connlimit.New(int(callerFDShare * float64(s.MaxFDs)))
+	n.callerConns = connlimit.New(int(callerFDShare*float64(s.MaxFDs)), n.recordCallerClose)
+	n.callerTimeouts = n.newCallerTimeouts(routing.Limits{})
+	for _, reason := range connlimit.Reasons {
+		n.callerConnsClosed(reason).Inc(0)
+	}
 	n.directory = newDirectory(n)
 	n.quarantine = quarantine.New(quarantine.Options{
 		Self:           s.Instance,
@@ -189,6 +199,7 @@
 		return false
 	}
 	n.config = c
+	n.callerTimeouts = n.newCallerTimeouts(c.Limits)
 	n.scheduler.SetConfig(c)
 	n.server.SetConfig(c)
 	n.logger.WithFields(logrus.Fields{
@@ -305,17 +316,20 @@
 	return err
 }
 
-func (n *Node) stop(server *http.Server) {
+// stop lets running requests finish, and those that arrive on open connections until
+// then. http.Server.Shutdown would drop a request that it reads after it has begun.
+func (n *Node) stop(callers net.Listener) {
 	n.logger.Info("router stopping")
 	n.draining.Store(true)
 	n.mu.Lock()
 	grace := n.gracePeriod
 	n.mu.Unlock()
-	deadline := time.Now().Add(max(grace-exitReserve, n.settings.StopLead))
+	deadline := time.After(max(grace-exitReserve, n.settings.StopLead))
 	time.Sleep(n.settings.StopLead)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		n.logger.WithError(err).Warn("callers' server did not shut down within the grace period; running requests are aborted")
+	_ = callers.Close()
+	select {
+	case <-n.callerConns.Drain():
+	case <-deadline:
+		n.logger.Warn("callers' server did not shut down within the grace period; running requests are aborted")
 	}
 }
