--- a/internal/core/admit/controller.go
+++ b/internal/core/admit/controller.go
@@ -202,7 +202,7 @@
 	}
 	c, found := s.choose(now, r, ac.opts.Domain, rank)
 	if !found {
-		return Verdict{ID: r.ID, Refused: NoTarget, RetryAfter: ac.jitteredRetryAfter(noTargetRetryAfter)}
+		return ac.refuseWithoutTarget(s, r, Inputs{})
 	}
 	wait := time.Duration(float64(s.expectedQueueWait(now)) * s.queue.shareAhead(rank, r.Priority))
 	c.inputs.QueueWait = wait
@@ -218,7 +218,7 @@
 	c, found := s.chooseWithRoom(now, r, ac.opts.Domain)
 	switch {
 	case !found:
-		return Verdict{ID: r.ID, Refused: NoTarget, RetryAfter: ac.jitteredRetryAfter(noTargetRetryAfter)}
+		return ac.refuseWithoutTarget(s, r, Inputs{})
 	case c.hasRoom && s.queue.len() == 0:
 		return ac.send(now, s, r, c)
 	}
--- a/internal/core/admit/queueing.go
+++ b/internal/core/admit/queueing.go
@@ -75,6 +75,9 @@
 	if found && c.hasRoom {
 		return ac.send(now, s, e.req, c), true
 	}
+	if !found && e.req.KeepsVersion && !s.hasVersion(e.req) {
+		return ac.refuseWithoutTarget(s, e.req, c.inputs), true
+	}
 	if now.Before(e.refuseAt) {
 		return Verdict{}, false
 	}
--- a/internal/core/admit/refusal.go
+++ b/internal/core/admit/refusal.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/umberhill/umberhill/internal/core/share"
@@ -34,7 +35,12 @@
 	return refusalKind{objective: r.Objective, priority: r.Priority}
 }
 
+// recordRefusal records a refusal for requests of the same kind. One of a request that
+// requires a software version says nothing about the other versions' targets.
 func (s *service) recordRefusal(now time.Time, r *Request, rank share.Rank, wait time.Duration) {
+	if r.KeepsVersion {
+		return
+	}
 	s.recentRefusals[refusalKindOf(r, rank)] = refusal{until: now.Add(refusalTTL), rank: rank, wait: wait}
 }
 
@@ -57,7 +63,7 @@
 // refused, unless the workspace has a better rank.
 func (ac *Controller) refuseRepeated(now time.Time, s *service, r *Request, rank share.Rank) (Verdict, bool) {
 	last := s.recentRefusals[refusalKindOf(r, rank)]
-	if !s.isEngine() || !now.Before(last.until) || rank < last.rank {
+	if !s.isEngine() || r.KeepsVersion || !now.Before(last.until) || rank < last.rank {
 		return Verdict{}, false
 	}
 	return ac.refuse(now, r, Inputs{Rank: rank, QueueWait: last.wait}), true
@@ -74,3 +80,18 @@
 	v.RetryAfter = ac.jitteredRetryAfter(retryAfter)
 	return v
 }
+
+// refuseWithoutTarget refuses a request for which no target is usable. One that requires a
+// software version which no target has gets no Retry-After, since a retry would not help.
+func (ac *Controller) refuseWithoutTarget(s *service, r *Request, in Inputs) Verdict {
+	if r.KeepsVersion && !s.hasVersion(r) {
+		return Verdict{ID: r.ID, Refused: NoVersion, Inputs: in}
+	}
+	return Verdict{ID: r.ID, Refused: NoTarget, RetryAfter: ac.jitteredRetryAfter(noTargetRetryAfter), Inputs: in}
+}
+
+// hasVersion reports whether a target that is not draining has the software version that
+// the request requires.
+func (s *service) hasVersion(r *Request) bool {
+	return slices.ContainsFunc(s.targets, func(t *target) bool { return !t.Draining && r.accepts(t.Target) })
+}
--- a/internal/core/admit/request.go
+++ b/internal/core/admit/request.go
@@ -43,6 +43,16 @@
 	Objective time.Duration
 	// Exclude lists the targets that must not get the request.
 	Exclude []ids.Target
+	// KeepsVersion is set if only targets with the given SoftwareVersion may get the
+	// request, which resumes a stream that began there.
+	KeepsVersion    bool
+	SoftwareVersion string
+}
+
+// accepts reports whether the request may be sent to a target as far as its software
+// version is concerned.
+func (r *Request) accepts(t routing.Target) bool {
+	return !r.KeepsVersion || t.SoftwareVersion == r.SoftwareVersion
 }
 
 // weightedTokens is the request's size in the unit of fair shares: a generated token
@@ -61,6 +71,9 @@
 const (
 	// NoTarget means that the service has no usable target.
 	NoTarget Reason = "no_target"
+	// NoVersion means that the service has no target with the software version that the
+	// request requires.
+	NoVersion Reason = "no_version"
 	// Saturated means that the response could not start in time.
 	Saturated Reason = "saturated"
 	// OverShare means that the targets are busy and the workspace has used its fair
--- a/internal/core/admit/target.go
+++ b/internal/core/admit/target.go
@@ -147,7 +147,7 @@
 
 // isUsable reports whether the request may be sent to the target.
 func (t *target) isUsable(now time.Time, r *Request) bool {
-	return !t.Draining && t.health.isAvailable(now) && !slices.Contains(r.Exclude, t.ID)
+	return !t.Draining && r.accepts(t.Target) && t.health.isAvailable(now) && !slices.Contains(r.Exclude, t.ID)
 }
 
 // homeTarget returns the target at which all routers place a shared part: the one with
--- /dev/null
+++ b/internal/core/streams/streams_test.go
@@ -0,0 +1,113 @@
+package streams_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/core/streams"
+)
+
+var start = time.Unix(1000, 0)
+
+func note(request, version string) streams.Note {
+	return streams.Note{Stream: streams.NewID(request), Origin: streams.Origin{Service: "llm", Version: version}}
+}
+
+func listed(versions ...string) map[string]map[string]bool {
+	set := make(map[string]bool)
+	for _, v := range versions {
+		set[v] = true
+	}
+	return map[string]map[string]bool{"llm": set}
+}
+
+// Guards against an origin that is forgotten while callers may resume the stream, and
+// against one that is kept for good.
+func TestOriginIsKnownForTTL(t *testing.T) {
+	table, n := streams.New(), note("a", "v1")
+	table.Record(start, n)
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, true}, {streams.TTL, true}, {streams.TTL + 1, false}} {
+		if origin, known := table.Origin(start.Add(c.after), n.Stream); known != c.want || known && origin != n.Origin {
+			t.Errorf("after %v: got origin %+v, known %t, want known %t", c.after, origin, known, c.want)
+		}
+	}
+}
+
+// Guards against a table that grows without bound, and against a later note of a stream that
+// is forgotten with the first one.
+func TestStreamsAreBoundedAndTheLatestNoteCounts(t *testing.T) {
+	table := streams.New()
+	table.Record(start, note("again", "v1"))
+	const added = 40000
+	for i := range added {
+		at := start.Add(time.Duration(i+1) * time.Microsecond)
+		if i == added/2 {
+			table.Record(at, note("again", "v2"))
+		}
+		table.Record(at, note(fmt.Sprint(i), "v1"))
+	}
+	now := start.Add(time.Second)
+	if origin, known := table.Origin(now, streams.NewID("again")); !known || origin.Version != "v2" {
+		t.Errorf("stream noted twice: got %+v, known %t, want v2", origin, known)
+	}
+	if _, known := table.Origin(now, streams.NewID("0")); known {
+		t.Errorf("the oldest of %d streams is still known, want it forgotten", added)
+	}
+	if _, known := table.Origin(now, streams.NewID(fmt.Sprint(added-1))); !known {
+		t.Error("the newest stream is unknown")
+	}
+}
+
+// Guards against notes that peers never receive: those of streams that began before a second
+// version was listed.
+func TestNotesAreSentOnceTheServiceIsMixed(t *testing.T) {
+	table := streams.New()
+	table.SetListed(start, listed("v1"))
+	table.RecordOwn(start, note("a", "v1"), false)
+	if got := table.TakeNotes(start); len(got) > 0 || table.IsMixed(start, "llm") {
+		t.Fatalf("one version listed: got notes %v, mixed %t, want none", got, table.IsMixed(start, "llm"))
+	}
+	later := start.Add(streams.TTL / 2)
+	table.SetListed(later, listed("v1", "v2"))
+	if got := table.TakeNotes(later); len(got) != 1 || got[0] != note("a", "v1") {
+		t.Fatalf("second version listed: got notes %v, want that of the stream in progress", got)
+	}
+	if got := table.TakeNotes(later); len(got) > 0 {
+		t.Errorf("got notes %v again, want each once", got)
+	}
+}
+
+// Guards against notes that are held back although the route has several services.
+func TestNotesOfSplitRoutesAreSentAtOnce(t *testing.T) {
+	table := streams.New()
+	table.SetListed(start, listed("v1"))
+	table.RecordOwn(start, note("a", "v1"), true)
+	if got := table.TakeNotes(start); len(got) != 1 {
+		t.Errorf("got %d notes, want 1", len(got))
+	}
+}
+
+// Guards against a service that counts as of one version while streams of another one may
+// still be resumed, and against one that stays mixed for good.
+func TestServiceIsMixedForTTLAfterAVersionHasLeft(t *testing.T) {
+	table := streams.New()
+	table.SetListed(start, listed("v1"))
+	table.SetListed(start.Add(time.Second), listed("v2"))
+	left := start.Add(time.Second)
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, true}, {streams.TTL, true}, {streams.TTL + 1, false}} {
+		if got := table.IsMixed(left.Add(c.after), "llm"); got != c.want {
+			t.Errorf("%v after v1 has left: got mixed %t, want %t", c.after, got, c.want)
+		}
+	}
+	table.SetListed(left.Add(time.Hour), listed("v2", "v3"))
+	if !table.IsMixed(left.Add(2*time.Hour), "llm") {
+		t.Error("two versions listed for an hour: got mixed false, want true")
+	}
+}
