edge, node: a stream goes on only at the software version that began it

Cause: nothing read the version of a target, nor Resumes; a resumed stream was placed like a new one. The router that began it may be gone when its caller comes back. Change: a router notes each resumable stream when it sends it to a target. Notes of services that list more than one version ride on the load reports of 50 ms, and are sent before the first event is forwarded if they have not been yet. A router that does not know a stream asks its peers for at most 150 ms; a hub asks other hubs. The stream goes on only at the service and version that began it. If neither is known, or no target of the version is left, the caller is told so at once with 503, which is true: not run. With one version listed for 30 s nothing is sent or asked. Not tested: the way over hubs.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -89,6 +89,7 @@
 		a.server.opts.Pool.Put(conn)
 		return outcomeCanceled, nil
 	}
+	a.recordOrigin()
 	stop := context.AfterFunc(ctx, conn.Abort)
 	defer stop()
 	if err := conn.Send(a.outgoing()); err != nil {
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/umberhill/umberhill/internal/core/admit"
+	"github.com/umberhill/umberhill/internal/core/streams"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/routing"
 	"github.com/umberhill/umberhill/internal/upstream"
@@ -49,6 +50,9 @@
 	exclude          []ids.Target
 	ranAttempts      int
 	rejectedAttempts int
+	// origin is where the stream of the response began, nil if there are no events yet and
+	// it may begin at any target.
+	origin *streams.Origin
 	// reserved is the verdict for the next attempt, nil if the scheduler has to be asked.
 	reserved *admit.Verdict
 	// targetError is the error response of a target. It is sent to the caller if no
@@ -163,7 +167,7 @@
 }
 
 func (e *exchange) admitRequest() admit.Request {
-	return admit.Request{
+	r := admit.Request{
 		Service:      e.service,
 		Workspace:    e.workspace,
 		Priority:     e.priority,
@@ -175,6 +179,10 @@
 		Objective:    e.route.Objective,
 		Exclude:      e.exclude,
 	}
+	if e.origin != nil {
+		r.KeepsVersion, r.SoftwareVersion = true, e.origin.Version
+	}
+	return r
 }
 
 // handleOutcome ends the request if the outcome of an attempt is final, and reports
--- /dev/null
+++ b/internal/edge/origin.go
@@ -0,0 +1,88 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/core/streams"
+	"github.com/umberhill/umberhill/internal/routing"
+)
+
+// unknownOriginRetryAfter is the Retry-After of a caller that resumes a stream whose origin
+// neither this router nor a peer knows. Another router may.
+const unknownOriginRetryAfter = 300 * time.Millisecond
+
+// OriginState is what is known of where a stream began.
+type OriginState int
+
+// The states of an origin.
+const (
+	// OriginKnown means that the origin is known.
+	OriginKnown OriginState = iota
+	// OriginAny means that the stream can go on at each target of its service, since all of
+	// them have the same software version.
+	OriginAny
+	// OriginUnknown means that the stream may have begun at one of several origins.
+	OriginUnknown
+)
+
+// StreamOrigins knows at which service and software version recent streams began, also
+// those of other routers. A stream may go on only there. isSplit is set if the route has
+// several services.
+type StreamOrigins interface {
+	// Record records that the stream which a caller's request began is sent to a target.
+	Record(request string, origin streams.Origin, isSplit bool)
+	// Publish sends the origins that other routers have not received yet. It does not wait
+	// for them.
+	Publish()
+	// Find returns the origin of the stream that a caller's request began at a service. It
+	// may ask other routers until ctx ends.
+	Find(ctx context.Context, request, service string, isSplit bool) (streams.Origin, OriginState)
+}
+
+// isResumedByCaller reports whether the request resumes a stream of an earlier request.
+func (e *exchange) isResumedByCaller() bool { return e.isResumable() && e.meta.LastEventID != "" }
+
+// streamRequest returns the id of the caller's request that began the stream.
+func (e *exchange) streamRequest() string {
+	if e.isResumedByCaller() {
+		return e.meta.ResumedID
+	}
+	return e.meta.ID
+}
+
+// findOrigin determines where a stream that the caller resumes has to go on.
+func (e *exchange) findOrigin() *refusal {
+	origins := e.server.opts.StreamOrigins
+	if origins == nil || !e.isResumedByCaller() {
+		return nil
+	}
+	origin, state := origins.Find(e.r.Context(), e.streamRequest(), e.service, len(e.route.Split) > 1)
+	switch state {
+	case OriginKnown:
+		if !slices.ContainsFunc(e.route.Split, func(s routing.WeightedService) bool { return s.Service == origin.Service }) {
+			return &refusal{status: http.StatusServiceUnavailable, reason: "stream_service_removed"}
+		}
+		e.service = origin.Service
+		e.origin = &origin
+	case OriginUnknown:
+		return &refusal{status: http.StatusServiceUnavailable, reason: "unknown_stream", retryAfter: unknownOriginRetryAfter}
+	case OriginAny:
+	}
+	return nil
+}
+
+// recordOrigin records where the stream of an attempt begins or goes on.
+func (a *attempt) recordOrigin() {
+	origins := a.server.opts.StreamOrigins
+	if origins == nil || !a.isResumable() || a.streamRequest() == "" {
+		return
+	}
+	origins.Record(a.streamRequest(), a.streamOrigin(), len(a.route.Split) > 1)
+}
+
+func (a *attempt) streamOrigin() streams.Origin {
+	return streams.Origin{Service: a.service, Version: a.verdict.Target.SoftwareVersion}
+}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -45,6 +45,9 @@
 	// Quarantine refuses requests that crash targets. If it is nil, no request is
 	// refused for this reason.
 	Quarantine Quarantine
+	// StreamOrigins knows where streams began that callers resume. If it is nil, they go on
+	// at any target.
+	StreamOrigins StreamOrigins
 	// MaxTotalBodyBytes limits the total size of all request bodies held at the same
 	// time. Zero means no limit.
 	MaxTotalBodyBytes int64
@@ -187,8 +190,11 @@
 	}
 	e.priority = current.config.Priority(e.route, e.workspace)
 	e.service = e.route.Pick(rand.Float64())
-	e.serviceConfig = current.config.Services[e.service]
 	e.deadline = e.arrivedAt.Add(e.timeout())
+	if f := e.findOrigin(); f != nil {
+		return f
+	}
+	e.serviceConfig = current.config.Services[e.service]
 	if f := e.refuseEarly(); f != nil {
 		return f
 	}
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -108,6 +108,8 @@
 			Slots:       int(e.GetSlots()),
 			Draining:    e.GetLeaving(),
 			StartTimeMS: e.GetBorn(),
+
+			SoftwareVersion: e.GetSoftwareVersion(),
 		}})
 	}
 	d.enqueue(func(now time.Time) bool {
@@ -135,6 +137,8 @@
 				Revision: entryRevision,
 				Era:      entryEra,
 				Seq:      e.Seq,
+
+				SoftwareVersion: e.SoftwareVersion,
 			})
 		}
 		result <- out
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -174,13 +174,14 @@
 }
 
 func isEmpty(r *fleetv1.Report) bool {
-	return len(r.GetTargets()) == 0 && len(r.GetBacklogs()) == 0 && len(r.GetWorkspaces()) == 0
+	return len(r.GetStreamIds()) == 0 && len(r.GetTargets()) == 0 && len(r.GetBacklogs()) == 0 && len(r.GetWorkspaces()) == 0
 }
 
 func (f *fleet) ownReport() *fleetv1.Report {
 	loads, backlogs, usage := f.node.scheduler.LocalReport()
 	r := new(fleetv1.Report)
 	f.setRevisions(r)
+	f.node.streamOrigins.addTo(r)
 	for _, l := range loads {
 		r.Targets = append(r.Targets, &fleetv1.TargetLoad{
 			Target:  string(l.Target),
@@ -232,6 +233,7 @@
 	if report == nil {
 		return
 	}
+	f.node.streamOrigins.receive(report)
 	f.handleReport(from, report)
 	f.requestPull(pullRequest{peer: from.Instance, method: methodTargets, revision: revision.Join(report.GetStoreEra(), report.GetTargetsAsOf())})
 	f.requestPull(pullRequest{peer: from.Instance, method: methodConfig, revision: report.GetConfigVersion()})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,9 +100,10 @@
 	callerTimeouts connlimit.Timeouts
 	targets        *routing.Targets
 
-	quarantine  *quarantine.Controller
-	loadShedder edge.LoadShedder
-	directory   *Directory
+	quarantine    *quarantine.Controller
+	streamOrigins *streamOrigins
+	loadShedder   edge.LoadShedder
+	directory     *Directory
 	// targetsAsOf is the store revision at which the targets last changed.
 	targetsAsOf atomic.Uint64
 
@@ -145,6 +146,7 @@
 		n.callerConnsClosed(reason).Inc(0)
 	}
 	n.directory = newDirectory(n)
+	n.streamOrigins = newStreamOrigins(n)
 	n.quarantine = quarantine.New(quarantine.Options{
 		Self:           s.Instance,
 		Incarnation:    n.incarnation,
@@ -160,6 +162,7 @@
 		Pool:              n.pool,
 		Log:               n.log,
 		Quarantine:        n.quarantine,
+		StreamOrigins:     n.streamOrigins,
 		LoadShedder:       &n.loadShedder,
 		IsNearConnLimit:   n.callerConns.IsAboveLimit,
 		MaxTotalBodyBytes: int64(bodyShare * float64(s.MemoryMB<<20)),
@@ -225,6 +228,7 @@
 	old := n.targets
 	n.targets = routing.NewTargets(all)
 	n.scheduler.SetTargets(all)
+	n.streamOrigins.setTargets(all)
 	n.logTargets(old)
 }
 
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -46,8 +46,10 @@
 }
 
 // Serve implements peer.Handler.
-func (f *fleet) Serve(ctx context.Context, _ peer.Peer, method string, _ []byte) ([]byte, error) {
+func (f *fleet) Serve(ctx context.Context, from peer.Peer, method string, body []byte) ([]byte, error) {
 	switch method {
+	case methodStream, methodOwnStream:
+		return f.node.streamOrigins.serve(ctx, from, method, body)
 	case methodConfig:
 		if c := f.node.Config(); c != nil {
 			return c.Raw, nil
