--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -44,7 +44,7 @@
 
 func (e *exchange) newAttempt(v admit.Verdict, waited time.Duration) *attempt {
 	a := &attempt{exchange: e, verdict: v, startedAt: time.Now(), end: admit.End{Result: admit.Canceled}}
-	a.record = AttemptRecord{Target: v.Target.ID, Inputs: v.Inputs, Waited: waited}
+	a.record = AttemptRecord{Target: v.Target.ID, TargetVersion: v.Target.SoftwareVersion, Inputs: v.Inputs, Waited: waited}
 	if e.stream.started {
 		e.server.counts.resumed.Inc(1)
 	}
@@ -127,6 +127,7 @@
 		return outcomeCanceled, nil
 	}
 	a.conn = conn
+	a.recordOrigin()
 	a.stopAbort = context.AfterFunc(ctx, conn.Abort)
 	if err := conn.Send(a.outgoing()); err != nil {
 		a.stopAbort()
@@ -158,10 +159,6 @@
 }
 
 func (a *attempt) outgoing() *upstream.Request {
-	lastEventID := a.stream.lastID
-	if lastEventID == "" {
-		lastEventID = a.meta.LastEventID
-	}
 	return &upstream.Request{
 		Method: a.r.Method,
 		URI:    requestURI(a.r),
@@ -170,7 +167,7 @@
 			Target:      a.verdict.Target.ID,
 			Workspace:   a.workspace,
 			Timeout:     time.Until(a.deadline),
-			LastEventID: lastEventID,
+			LastEventID: a.lastEventID(),
 			FetchFrom:   a.verdict.FetchFrom.Address,
 		}),
 		Body: a.body,
@@ -187,6 +184,15 @@
 	a.server.opts.Pool.Release(a.conn)
 }
 
+// lastEventID returns the id of the event after which a target is to resume the stream,
+// empty for a stream from its start.
+func (e *exchange) lastEventID() string {
+	if e.stream.lastID != "" {
+		return e.stream.lastID
+	}
+	return e.meta.LastEventID
+}
+
 // recordSilence records how long the target had sent nothing, if a read timed out.
 func (a *attempt) recordSilence(err error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/umberhill/umberhill/internal/core/admit"
+	"github.com/umberhill/umberhill/internal/core/streams"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/routing"
 	"github.com/umberhill/umberhill/internal/upstream"
@@ -51,6 +52,9 @@
 	rejectedAttempts int
 	// successor is the next attempt, which has been sent already, nil for none.
 	successor *attempt
+	// origin is where the stream of the response began, nil if there are no events yet and
+	// it may begin at any target.
+	origin *streams.Origin
 	// targetError is the error response of a target. It is sent to the caller if no
 	// later attempt succeeds.
 	targetError *fullResponse
@@ -153,7 +157,7 @@
 }
 
 func (e *exchange) admitRequest() admit.Request {
-	return admit.Request{
+	r := admit.Request{
 		Service:      e.service,
 		Workspace:    e.workspace,
 		Priority:     e.priority,
@@ -165,6 +169,10 @@
 		Objective:    e.route.Objective,
 		Exclude:      e.exclude,
 	}
+	if e.origin != nil {
+		r.KeepsVersion, r.SoftwareVersion = true, e.origin.Version
+	}
+	return r
 }
 
 // handleOutcome ends the request if the outcome of an attempt is final, and reports
--- a/internal/edge/failover.go
+++ b/internal/edge/failover.go
@@ -57,6 +57,8 @@
 	default:
 		a.rejectedAttempts++
 	}
+	// The other target may have another software version.
+	a.recordOrigin()
 	return false
 }
 
