callers: answer 500 when the filter chain returns without a response

What callers would see: 200 with an empty body. No way to it is known in the chain; nothing excluded it. Cause: Handler.serve took a nil error for a complete response, and net/http sends an empty 200 for a handler that has written nothing. Change: a nil error without a response is treated as an untyped error: logged and answered 500 with the code internal. Test: TestRequestWithoutResponseFails; before the change it failed with 'no error: got status 200 with body "", want 500 with the code internal'. newHandler of the fuzz test takes any filter instead of its own fake only.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -33,6 +33,10 @@
 	paramPath    = "path"
 )
 
+// errNoResponse is the error of a filter chain that returns neither a response nor an
+// error.
+var errNoResponse = errors.New("no response was written")
+
 // Handler serves callers' requests by a filter chain.
 type Handler struct {
 	chain  filter.Handler
@@ -109,16 +113,20 @@
 
 func (h *Handler) serve(w http.ResponseWriter, x *filter.Exchange) {
 	err := h.chain(x)
-	if err == nil {
+	if err == nil && x.Response.IsCommitted() {
 		return
 	}
+	if err == nil {
+		// net/http would send an empty response with status 200.
+		err = errNoResponse
+	}
 	var failure *outcome.Error
 	if errors.As(err, &failure) && !x.Response.IsCommitted() {
 		writeError(w, failure)
 		return
 	}
 	if !x.Response.IsCommitted() {
-		h.logger.WithError(err).WithField("request", x.ID).Error("request failed: filter chain returned an untyped error")
+		h.logger.WithError(err).WithField("request", x.ID).Error("request failed: filter chain returned neither a response nor a typed error")
 		writeError(w, internalError(x))
 		return
 	}
--- a/internal/callers/fuzz_test.go
+++ b/internal/callers/fuzz_test.go
@@ -61,7 +61,7 @@
 	})
 }
 
-func newHandler(target *fakeTarget) http.Handler {
+func newHandler(target filter.Filter) http.Handler {
 	validator := validate.New(validate.Options{
 		MaxBodyBytes:   maxBody,
 		DefaultTimeout: time.Minute,
