edge: close the connection when no complete response was written

What callers saw: a caller that sent a whole request and closed its sending side while the target worked got 'HTTP/1.1 200 OK', Content-Length 0 and no seal, at once; for once-only requests and for streams before their first event too. Cause: exchange.cancel returned without writing, and net/http sends an empty 200 for such a handler. Only streams that had begun were guarded. Change: responseComplete is set after the last byte of a response, and ServeHTTP aborts the connection if it isn't, in one place for every way out. A record that was given no outcome says cut, no_response.

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -52,6 +52,8 @@
 	targetError *fullResponse
 	// stream is the progress of a streamed response to the caller.
 	stream streamState
+	// responseComplete is set once a complete response was written to the caller.
+	responseComplete bool
 }
 
 // attemptOutcome is the outcome of one attempt.
@@ -221,23 +223,19 @@
 	}
 }
 
-// cancel ends a request whose caller has closed its connection. A caller that
-// closed only its sending side may still read, so a stream that has started is
-// aborted and does not look complete.
+// cancel ends a request whose caller has closed its connection, or only its sending
+// side. The response stays incomplete, so ServeHTTP closes the connection.
 func (e *exchange) cancel() {
-	e.record.Outcome = "left"
+	e.record.Outcome, e.record.Reason = "left", "caller closed the connection"
 	e.server.counts.canceled.Inc(1)
-	if e.stream.started {
-		panic(http.ErrAbortHandler)
-	}
 }
 
-// abort closes the caller's connection, so that the caller does not take a partial
-// response for a complete one.
+// abort ends a request within its response. The response stays incomplete, so
+// ServeHTTP closes the connection, and the caller does not take a partial response
+// for a complete one.
 func (e *exchange) abort(reason string) {
 	e.record.Outcome, e.record.Reason = "cut", reason
 	e.server.counts.failed.Inc(1)
-	panic(http.ErrAbortHandler)
 }
 
 // finish releases the memory reserved for the body and writes the request's record
@@ -246,6 +244,9 @@
 	e.server.bodyBytes.release(e.reservedBytes)
 	e.record.Duration = time.Since(e.arrivedAt)
 	e.record.Events = e.stream.events
+	if e.record.Outcome == "" {
+		e.record.Outcome, e.record.Reason = "cut", "no_response"
+	}
 	if e.record.Outcome == "served" {
 		e.server.counts.served.Inc(1)
 	}
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -71,7 +71,8 @@
 	// connection or got no response.
 	Status int
 	// Outcome is "served", "refused", "failed", "cut" if the router closed the
-	// connection within the response, or "left" if the caller closed it.
+	// connection without a complete response, or "left" if the caller closed it or
+	// its sending side.
 	Outcome string
 	// Reason explains an outcome other than "served".
 	Reason   string
--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -30,7 +30,9 @@
 	e.w.WriteHeader(a.resp.StatusCode)
 	if _, err := e.w.Write(a.body); err != nil {
 		e.record.Outcome, e.record.Reason = "left", err.Error()
+		return
 	}
+	e.responseComplete = true
 }
 
 // refusal is an error response that the router itself sends.
@@ -68,5 +70,7 @@
 	e.w.WriteHeader(f.status)
 	if _, err := io.WriteString(e.w, f.reason+"\n"); err != nil {
 		e.record.Reason += ": " + err.Error()
+		return
 	}
+	e.responseComplete = true
 }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -144,16 +144,21 @@
 	return b
 }
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. Unless a complete response was written, it panics
+// with http.ErrAbortHandler, which closes the connection: if it returned, net/http
+// would send an empty response with status 200, or complete the one that was begun.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := &exchange{server: s, w: w, r: r, arrivedAt: time.Now(), meta: s.opts.Headers.DecodeRequest(r.Header)}
 	e.record = RequestRecord{ID: e.meta.ID, ArrivedAt: e.arrivedAt}
 	defer e.finish()
 	if refusal := e.prepare(); refusal != nil {
 		e.refuse(refusal)
-		return
+	} else {
+		e.serve()
+	}
+	if !e.responseComplete {
+		panic(http.ErrAbortHandler)
 	}
-	e.serve()
 }
 
 // prepare looks up the route and the workspace and reads the body. It returns a
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -179,6 +179,7 @@
 	a.server.opts.Pool.Release(a.conn)
 	a.end.Result = admit.Served
 	a.exchange.record.Outcome = "served"
+	a.responseComplete = true
 	return outcomeDelivered, nil
 }
 
