relay: bound the heads of targets' responses

What callers would see: the response of a plain service with a head of any size up to 10 MB, held in memory by umberhilld. Cause: http.Transport bounds a head by 10 MB unless told otherwise. Change: MaxResponseHeaderBytes is 64 KiB, 1xx responses included. Test: four specs with a field of 128 KiB; before the change those of a plain service and of a once-only request failed: 'got error <nil>, want an *outcome.Error'.

--- a/internal/relay/transport.go
+++ b/internal/relay/transport.go
@@ -6,8 +6,12 @@
 	"time"
 )
 
-// maxIdleConnsPerTarget bounds the idle keep-alive connections to a target.
-const maxIdleConnsPerTarget = 256
+const (
+	// maxIdleConnsPerTarget bounds the idle keep-alive connections to a target.
+	maxIdleConnsPerTarget = 256
+	// maxResponseHeadBytes bounds the head of a response, 1xx responses included.
+	maxResponseHeadBytes = 64 << 10
+)
 
 // newTransport returns a transport that uses no proxy. Without keep-alive each
 // request gets a connection of its own. net/http replays a request by itself only
@@ -21,5 +25,7 @@
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: maxIdleConnsPerTarget,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}
 }
