upstream: bound the heads of targets' responses

Cause: http.ReadResponse has no bound for a head. Change: a reader below the connection's buffer is armed for the head, 1xx responses included, and fails beyond 64 KiB or 266 lines; more than 256 fields are refused too. Errors of a body that aren't the connection's (trailing fields, chunk extensions: net/http bounds them) are marked as malformed responses. A body whose length is over the bound is refused before it is read. Each error names the bound and what was read; it is in the log line of the request.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -226,9 +226,12 @@
 }
 
 func readResponseBody(resp *http.Response) ([]byte, error) {
+	if resp.ContentLength > maxResponseBytes {
+		return nil, errors.Mark(errors.Newf("response body of %d bytes exceeds the limit of %d bytes", resp.ContentLength, maxResponseBytes), upstream.ErrMalformedResponse)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err == nil && len(body) > maxResponseBytes {
-		err = errors.Newf("response body exceeds the limit of %d bytes", maxResponseBytes)
+		err = errors.Mark(errors.Newf("response body exceeds the limit of %d bytes (%d bytes read)", maxResponseBytes, len(body)), upstream.ErrMalformedResponse)
 	}
 	return body, err
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -43,6 +43,8 @@
 	netConn  net.Conn
 	endpoint Endpoint
 	reader   *bufio.Reader
+	// head bounds the heads of responses. reader reads from it.
+	head headLimiter
 
 	// keepAlive is the idle timeout that the target stated, 0 if it stated none.
 	keepAlive time.Duration
@@ -58,7 +60,9 @@
 }
 
 func newConn(netConn net.Conn, e Endpoint) *Conn {
-	return &Conn{netConn: netConn, endpoint: e, reader: bufio.NewReaderSize(netConn, readBufferBytes)}
+	c := &Conn{netConn: netConn, endpoint: e, head: headLimiter{Reader: netConn}}
+	c.reader = bufio.NewReaderSize(&c.head, readBufferBytes)
+	return c
 }
 
 // Close closes the connection, so that it is not reused.
@@ -120,25 +124,42 @@
 }
 
 // Receive reads the status and header of the final response to a request with the
-// given method. The body must be read in full before Pool.Release. An error is
-// marked with ErrMalformedResponse unless the connection failed.
+// given method. The body must be read in full before Pool.Release. An error, also one of
+// the body, is marked with ErrMalformedResponse unless the connection failed. A head
+// beyond maxHeadBytes or maxHeadFields is malformed.
 func (c *Conn) Receive(method string) (*http.Response, error) {
+	c.head.arm()
+	defer c.head.disarm()
+	resp, err := c.receiveFinal(method)
+	if err != nil {
+		c.mustClose = true
+		err = errors.Wrap(err, "read response header")
+		if !isConnError(err) {
+			err = errors.Mark(err, ErrMalformedResponse)
+		}
+		return nil, err
+	}
+	c.setReusability(resp)
+	resp.Body = markedBody{resp.Body}
+	return resp, nil
+}
+
+// receiveFinal reads responses up to the final one.
+func (c *Conn) receiveFinal(method string) (*http.Response, error) {
+	fields := 0
 	for range maxInterimResponses {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			c.mustClose = true
-			if isConnError(err) {
-				return nil, errors.Wrap(err, "read response header")
-			}
-			return nil, errors.Mark(errors.Wrap(err, "read response header"), ErrMalformedResponse)
+			return nil, err
+		}
+		if fields += countFields(resp.Header); fields > maxHeadFields {
+			return nil, errors.Newf("response head exceeds the limit of %d fields (%d fields read)", maxHeadFields, fields)
 		}
 		if resp.StatusCode >= http.StatusOK {
-			c.setReusability(resp)
 			return resp, nil
 		}
 	}
-	c.mustClose = true
-	return nil, errors.Mark(errors.New("too many 1xx responses before the final one"), ErrMalformedResponse)
+	return nil, errors.Newf("no final response after %d responses with a status below 200", maxInterimResponses)
 }
 
 // isConnError reports whether an error arose at the connection rather than in the
