edge: one budget for what targets' responses hold

What callers would see: a router that runs out of memory. A body may have 8 MiB and an event 1 MiB; their sum had no bound, a router has 128 to 284 MB. Cause: bodies were read with io.ReadAll and events appended, without an account of all. Change: bodies are read into chunks that aren't copied, and reserve memory from a budget of 15 percent of the process's memory limit before they are allocated; events reserve what their buffer has grown to. What finds no room ends at once with 502 responses_full, or cuts the stream that has begun, and doesn't count against the target. The tests of internal/edge use the new functions and don't build before.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"mime"
 	"net/http"
 	"time"
@@ -182,7 +181,7 @@
 	if respMeta.Replaced {
 		a.end.Result = admit.Replaced
 	}
-	body, err := readResponseBody(resp)
+	body, err := a.readResponseBody(resp)
 	if err != nil {
 		a.conn.Close()
 	} else {
@@ -199,7 +198,10 @@
 // relayFullResponse sends a response that is not a stream to the caller once it has
 // been read completely.
 func (a *attempt) relayFullResponse(resp *http.Response) (attemptOutcome, error) {
-	body, err := readResponseBody(resp)
+	body, err := a.readResponseBody(resp)
+	if errors.Is(err, errResponsesFull) {
+		return a.failForMemory(err)
+	}
 	if err != nil {
 		a.conn.Close()
 		a.end.Result = admit.Failed
@@ -225,15 +227,12 @@
 	return outcomeDelivered, nil
 }
 
-func readResponseBody(resp *http.Response) ([]byte, error) {
-	if resp.ContentLength > maxResponseBytes {
-		return nil, errors.Mark(errors.Newf("response body of %d bytes exceeds the limit of %d bytes", resp.ContentLength, maxResponseBytes), upstream.ErrMalformedResponse)
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.Mark(errors.Newf("response body exceeds the limit of %d bytes (%d bytes read)", maxResponseBytes, len(body)), upstream.ErrMalformedResponse)
-	}
-	return body, err
+// failForMemory ends an attempt whose response finds no room in the budget. Another
+// target would not help.
+func (a *attempt) failForMemory(err error) (attemptOutcome, error) {
+	a.conn.Close()
+	a.end.Result = admit.Canceled
+	return outcomeNoMemory, err
 }
 
 // readDeadline returns the deadline of a read: that of the request, or the end of
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -37,6 +37,8 @@
 	body          []byte
 	// reservedBytes is the part of the server's body budget that the request holds.
 	reservedBytes int64
+	// responseReserved is the part of the server's response budget that it holds.
+	responseReserved int64
 	// fingerprint identifies the request to the quarantine. It is the same when the
 	// caller retries the request.
 	fingerprint uint64
@@ -76,11 +78,14 @@
 	outcomeExpired
 	// outcomeCanceled means that the caller has closed its connection.
 	outcomeCanceled
+	// outcomeNoMemory means that the router has no memory for the response.
+	outcomeNoMemory
 )
 
 var attemptOutcomeNames = map[attemptOutcome]string{
 	outcomeDelivered: "delivered", outcomeNotSent: "not_sent", outcomeRejected: "rejected", outcomeUnknown: "unknown",
 	outcomeTargetError: "failed", outcomeExpired: "expired", outcomeCanceled: "caller_left",
+	outcomeNoMemory: "no_memory",
 }
 
 // isRetryable reports whether another target may be tried after the outcome.
@@ -179,6 +184,9 @@
 			return false
 		}
 		e.fail("target_failed")
+	case outcomeNoMemory:
+		e.ranAttempts++
+		e.fail("responses_full")
 	case outcomeDelivered:
 	}
 	return true
@@ -238,10 +246,11 @@
 	e.server.counts.failed.Inc(1)
 }
 
-// finish releases the memory reserved for the body and writes the request's record
+// finish releases the memory reserved for bodies and writes the request's record
 // to the log and the metrics.
 func (e *exchange) finish() {
 	e.server.bodyBytes.release(e.reservedBytes)
+	e.releaseResponse(e.responseReserved)
 	e.record.Duration = time.Since(e.arrivedAt)
 	e.record.Events = e.stream.events
 	if e.record.Outcome == "" {
--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -10,7 +10,7 @@
 // fullResponse is a complete response of a target that is not a stream.
 type fullResponse struct {
 	resp *http.Response
-	body []byte
+	body *responseBody
 }
 
 // deliver sends a complete response of a target to the caller.
@@ -18,7 +18,7 @@
 	h := e.w.Header()
 	e.server.opts.Headers.CopyResponse(h, a.resp.Header)
 	if e.r.Method != http.MethodHead {
-		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+		h.Set("Content-Length", strconv.Itoa(a.body.size))
 	}
 	e.record.Status = a.resp.StatusCode
 	e.record.TimeToFirstByte = time.Since(e.arrivedAt)
@@ -28,7 +28,7 @@
 		e.server.counts.failed.Inc(1)
 	}
 	e.w.WriteHeader(a.resp.StatusCode)
-	if _, err := e.w.Write(a.body); err != nil {
+	if err := e.writeBody(a.body); err != nil {
 		e.record.Outcome, e.record.Reason = "left", err.Error()
 		return
 	}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -48,6 +48,9 @@
 	// MaxTotalBodyBytes limits the total size of all request bodies held at the same
 	// time. Zero means no limit.
 	MaxTotalBodyBytes int64
+	// MaxTotalResponseBytes limits the total size of the parts of targets' responses held
+	// at the same time, beyond unbudgetedResponseBytes of each. Zero means no limit.
+	MaxTotalResponseBytes int64
 	// RetryRatio and RetryExtra limit the retries that reach a service, over the
 	// whole fleet: at most RetryRatio x requests + RetryExtra in a window.
 	RetryRatio, RetryExtra float64
@@ -70,6 +73,8 @@
 	active    atomic.Pointer[activeConfig]
 	counts    counters
 	bodyBytes byteBudget
+	// responseBytes is the memory of targets' responses.
+	responseBytes byteBudget
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -92,6 +97,7 @@
 	}
 	s := &Server{opts: o, counts: newCounters(o.Scope), budgets: make(map[string]*retry.Budget), routers: 1, retryRatio: o.RetryRatio, retryExtra: o.RetryExtra}
 	s.bodyBytes.limit = o.MaxTotalBodyBytes
+	s.responseBytes.limit = o.MaxTotalResponseBytes
 	return s
 }
 
@@ -245,6 +251,8 @@
 // counters holds the metrics of a server.
 type counters struct {
 	served, refused, failed, retried, resumed, canceled tally.Counter
+	// responsesFull counts the responses for which the budget had no room.
+	responsesFull tally.Counter
 	// tokensCharged counts the tokens charged to workspaces for attempts at engines,
 	// tokensNotRun those taken back because no engine ran the attempt.
 	tokensCharged, tokensNotRun tally.Counter
@@ -261,6 +269,7 @@
 		retried:       scope.Counter("requests_retried"),
 		resumed:       scope.Counter("streams_resumed"),
 		canceled:      scope.Counter("requests_left"),
+		responsesFull: scope.Counter("responses_full"),
 		tokensCharged: scope.Counter("engine_tokens_charged"),
 		tokensNotRun:  scope.Counter("engine_tokens_not_run"),
 		firstByteTime: scope.Timer("first_byte_time"),
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -53,6 +53,8 @@
 // at the end of a broken stream is dropped.
 func (a *attempt) relayStream(resp *http.Response) (attemptOutcome, error) {
 	var pending []byte
+	var held int64
+	defer func() { a.releaseResponse(held) }()
 	buf := make([]byte, streamBufferBytes)
 	idleTimeout := a.firstEventTimeout()
 	for {
@@ -73,6 +75,10 @@
 				return a.failStream(eventErr)
 			}
 			pending = append(pending[:0], partial...)
+			var fullErr error
+			if held, fullErr = a.reserveResponse(held, cap(pending)); fullErr != nil {
+				return a.failForMemory(fullErr)
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(pending) == 0:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,9 @@
 	// bodyShare is the fraction of the memory limit that callers' request bodies may
 	// use. A body is held in memory once, and a second time while it is sent.
 	bodyShare = 0.2
+	// responseShare is the fraction of the memory limit that targets' responses may use
+	// beyond the first bytes of each. Their bodies are held in memory once.
+	responseShare = 0.15
 	// gcPercent lets the heap grow more between collections than Go's default,
 	// because the live heap is small compared to the memory limit.
 	gcPercent = 400
@@ -145,17 +148,18 @@
 		Scope:          n.scope,
 	})
 	n.server = edge.New(edge.Options{
-		Headers:           headers,
-		Scheduler:         n.scheduler,
-		Pool:              n.pool,
-		Log:               n.log,
-		Quarantine:        n.quarantine,
-		LoadShedder:       &n.loadShedder,
-		IsNearConnLimit:   n.callerConns.IsAboveLimit,
-		MaxTotalBodyBytes: int64(bodyShare * float64(s.MemoryMB<<20)),
-		Scope:             n.scope,
-		RetryRatio:        s.RetryRatio,
-		RetryExtra:        s.RetryExtra,
+		Headers:               headers,
+		Scheduler:             n.scheduler,
+		Pool:                  n.pool,
+		Log:                   n.log,
+		Quarantine:            n.quarantine,
+		LoadShedder:           &n.loadShedder,
+		IsNearConnLimit:       n.callerConns.IsAboveLimit,
+		MaxTotalBodyBytes:     int64(bodyShare * float64(s.MemoryMB<<20)),
+		MaxTotalResponseBytes: int64(responseShare * float64(s.MemoryMB<<20)),
+		Scope:                 n.scope,
+		RetryRatio:            s.RetryRatio,
+		RetryExtra:            s.RetryExtra,
 	})
 	return n
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -140,7 +140,9 @@
 		return nil, err
 	}
 	c.setReusability(resp)
-	resp.Body = markedBody{resp.Body}
+	if resp.Body != http.NoBody {
+		resp.Body = markedBody{resp.Body}
+	}
 	return resp, nil
 }
 
