loadpoll: bound the head of an engine's report

What callers would see: nothing; up to 16 heads of 10 MB held by umberhilld, if engines send them. Cause: http.Transport bounds a head by 10 MB unless told otherwise. Change: 16 KiB. Test: TestReportIsBounded; before the change 'head too large: got error <nil>, want the report accepted: false'.

--- a/internal/loadpoll/loadpoll.go
+++ b/internal/loadpoll/loadpoll.go
@@ -22,6 +22,8 @@
 	maxParallelReads = 16
 	// maxReportBytes bounds the size of a report.
 	maxReportBytes = 4 << 10
+	// maxReportHeadBytes bounds the head of the response that carries it.
+	maxReportHeadBytes = 16 << 10
 )
 
 // Directory provides the addresses and kinds of targets.
@@ -56,8 +58,11 @@
 // New returns a Poller.
 func New(opts Options) *Poller {
 	return &Poller{
-		opts:   opts,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: opts.Interval},
+		opts: opts,
+		client: &http.Client{
+			Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxReportHeadBytes},
+			Timeout:   opts.Interval,
+		},
 		reads:  opts.Scope.Counter("load_reads"),
 		failed: opts.Scope.Counter("load_reads_failed"),
 	}
