--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -30,7 +30,8 @@
 	// MaxValueBytes is the size limit of an object's value.
 	MaxValueBytes  = 1 << 20
 	maxObjectBytes = MaxValueBytes + 64<<10
-	maxListBytes   = 128 << 20
+	// DefaultMaxListBytes is the default of Options.MaxListBytes.
+	DefaultMaxListBytes = 128 << 20
 )
 
 // DefaultTimeout is the default of Options.Timeout.
@@ -75,6 +76,9 @@
 	// Timeout is the time limit of a call. The duration that a watch waits for
 	// changes is added to it. Default DefaultTimeout.
 	Timeout time.Duration
+	// MaxListBytes is the size limit, in bytes, of the answer to a watch and of all pages
+	// of a list together. What exceeds it is an error. Default DefaultMaxListBytes.
+	MaxListBytes int64
 	// Wire is the protocol of the service. Default: that of docs/PROTOCOLS.md.
 	Wire Wire
 	// Scope receives the metrics. Default: none.
@@ -86,6 +90,7 @@
 	baseURL atomic.Pointer[string]
 	token   string
 	timeout time.Duration
+	maxList int64
 	wire    Wire
 	scope   tally.Scope
 	http    *http.Client
@@ -98,6 +103,9 @@
 	if o.Timeout <= 0 {
 		o.Timeout = DefaultTimeout
 	}
+	if o.MaxListBytes <= 0 {
+		o.MaxListBytes = DefaultMaxListBytes
+	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
@@ -108,6 +116,7 @@
 		wire:    o.Wire,
 		token:   o.Token,
 		timeout: o.Timeout,
+		maxList: o.MaxListBytes,
 		scope:   o.Scope,
 		http:    newHTTPClient(o.Timeout),
 	}
@@ -170,12 +179,17 @@
 func (c *Client) List(ctx context.Context, kind api.Kind) (objs []Object, asOf uint64, err error) {
 	cl := Call{Op: OpList, Kind: kind}
 	var listEra uint64
+	left := c.maxList
 	for {
 		var page Page
 		var pageEra uint64
-		err = c.read(ctx, cl, maxListBytes, func(body []byte, era uint64) (err error) {
+		err = c.read(ctx, cl, left, func(body []byte, era uint64) (err error) {
 			page, err = c.wire.Page(cl, body)
+			if err == nil && page.Next != "" && page.Next == cl.After {
+				err = errors.Newf("page after %q ends where it starts", cl.After)
+			}
 			pageEra = era
+			left -= int64(len(body))
 			return err
 		})
 		if err != nil {
@@ -186,7 +200,7 @@
 		}
 		if pageEra != listEra {
 			// The pages are of different copies of the store.
-			objs, cl.After = nil, ""
+			objs, cl.After, left = nil, "", c.maxList
 			continue
 		}
 		for _, o := range page.Objects {
@@ -207,7 +221,7 @@
 	sinceEra, storeSince := revision.Split(since)
 	cl := Call{Op: OpWatch, Kinds: kinds, Since: storeSince, Wait: wait}
 	var out WatchResult
-	err := c.read(ctx, cl, maxListBytes, func(body []byte, era uint64) (err error) {
+	err := c.read(ctx, cl, c.maxList, func(body []byte, era uint64) (err error) {
 		if era != sinceEra {
 			return ErrCompacted
 		}
