--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -255,6 +255,7 @@
 	e.record.Events = e.stream.events
 	if e.record.Outcome == "" {
 		e.record.Outcome, e.record.Reason = "cut", "no_response"
+		e.server.counts.failed.Inc(1)
 	}
 	if e.record.Outcome == "served" {
 		e.server.counts.served.Inc(1)
