relay: bound all lines of an event together

What callers would see: nothing until the stall timeout; the router's memory grows while an engine sends the data lines of an event without end. Cause: only one line had a bound, 1 MiB. Change: the data of an event has the same bound.

--- a/internal/relay/sse.go
+++ b/internal/relay/sse.go
@@ -9,8 +9,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxLineBytes bounds one line of a stream.
-const maxLineBytes = 1 << 20
+const (
+	// maxLineBytes bounds one line of a stream.
+	maxLineBytes = 1 << 20
+	// maxEventBytes bounds the data of one event, which may have several lines.
+	maxEventBytes = 1 << 20
+)
 
 // event is one server-sent event.
 type event struct {
@@ -69,6 +73,9 @@
 			ev.data = append(ev.data, '\n')
 		}
 		ev.data = append(ev.data, value...)
+		if len(ev.data) > maxEventBytes {
+			return errors.Newf("event exceeds the limit of %d bytes (%d bytes read)", maxEventBytes, len(ev.data))
+		}
 	}
 	return nil
 }
