edge: scan a large event once

What callers saw: other requests of a router wait while a target sends a large event; a stream whose event had no room in the budget was cut by its deadline (2.0 s) in TestResponsesBeyondTheMemoryOfTheRouterFail under the race detector. Cause: each read of 4 KiB searched all pending bytes for the end of an event, 128 MiB for an event of 1 MiB. Change: the search starts at the last byte read before. TestSplitEventsKeepsPartialEvent also checks every start of the search.

--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -65,8 +65,10 @@
 		if n > 0 {
 			idleTimeout = a.nextEventTimeout()
 			a.markResponseStarted()
+			// An event may end with the last byte read before.
+			unscanned := max(0, len(pending)-1)
 			pending = append(pending, buf[:n]...)
-			complete, partial := splitEvents(pending)
+			complete, partial := splitEvents(pending, unscanned)
 			valid, eventErr := a.stream.advance(complete)
 			if err := a.sendEvents(resp, complete[:valid]); err != nil {
 				return a.callerWriteFailed(err)
@@ -103,12 +105,14 @@
 }
 
 // splitEvents splits the pending bytes into complete events and the partial event
-// after them.
-func splitEvents(pending []byte) (complete, partial []byte) {
-	end := bytes.LastIndex(pending, []byte("\n\n")) + 1
-	if end > 0 {
-		end++
+// after them. No event ends before the byte unscanned, so that the time for a large event
+// is linear in its size.
+func splitEvents(pending []byte, unscanned int) (complete, partial []byte) {
+	i := bytes.LastIndex(pending[unscanned:], []byte("\n\n"))
+	if i < 0 {
+		return nil, pending
 	}
+	end := unscanned + i + len("\n\n")
 	return pending[:end], pending[end:]
 }
 
--- a/internal/edge/stream_test.go
+++ b/internal/edge/stream_test.go
@@ -1,6 +1,9 @@
 package edge
 
-import "testing"
+import (
+	"strings"
+	"testing"
+)
 
 // A target that resumes a stream may send events again that the caller already
 // has. They must not reach the caller a second time.
@@ -30,9 +33,24 @@
 // A read may end within an event. Its part must be kept until the rest arrives.
 func TestSplitEventsKeepsPartialEvent(t *testing.T) {
 	for in, want := range map[string]string{"": "", "id: 1": "", "id: 1\n\n": "id: 1\n\n", "id: 1\n\nid: 2\n": "id: 1\n\n"} {
-		complete, partial := splitEvents([]byte(in))
-		if string(complete) != want || string(complete)+string(partial) != in {
-			t.Errorf("splitEvents(%q): got complete events %q and partial event %q", in, complete, partial)
+		// The event before the last byte that was scanned is partial.
+		for unscanned := range max(1, strings.Index(in, "\n\n")+1) {
+			complete, partial := splitEvents([]byte(in), unscanned)
+			if string(complete) != want || string(complete)+string(partial) != in {
+				t.Errorf("splitEvents(%q, %d): got complete events %q and partial event %q", in, unscanned, complete, partial)
+			}
+		}
+	}
+}
+
+// BenchmarkSplitLargeEvent splits an event that arrives in reads of streamBufferBytes.
+func BenchmarkSplitLargeEvent(b *testing.B) {
+	event := make([]byte, maxEventBytes)
+	for b.Loop() {
+		for n := streamBufferBytes; n <= len(event); n += streamBufferBytes {
+			if complete, _ := splitEvents(event[:n], max(0, n-streamBufferBytes-1)); len(complete) > 0 {
+				b.Fatal("got an event, want none")
+			}
 		}
 	}
 }
