--- /dev/null
+++ b/internal/connlimit/conn.go
@@ -0,0 +1,206 @@
+package connlimit
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/umberhill/umberhill/internal/sock"
+)
+
+// phase is what a connection is used for.
+type phase int
+
+const (
+	// waiting means that no byte of the next request has been read.
+	waiting phase = iota
+	// receiving means that a part of a request's head has been read.
+	receiving
+	// serving means that a request's head has been read, and its response has not ended.
+	serving
+)
+
+// Conn is a caller's connection. A connection that waits for a request is closed only by
+// the goroutine that reads from it, so that no byte can be read in between: close requests
+// make the pending Read fail, unless bytes have arrived by then.
+type Conn struct {
+	*net.TCPConn
+	limiter *Limiter
+
+	mu    sync.Mutex
+	phase phase
+	// since is when the phase began.
+	since time.Time
+	// isTLS is set if TLS runs on the connection, and fullRead is the size of the buffer of
+	// the first read, which net/http reads into while it holds no byte of a request.
+	isTLS    bool
+	fullRead int
+	// closed is set once a read has ended the connection.
+	closed bool
+	// closing is the reason for which the connection is being closed, empty for none.
+	closing Reason
+	// readDeadline is the deadline that net/http has set.
+	readDeadline time.Time
+}
+
+// pastTime is a deadline that makes a Read fail at once.
+var pastTime = time.Unix(1, 0)
+
+// requestTimeout is the response to a request whose head takes too long.
+const requestTimeout = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	c.noteRead(len(p))
+	for {
+		n, err := c.TCPConn.Read(p)
+		if n > 0 {
+			c.recordRead()
+			return n, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.readAgain() {
+			return n, err
+		}
+	}
+}
+
+// noteRead detects that net/http holds a part of the next request, which it has read
+// together with the one before: it then reads into the rest of its buffer only.
+func (c *Conn) noteRead(bufferSize int) {
+	c.mu.Lock()
+	revoked := false
+	switch {
+	case c.fullRead == 0:
+		c.fullRead = bufferSize
+	case c.phase == waiting && bufferSize < c.fullRead && !c.isTLS:
+		c.phase, c.since = receiving, time.Now()
+		revoked = c.revokeClose()
+	}
+	c.mu.Unlock()
+	if revoked {
+		c.limiter.keep()
+	}
+}
+
+// recordRead records that bytes were read.
+func (c *Conn) recordRead() {
+	c.mu.Lock()
+	revoked := false
+	if c.phase == waiting {
+		c.phase, c.since = receiving, time.Now()
+		revoked = c.revokeClose()
+	}
+	c.mu.Unlock()
+	if revoked {
+		c.limiter.keep()
+	}
+}
+
+// revokeClose revokes a request to close the connection and reports whether there was
+// one. c.mu must be held.
+func (c *Conn) revokeClose() bool {
+	if c.closing == "" {
+		return false
+	}
+	c.closing = ""
+	_ = c.applyDeadline()
+	return true
+}
+
+// readAgain decides what follows a read whose deadline has passed: either it is repeated,
+// or its error ends the connection.
+func (c *Conn) readAgain() bool {
+	c.mu.Lock()
+	reason := c.closing
+	again, ended := false, false
+	switch {
+	case c.closed:
+	case reason == "":
+		again = c.readDeadline.IsZero() || time.Now().Before(c.readDeadline)
+		_ = c.applyDeadline()
+	case c.phase == waiting && c.hasUnread():
+		again = c.revokeClose()
+	default:
+		c.closed, ended = true, true
+	}
+	event := Close{Reason: reason, Idle: time.Since(c.since), WithinHead: c.phase == receiving}
+	c.mu.Unlock()
+	switch {
+	case ended:
+		if event.WithinHead && !c.isTLS {
+			_, _ = io.WriteString(c.TCPConn, requestTimeout)
+		}
+		c.limiter.onClose(event)
+	case again && reason != "":
+		c.limiter.keep()
+	}
+	return again
+}
+
+// hasUnread reports whether bytes have arrived that were not read.
+func (c *Conn) hasUnread() bool {
+	n, err := sock.Peek(c.TCPConn)
+	return err == nil && n > 0
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	return c.applyDeadline()
+}
+
+// applyDeadline sets the deadline of reads. c.mu must be held.
+func (c *Conn) applyDeadline() error {
+	if c.closing != "" {
+		return c.TCPConn.SetReadDeadline(pastTime)
+	}
+	return c.TCPConn.SetReadDeadline(c.readDeadline)
+}
+
+// setWaiting records that a response has ended.
+func (c *Conn) setWaiting(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.since = waiting, now
+}
+
+// setTLS records that TLS runs on the connection.
+func (c *Conn) setTLS() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isTLS = true
+}
+
+// setServing records that a request's head has been read, and reports whether that
+// revoked a request to close the connection.
+func (c *Conn) setServing(now time.Time) (revoked bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.since = serving, now
+	return c.revokeClose()
+}
+
+// closeIf requests that the connection be closed if it is in the given phase since before
+// the given time, and reports whether it is. The reading goroutine may still keep it.
+func (c *Conn) closeIf(p phase, before time.Time, reason Reason) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing != "" || c.phase != p || c.since.After(before) {
+		return false
+	}
+	c.closing = reason
+	_ = c.applyDeadline()
+	return true
+}
+
+func (c *Conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing != ""
+}
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -35,6 +35,8 @@
 	workspace     ids.Workspace
 	priority      int
 	body          []byte
+	// bodyRead is set once the whole body has been read.
+	bodyRead bool
 	// reservedBytes is the part of the server's body budget that the request holds.
 	reservedBytes int64
 	// responseReserved is the part of the server's response budget that it holds.
@@ -49,6 +51,8 @@
 	exclude          []ids.Target
 	ranAttempts      int
 	rejectedAttempts int
+	// successor is the next attempt, which has been sent already, nil for none.
+	successor *attempt
 	// targetError is the error response of a target. It is sent to the caller if no
 	// later attempt succeeds.
 	targetError *fullResponse
@@ -76,6 +80,8 @@
 	outcomeTargetError
 	// outcomeExpired means that the request's deadline has passed.
 	outcomeExpired
+	// outcomeSent means that the request was sent to a target, whose response is awaited.
+	outcomeSent
 	// outcomeCanceled means that the caller has closed its connection.
 	outcomeCanceled
 	// outcomeNoMemory means that the router has no memory for the response.
@@ -127,19 +133,25 @@
 		return
 	}
 	e.server.budget(e.service).RecordFirstAttempt()
+	defer e.dropSuccessor()
 	for {
-		submitted := time.Now()
-		v, decided := e.server.opts.Scheduler.Acquire(ctx, e.admitRequest(), e.logQueued)
-		if !decided {
-			e.handleOutcome(e.interruptedOutcome())
-			return
-		}
-		e.logDecision(v, time.Since(submitted))
-		if v.Refused != "" {
-			e.refuseByVerdict(v)
-			return
+		a := e.successor
+		e.successor = nil
+		if a == nil {
+			submitted := time.Now()
+			v, decided := e.server.opts.Scheduler.Acquire(ctx, e.admitRequest(), e.logQueued)
+			if !decided {
+				e.handleOutcome(e.interruptedOutcome())
+				return
+			}
+			e.logDecision(v, time.Since(submitted))
+			if v.Refused != "" {
+				e.refuseByVerdict(v)
+				return
+			}
+			a = e.newAttempt(v, time.Since(submitted))
 		}
-		outcome := e.attempt(ctx, v, time.Since(submitted))
+		outcome := e.attempt(ctx, a)
 		if e.handleOutcome(outcome) {
 			return
 		}
@@ -180,6 +192,9 @@
 		e.fail("target_refused")
 	case outcomeUnknown, outcomeTargetError:
 		e.ranAttempts++
+		if e.successor != nil {
+			return false
+		}
 		if e.isRepeatable() && e.ranAttempts < max(1, e.route.MaxAttempts) && e.server.budget(e.service).Take() {
 			return false
 		}
--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -53,7 +53,7 @@
 		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
 		e.record.RetryAfter = f.retryAfter
 	}
-	if f.closesConn {
+	if f.closesConn || !e.discardBody() {
 		h.Set("Connection", "close")
 	}
 	e.record.Status, e.record.Reason = f.status, f.reason
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -13,14 +13,12 @@
 )
 
 const (
-	// minFirstEventTimeout and minNextEventTimeout are the least times without data
-	// from a target, before the first event and between events, after which a stream
-	// is resumed at another target. They are well below the two seconds after which
-	// callers time out.
-	minFirstEventTimeout = 1200 * time.Millisecond
-	minNextEventTimeout  = 800 * time.Millisecond
+	// minSilence is the least time without data from a target after which a stream is
+	// resumed at another one. Sound targets pause for about a second; callers leave after
+	// two.
+	minSilence = 1200 * time.Millisecond
 	// predictedLatencyFactor times the predicted latency is the timeout of the first
-	// event, if that is longer than minFirstEventTimeout.
+	// event, if that is longer than minSilence.
 	predictedLatencyFactor = 3
 	// streamBufferBytes is the size of the buffer for reads from a stream.
 	streamBufferBytes = 4 << 10
@@ -39,14 +37,14 @@
 	if !a.isResumable() {
 		return 0
 	}
-	return max(minFirstEventTimeout, predictedLatencyFactor*a.verdict.Inputs.PredictedLatency)
+	return max(minSilence, predictedLatencyFactor*a.verdict.Inputs.PredictedLatency)
 }
 
 func (a *attempt) nextEventTimeout() time.Duration {
 	if !a.isResumable() {
 		return 0
 	}
-	return max(minNextEventTimeout, 4*a.route.GapObjective)
+	return max(minSilence, 4*a.route.GapObjective)
 }
 
 // relayStream sends complete events to the caller as they arrive. The partial event
@@ -56,14 +54,9 @@
 	var held int64
 	defer func() { a.releaseResponse(held) }()
 	buf := make([]byte, streamBufferBytes)
-	idleTimeout := a.firstEventTimeout()
 	for {
-		if err := a.conn.SetReadDeadline(a.readDeadline(idleTimeout)); err != nil {
-			return a.failStream(err)
-		}
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			idleTimeout = a.nextEventTimeout()
 			a.markResponseStarted()
 			// An event may end with the last byte read before.
 			unscanned := max(0, len(pending)-1)
@@ -100,6 +93,7 @@
 		return
 	}
 	a.responseStarted = true
+	a.limitSilence(a.ctx, a.nextEventTimeout())
 	a.record.TimeToFirstByte = time.Since(a.startedAt)
 	a.server.opts.Scheduler.ResponseStarted(a.verdict.ID)
 }
@@ -186,7 +180,7 @@
 
 func (a *attempt) completeStream(resp *http.Response) (attemptOutcome, error) {
 	a.sendHead(resp)
-	a.server.opts.Pool.Release(a.conn)
+	a.releaseConn()
 	a.end.Result = admit.Served
 	a.exchange.record.Outcome = "served"
 	a.responseComplete = true
@@ -195,6 +189,7 @@
 
 func (a *attempt) failStream(err error) (attemptOutcome, error) {
 	a.conn.Close()
+	a.recordSilence(err)
 	a.end.Result, a.connBroken = admit.Failed, true
 	return outcomeUnknown, errors.Wrap(err, "read stream from target")
 }
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -4,6 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/umberhill/umberhill/internal/connlimit"
+	"github.com/umberhill/umberhill/internal/routing"
 	"github.com/umberhill/umberhill/internal/upstream"
 )
 
@@ -22,9 +27,12 @@
 
 // Bounds of callers' connections.
 const (
-	readHeaderTimeout = 15 * time.Second
-	// defaultCallerIdleTimeout applies until a configuration sets the idle timeout.
+	// defaultHeadTimeout and defaultCallerIdleTimeout apply unless the configuration sets
+	// these timeouts.
+	defaultHeadTimeout       = 15 * time.Second
 	defaultCallerIdleTimeout = 90 * time.Second
+	// readHeaderTimeout applies to requests for readiness and metrics.
+	readHeaderTimeout = 15 * time.Second
 	// callerFDShare is the fraction of the file descriptors for callers' connections;
 	// the rest is for connections to targets, routers and the store.
 	callerFDShare  = 0.5
@@ -48,6 +56,38 @@
 	return min(max(share, 1), maxIdleConns)
 }
 
+func (n *Node) callerConnsClosed(reason connlimit.Reason) tally.Counter {
+	return n.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("caller_conns_closed")
+}
+
+// recordCallerClose counts a caller's connection that the router closed, and logs it if
+// a part of a request had arrived on it.
+func (n *Node) recordCallerClose(c connlimit.Close) {
+	n.callerConnsClosed(c.Reason).Inc(1)
+	if c.WithinHead {
+		n.logger.WithFields(logrus.Fields{"reason": c.Reason, "waited_ms": c.Idle.Milliseconds()}).Warn("caller's connection closed within a request")
+	}
+}
+
+// newCallerTimeouts returns the timeouts of callers' connections under the limits. n.mu
+// must be held.
+func (n *Node) newCallerTimeouts(limits routing.Limits) connlimit.Timeouts {
+	t := connlimit.Timeouts{Idle: defaultCallerIdleTimeout, Head: defaultHeadTimeout, ChangedAt: n.callerTimeouts.ChangedAt}
+	if limits.IdleTimeout > 0 {
+		t.Idle = limits.IdleTimeout
+	}
+	if limits.HeadTimeout > 0 {
+		t.Head = limits.HeadTimeout
+	}
+	// A caller may go by a raised timeout before this router does.
+	t.Idle += n.settings.ConfigDelay
+	t.Head += n.settings.ConfigDelay
+	if t != n.callerTimeouts {
+		t.ChangedAt = time.Now()
+	}
+	return t
+}
+
 // closeIdleConns closes connections to targets that are no longer listed, and
 // callers' and targets' connections that have been idle for longer than their
 // timeout, until ctx ends.
@@ -61,11 +101,9 @@
 			return
 		case <-ticker.C:
 			n.mu.Lock()
-			targets, config := n.targets, n.config
+			targets, timeouts := n.targets, n.callerTimeouts
 			n.mu.Unlock()
-			if config != nil && config.Limits.IdleTimeout > 0 {
-				n.callerConns.CloseIdle(time.Now(), config.Limits.IdleTimeout)
-			}
+			n.callerConns.CloseExpired(time.Now(), timeouts)
 			n.pool.Retain(func(e upstream.Endpoint) bool {
 				t, ok := targets.Get(e.Target)
 				return ok && t.StartTimeMS == e.StartTimeMS && t.Address == e.Address
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -18,20 +18,23 @@
 	return l, errors.Wrapf(err, "listen for %s on %s", purpose, address)
 }
 
-// openListeners listens and serves on all addresses, and returns the callers'
-// server. A failure to listen for metrics is logged but is not an error.
-func (n *Node) openListeners() (*http.Server, error) {
-	callers := &http.Server{
-		Handler:           http.HandlerFunc(n.serveCaller),
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       defaultCallerIdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       edge.WithConn,
-		ConnState:         n.callerConns.Track,
+// openListeners listens and serves on all addresses, and returns the callers' listener. A
+// failure to listen for metrics is logged but is not an error.
+func (n *Node) openListeners() (net.Listener, error) {
+	callers := &http.Server{ //nolint:gosec // closeIdleConns enforces the time for a head
+		Handler:        http.HandlerFunc(n.serveCaller),
+		MaxHeaderBytes: maxHeaderBytes,
+		ConnContext:    edge.WithConn,
+		ConnState:      n.callerConns.Track,
 	}
-	if err := n.serve("callers", n.settings.CallerAddress, callers); err != nil {
+	l, err := listen("callers", n.settings.CallerAddress)
+	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := l.(*net.TCPListener); ok {
+		l = n.callerConns.Listen(tcp)
+	}
+	n.serveListener(l, callers)
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: readHeaderTimeout}
 	if err := n.serve("readiness", n.settings.ReadyAddress, ready); err != nil {
 		return nil, err
@@ -42,7 +45,7 @@
 			n.logger.WithError(err).Error("cannot listen for metrics; serving without them")
 		}
 	}
-	return callers, nil
+	return l, nil
 }
 
 func (n *Node) serve(purpose, address string, s *http.Server) error {
@@ -50,13 +53,17 @@
 	if err != nil {
 		return err
 	}
+	n.serveListener(l, s)
+	return nil
+}
+
+func (n *Node) serveListener(l net.Listener, s *http.Server) {
 	n.servers = append(n.servers, s)
 	n.background.Go(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			n.logger.WithError(err).WithField("address", address).Error("listener failed")
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			n.logger.WithError(err).WithField("address", l.Addr()).Error("listener failed")
 		}
 	})
-	return nil
 }
 
 // serveCaller handles a caller's request. While the router is draining or has too
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,11 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/umberhill/umberhill/internal/sock"
 )
 
 const (
@@ -45,6 +48,10 @@
 	reader   *bufio.Reader
 	// head bounds the heads of responses. reader reads from it.
 	head headLimiter
+	// limits bound the reads of the current response; lastReadAt is when a read last
+	// returned bytes, or when the request was sent.
+	limits     ReadLimits
+	lastReadAt time.Time
 
 	// keepAlive is the idle timeout that the target stated, 0 if it stated none.
 	keepAlive time.Duration
@@ -59,12 +66,58 @@
 	writeDone chan error
 }
 
+// ReadLimits bound the reads of a response.
+type ReadLimits struct {
+	// Deadline is when reads fail. The zero time sets no limit.
+	Deadline time.Time
+	// Silence is the time without a byte after which OnSilence is called, 0 for none. If
+	// it returns false, the read fails with os.ErrDeadlineExceeded.
+	Silence   time.Duration
+	OnSilence func() (wait bool)
+}
+
 func newConn(netConn net.Conn, e Endpoint) *Conn {
-	c := &Conn{netConn: netConn, endpoint: e, head: headLimiter{Reader: netConn}}
+	c := &Conn{netConn: netConn, endpoint: e}
+	c.head.Reader = source{c}
 	c.reader = bufio.NewReaderSize(&c.head, readBufferBytes)
 	return c
 }
 
+// source reads from a connection within its ReadLimits.
+type source struct{ *Conn }
+
+// Read implements io.Reader.
+func (s source) Read(p []byte) (int, error) {
+	for {
+		silence := s.limits.Silence
+		if silence <= 0 || !s.limits.Deadline.IsZero() && !time.Now().Add(silence).Before(s.limits.Deadline) {
+			return s.readUntil(p, s.limits.Deadline)
+		}
+		n, err := s.readUntil(p, time.Now().Add(silence))
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		// The read fails although bytes have arrived if this process was suspended.
+		if unread, err := sock.Peek(s.netConn); err == nil && unread > 0 {
+			return s.readUntil(p, s.limits.Deadline)
+		}
+		if !s.limits.OnSilence() {
+			return n, err
+		}
+	}
+}
+
+func (s source) readUntil(p []byte, deadline time.Time) (int, error) {
+	if err := s.netConn.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	n, err := s.netConn.Read(p)
+	if n > 0 {
+		s.lastReadAt = time.Now()
+	}
+	return n, err
+}
+
 // Close closes the connection, so that it is not reused.
 func (c *Conn) Close() {
 	c.mustClose = true
@@ -78,14 +131,27 @@
 // HasSentBytes reports whether a byte of the last request may have been sent.
 func (c *Conn) HasSentBytes() bool { return c.bytesSent.Load() }
 
-// SetReadDeadline sets the deadline for future reads.
-func (c *Conn) SetReadDeadline(t time.Time) error { return c.netConn.SetReadDeadline(t) }
+// SetReadLimits sets the limits for future reads.
+func (c *Conn) SetReadLimits(l ReadLimits) { c.limits = l }
+
+// AwaitResponse waits for the first byte of a response until the deadline. It reads no more
+// of it.
+func (c *Conn) AwaitResponse(deadline time.Time) error {
+	c.limits = ReadLimits{Deadline: deadline}
+	_, err := c.reader.Peek(1)
+	return err
+}
+
+// LastReadAt returns when a byte of the response was last read, or when the request was
+// sent.
+func (c *Conn) LastReadAt() time.Time { return c.lastReadAt }
 
 // Send writes a request. A request with a body larger than maxInlineBodyBytes may
 // still be in transmission when Send returns.
 func (c *Conn) Send(r *Request) error {
 	c.bytesSent.Store(false)
 	c.writeDone = nil
+	c.lastReadAt = time.Now()
 	head := encodeHead(r)
 	if err := c.netConn.SetWriteDeadline(time.Time{}); err != nil {
 		return errors.Wrap(err, "clear the write deadline")
@@ -128,7 +194,7 @@
 // the body, is marked with ErrMalformedResponse unless the connection failed. A head
 // beyond maxHeadBytes or maxHeadFields is malformed.
 func (c *Conn) Receive(method string) (*http.Response, error) {
-	c.head.arm()
+	c.head.arm(c.reader)
 	defer c.head.disarm()
 	resp, err := c.receiveFinal(method)
 	if err != nil {
@@ -195,8 +261,6 @@
 			c.mustClose = true
 		}
 	}
-	if err := c.netConn.SetReadDeadline(time.Time{}); err != nil {
-		c.mustClose = true
-	}
+	c.limits = ReadLimits{}
 	p.Put(c)
 }
--- a/internal/upstream/limits.go
+++ b/internal/upstream/limits.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net/http"
@@ -25,11 +26,15 @@
 type headLimiter struct {
 	io.Reader
 	armed bool
-	// bytes and lines were read since arm.
+	// bytes and lines are those of the head that were read.
 	bytes, lines int
 }
 
-func (l *headLimiter) arm() { l.armed, l.bytes, l.lines = true, 0, 0 }
+// arm starts a head, of which a part may have been read into the buffer.
+func (l *headLimiter) arm(buffer *bufio.Reader) {
+	begun, _ := buffer.Peek(buffer.Buffered())
+	l.armed, l.bytes, l.lines = true, len(begun), bytes.Count(begun, []byte{'\n'})
+}
 
 func (l *headLimiter) disarm() { l.armed = false }
 
--- a/internal/upstream/limits_test.go
+++ b/internal/upstream/limits_test.go
@@ -42,9 +42,7 @@
 		_ = target.Close()
 		<-done
 	})
-	if err := c.SetReadDeadline(time.Now().Add(2 * time.Second)); err != nil {
-		t.Fatal(err)
-	}
+	c.SetReadLimits(ReadLimits{Deadline: time.Now().Add(2 * time.Second)})
 	return c
 }
 
@@ -68,6 +66,12 @@
 
 // Guards against heads without end, which would be held in memory until the deadline.
 func TestHeadBeyondBoundsIsMalformed(t *testing.T) {
+	t.Run("at once", func(t *testing.T) { checkHeadsBeyondBounds(t, false) })
+	t.Run("after AwaitResponse", func(t *testing.T) { checkHeadsBeyondBounds(t, true) })
+}
+
+func checkHeadsBeyondBounds(t *testing.T, awaited bool) {
+	t.Helper()
 	for name, c := range map[string]struct {
 		serve func(io.Writer)
 		want  string
@@ -83,7 +87,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			started := time.Now()
-			_, err := connTo(t, c.serve).Receive(http.MethodGet)
+			conn := connTo(t, c.serve)
+			if awaited {
+				if err := conn.AwaitResponse(time.Now().Add(2 * time.Second)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			_, err := conn.Receive(http.MethodGet)
 			if !errors.Is(err, ErrMalformedResponse) || !strings.Contains(err.Error(), c.want) {
 				t.Errorf("got error %v, want a malformed response with %q", err, c.want)
 			}
