--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -255,7 +255,7 @@
 	s.Config.ConnState = l.Track
 	s.StartTLS()
 	t.Cleanup(s.Close)
-	c, err := tls.Dial("tcp", s.Listener.Addr().String(), &tls.Config{InsecureSkipVerify: true}) //nolint:gosec // a test server's own certificate
+	c, err := tls.Dial("tcp", s.Listener.Addr().String(), &tls.Config{InsecureSkipVerify: true})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"mime"
 	"net/http"
 	"os"
@@ -247,7 +246,7 @@
 	if respMeta.Replaced {
 		a.end.Result = admit.Replaced
 	}
-	body, err := readResponseBody(resp)
+	body, err := a.readResponseBody(resp)
 	if err != nil {
 		a.conn.Close()
 	} else {
@@ -264,7 +263,10 @@
 // relayFullResponse sends a response that is not a stream to the caller once it has
 // been read completely.
 func (a *attempt) relayFullResponse(resp *http.Response) (attemptOutcome, error) {
-	body, err := readResponseBody(resp)
+	body, err := a.readResponseBody(resp)
+	if errors.Is(err, errResponsesFull) {
+		return a.failForMemory(err)
+	}
 	if err != nil {
 		a.conn.Close()
 		a.end.Result = admit.Failed
@@ -290,10 +292,10 @@
 	return outcomeDelivered, nil
 }
 
-func readResponseBody(resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.Newf("response body exceeds the limit of %d bytes", maxResponseBytes)
-	}
-	return body, err
+// failForMemory ends an attempt whose response finds no room in the budget. Another
+// target would not help.
+func (a *attempt) failForMemory(err error) (attemptOutcome, error) {
+	a.conn.Close()
+	a.end.Result = admit.Canceled
+	return outcomeNoMemory, err
 }
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -103,14 +103,14 @@
 	return ignoreNotSupported(http.NewResponseController(e.w).SetReadDeadline(t))
 }
 
-// limitWrites bounds the time for which the response may wait for its caller. net/http ends
-// the limit with the response.
+// limitWrites bounds the time for which a refusal or a stream may wait for its caller.
+// net/http ends the limit with the response.
 func (e *exchange) limitWrites() error {
 	from := e.deadline
 	if now := time.Now(); now.After(from) {
 		from = now
 	}
-	return ignoreNotSupported(http.NewResponseController(e.w).SetWriteDeadline(from.Add(callerWriteGrace)))
+	return ignoreNotSupported(http.NewResponseController(e.w).SetWriteDeadline(from.Add(lateWriteTimeout)))
 }
 
 func ignoreNotSupported(err error) error {
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -40,6 +40,8 @@
 	bodyRead bool
 	// reservedBytes is the part of the server's body budget that the request holds.
 	reservedBytes int64
+	// responseReserved is the part of the server's response budget that it holds.
+	responseReserved int64
 	// fingerprint identifies the request to the quarantine. It is the same when the
 	// caller retries the request.
 	fingerprint uint64
@@ -60,6 +62,8 @@
 	targetError *fullResponse
 	// stream is the progress of a streamed response to the caller.
 	stream streamState
+	// responseComplete is set once a complete response was written to the caller.
+	responseComplete bool
 }
 
 // attemptOutcome is the outcome of one attempt.
@@ -84,11 +88,14 @@
 	outcomeSent
 	// outcomeCanceled means that the caller has closed its connection.
 	outcomeCanceled
+	// outcomeNoMemory means that the router has no memory for the response.
+	outcomeNoMemory
 )
 
 var attemptOutcomeNames = map[attemptOutcome]string{
 	outcomeDelivered: "delivered", outcomeNotSent: "not_sent", outcomeRejected: "rejected", outcomeUnknown: "unknown",
 	outcomeTargetError: "failed", outcomeExpired: "expired", outcomeCanceled: "caller_left",
+	outcomeNoMemory: "no_memory",
 }
 
 // isRetryable reports whether another target may be tried after the outcome.
@@ -200,6 +207,9 @@
 			return false
 		}
 		e.fail("target_failed")
+	case outcomeNoMemory:
+		e.ranAttempts++
+		e.fail("responses_full")
 	case outcomeDelivered:
 	}
 	return true
@@ -244,31 +254,32 @@
 	}
 }
 
-// cancel ends a request whose caller has closed its connection. A caller that
-// closed only its sending side may still read, so a stream that has started is
-// aborted and does not look complete.
+// cancel ends a request whose caller has closed its connection, or only its sending
+// side. The response stays incomplete, so ServeHTTP closes the connection.
 func (e *exchange) cancel() {
-	e.record.Outcome = "left"
+	e.record.Outcome, e.record.Reason = "left", "caller closed the connection"
 	e.server.counts.canceled.Inc(1)
-	if e.stream.started {
-		panic(http.ErrAbortHandler)
-	}
 }
 
-// abort closes the caller's connection, so that the caller does not take a partial
-// response for a complete one.
+// abort ends a request within its response. The response stays incomplete, so
+// ServeHTTP closes the connection, and the caller does not take a partial response
+// for a complete one.
 func (e *exchange) abort(reason string) {
 	e.record.Outcome, e.record.Reason = "cut", reason
 	e.server.counts.failed.Inc(1)
-	panic(http.ErrAbortHandler)
 }
 
-// finish releases the memory reserved for the body and writes the request's record
+// finish releases the memory reserved for bodies and writes the request's record
 // to the log and the metrics.
 func (e *exchange) finish() {
 	e.server.bodyBytes.release(e.reservedBytes)
+	e.releaseResponse(e.responseReserved)
 	e.record.Duration = time.Since(e.arrivedAt)
 	e.record.Events = e.stream.events
+	if e.record.Outcome == "" {
+		e.record.Outcome, e.record.Reason = "cut", "no_response"
+		e.server.counts.failed.Inc(1)
+	}
 	if e.record.Outcome == "served" {
 		e.server.counts.served.Inc(1)
 	}
--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -10,7 +10,7 @@
 // fullResponse is a complete response of a target that is not a stream.
 type fullResponse struct {
 	resp *http.Response
-	body []byte
+	body *responseBody
 }
 
 // deliver sends a complete response of a target to the caller.
@@ -18,7 +18,7 @@
 	h := e.w.Header()
 	e.server.opts.Headers.CopyResponse(h, a.resp.Header)
 	if e.r.Method != http.MethodHead {
-		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+		h.Set("Content-Length", strconv.Itoa(a.body.size))
 	}
 	e.record.Status = a.resp.StatusCode
 	e.record.TimeToFirstByte = time.Since(e.arrivedAt)
@@ -27,14 +27,12 @@
 		e.record.Outcome, e.record.Reason = "failed", "target_answer"
 		e.server.counts.failed.Inc(1)
 	}
-	err := e.limitWrites()
 	e.w.WriteHeader(a.resp.StatusCode)
-	if _, writeErr := e.w.Write(a.body); writeErr != nil {
-		err = writeErr
-	}
-	if err != nil {
+	if err := e.writeBody(a.body); err != nil {
 		e.record.Outcome, e.record.Reason = "left", err.Error()
+		return
 	}
+	e.responseComplete = true
 }
 
 // refusal is an error response that the router itself sends.
@@ -75,5 +73,7 @@
 	e.w.WriteHeader(f.status)
 	if _, err := io.WriteString(e.w, f.reason+"\n"); err != nil {
 		e.record.Reason += ": " + err.Error()
+		return
 	}
+	e.responseComplete = true
 }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -27,9 +27,6 @@
 	// defaultTimeout applies to a request for which neither the route nor the
 	// caller sets a timeout.
 	defaultTimeout = time.Minute
-	// callerWriteGrace is the time within which the caller must have taken the response,
-	// counted from the request's deadline, or from the first write if that is later.
-	callerWriteGrace = 500 * time.Millisecond
 )
 
 // Options configures a Server.
@@ -54,6 +51,9 @@
 	// MaxTotalBodyBytes limits the total size of all request bodies held at the same
 	// time. Zero means no limit.
 	MaxTotalBodyBytes int64
+	// MaxTotalResponseBytes limits the total size of the parts of targets' responses held
+	// at the same time, beyond unbudgetedResponseBytes of each. Zero means no limit.
+	MaxTotalResponseBytes int64
 	// RetryRatio and RetryExtra limit the retries that reach a service, over the
 	// whole fleet: at most RetryRatio x requests + RetryExtra in a window.
 	RetryRatio, RetryExtra float64
@@ -76,6 +76,8 @@
 	active    atomic.Pointer[activeConfig]
 	counts    counters
 	bodyBytes byteBudget
+	// responseBytes is the memory of targets' responses.
+	responseBytes byteBudget
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -98,6 +100,7 @@
 	}
 	s := &Server{opts: o, counts: newCounters(o.Scope), budgets: make(map[string]*retry.Budget), routers: 1, retryRatio: o.RetryRatio, retryExtra: o.RetryExtra}
 	s.bodyBytes.limit = o.MaxTotalBodyBytes
+	s.responseBytes.limit = o.MaxTotalResponseBytes
 	return s
 }
 
@@ -150,7 +153,9 @@
 	return b
 }
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. Unless a complete response was written, it panics
+// with http.ErrAbortHandler, which closes the connection: if it returned, net/http
+// would send an empty response with status 200, or complete the one that was begun.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := &exchange{server: s, w: w, r: r, arrivedAt: time.Now(), meta: s.opts.Headers.DecodeRequest(r.Header)}
 	e.record = RequestRecord{
@@ -159,9 +164,12 @@
 	defer e.finish()
 	if refusal := e.prepare(); refusal != nil {
 		e.refuse(refusal)
-		return
+	} else {
+		e.serve()
+	}
+	if !e.responseComplete {
+		panic(http.ErrAbortHandler)
 	}
-	e.serve()
 }
 
 // prepare looks up the route and the workspace and reads the body. It returns a
@@ -251,6 +259,8 @@
 // counters holds the metrics of a server.
 type counters struct {
 	served, refused, failed, retried, resumed, canceled tally.Counter
+	// responsesFull counts the responses for which the budget had no room.
+	responsesFull tally.Counter
 	// tokensCharged counts the tokens charged to workspaces for attempts at engines,
 	// tokensNotRun those taken back because no engine ran the attempt.
 	tokensCharged, tokensNotRun tally.Counter
@@ -267,6 +277,7 @@
 		retried:       scope.Counter("requests_retried"),
 		resumed:       scope.Counter("streams_resumed"),
 		canceled:      scope.Counter("requests_left"),
+		responsesFull: scope.Counter("responses_full"),
 		tokensCharged: scope.Counter("engine_tokens_charged"),
 		tokensNotRun:  scope.Counter("engine_tokens_not_run"),
 		firstByteTime: scope.Timer("first_byte_time"),
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -51,13 +51,17 @@
 // at the end of a broken stream is dropped.
 func (a *attempt) relayStream(resp *http.Response) (attemptOutcome, error) {
 	var pending []byte
+	var held int64
+	defer func() { a.releaseResponse(held) }()
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			a.markResponseStarted()
+			// An event may end with the last byte read before.
+			unscanned := max(0, len(pending)-1)
 			pending = append(pending, buf[:n]...)
-			complete, partial := splitEvents(pending)
+			complete, partial := splitEvents(pending, unscanned)
 			valid, eventErr := a.stream.advance(complete)
 			if err := a.sendEvents(resp, complete[:valid]); err != nil {
 				return a.callerWriteFailed(err)
@@ -66,6 +70,10 @@
 				return a.failStream(eventErr)
 			}
 			pending = append(pending[:0], partial...)
+			var fullErr error
+			if held, fullErr = a.reserveResponse(held, cap(pending)); fullErr != nil {
+				return a.failForMemory(fullErr)
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(pending) == 0:
@@ -91,12 +99,14 @@
 }
 
 // splitEvents splits the pending bytes into complete events and the partial event
-// after them.
-func splitEvents(pending []byte) (complete, partial []byte) {
-	end := bytes.LastIndex(pending, []byte("\n\n")) + 1
-	if end > 0 {
-		end++
+// after them. No event ends before the byte unscanned, so that the time for a large event
+// is linear in its size.
+func splitEvents(pending []byte, unscanned int) (complete, partial []byte) {
+	i := bytes.LastIndex(pending[unscanned:], []byte("\n\n"))
+	if i < 0 {
+		return nil, pending
 	}
+	end := unscanned + i + len("\n\n")
 	return pending[:end], pending[end:]
 }
 
@@ -186,6 +196,7 @@
 	a.releaseConn()
 	a.end.Result = admit.Served
 	a.exchange.record.Outcome = "served"
+	a.responseComplete = true
 	return outcomeDelivered, nil
 }
 
