--- a/internal/edge/response_budget.go
+++ b/internal/edge/response_budget.go
@@ -19,10 +19,8 @@
 	minChunkBytes = 4 << 10
 	maxChunkBytes = 64 << 10
 	// chunkWriteTimeout is the time within which a caller must accept one chunk of a
-	// body, and lateWriteTimeout the same after the request's deadline, so that a caller
-	// that doesn't read holds neither a part of the budget nor a stop of the router.
+	// body, so that a caller that doesn't read can't hold a part of the budget.
 	chunkWriteTimeout = 10 * time.Second
-	lateWriteTimeout  = time.Second
 )
 
 // errResponsesFull is the error of a response for which the budget has no room. It says
@@ -117,29 +115,17 @@
 	return n, err
 }
 
-// writeBody writes a body to the caller. net/http clears the write deadline when the
-// request has ended.
+// writeBody writes a body to the caller.
 func (e *exchange) writeBody(b *responseBody) error {
 	controller := http.NewResponseController(e.w)
 	for _, chunk := range b.chunks {
-		// Writers without support for deadlines are written to without one.
-		_ = controller.SetWriteDeadline(e.chunkDeadline(time.Now()))
+		if b.size > unbudgetedResponseBytes {
+			// Writers without support for deadlines are written to without one.
+			_ = controller.SetWriteDeadline(time.Now().Add(chunkWriteTimeout))
+		}
 		if _, err := e.w.Write(chunk); err != nil {
 			return err
 		}
 	}
 	return nil
 }
-
-// chunkDeadline returns the time until which the caller must have accepted a chunk.
-func (e *exchange) chunkDeadline(now time.Time) time.Time {
-	deadline := now.Add(chunkWriteTimeout)
-	last := e.deadline
-	if last.Before(now) {
-		last = now
-	}
-	if last = last.Add(lateWriteTimeout); last.Before(deadline) {
-		return last
-	}
-	return deadline
-}
