admit, edge: a target that says it leaves gets no more requests

What callers saw: nothing read Server-Leaving, so requests went to a target that had said that it leaves until the list of targets said so too. Cause: the header was not decoded, and placement knew only the list. Change: the head of every response is decoded and reported to admission (also errors, 421, rejections, streams, responses that are then dropped). Leaving is final for the run, by id and start time, whatever the list says later. The target is not used at once; if no other target can take a request, it is used for half of the drain timeout (docs/design/ADMISSION.md has the reasons). If all targets of a service leave, waiting requests are refused at once. One log line names the answer that said so.

Measured: TestTargetThatSaysItLeavesGetsNoMoreRequests, 3.5 s of bursts of 16 requests at two targets, counts the requests at the one that leaves. Its cases of a server error, another id and no seal pass before too, since failures steer requests away; they are guards. TestLogSaysThatATargetLeaves, TestHeadOfAStreamSaysThatTheTargetLeaves and TestRestartedTargetGetsRequestsAgain fail before ("target leaves" is missing; the target is still used after 5 s). The tests of the controller use its new method; with the recording left out of it, four of the seven fail ("got map[a:20], want all 20 requests at b", "got verdicts [], want the waiting request refused for lack of a target"). Three pass, as guards: the new run, the late statement of an earlier run, and the waiting request that goes elsewhere.

--- a/internal/core/admit/choose.go
+++ b/internal/core/admit/choose.go
@@ -119,10 +119,21 @@
 	return crossDomainBaseCost + crossDomainTokenCost*time.Duration(r.PromptTokens+r.OutputTokens)
 }
 
-// forEachCandidate calls visit with the evaluation of each usable target.
+// forEachCandidate calls visit with the evaluation of each usable target; if there are
+// none, with those of last resort.
 func (s *service) forEachCandidate(sel *selection, visit func(candidate)) {
+	found := false
 	for _, t := range s.targets {
 		if t.isUsable(sel.now, sel.req) {
+			found = true
+			visit(s.evaluate(sel, t))
+		}
+	}
+	if found {
+		return
+	}
+	for _, t := range s.targets {
+		if s.isLastResort(sel.now, t) && t.mayTake(sel.now, sel.req) {
 			visit(s.evaluate(sel, t))
 		}
 	}
--- a/internal/core/admit/controller.go
+++ b/internal/core/admit/controller.go
@@ -43,6 +43,8 @@
 	Domain ids.Domain
 	// ShareWindow is the time over which fair shares are computed, see share.New.
 	ShareWindow time.Duration
+	// DrainTimeout is how long a target may get requests after it said that it leaves.
+	DrainTimeout time.Duration
 	// Seed is the seed of the jitter of Retry-After.
 	Seed uint64
 }
@@ -56,6 +58,8 @@
 	services map[string]*service
 	targets  map[ids.Target]*target
 	attempts map[ID]*attempt
+	// leavingRuns holds since when the runs that said that they leave have done so.
+	leavingRuns map[run]time.Time
 	// healthChanges are the changes of target health since the last TakeHealthChanges.
 	healthChanges []HealthChange
 	// throughput is that of all engines in tokens per second, 0 if not configured.
@@ -65,12 +69,13 @@
 // New returns a controller without services and targets.
 func New(o Options) *Controller {
 	return &Controller{
-		opts:     o,
-		random:   rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15)),
-		window:   share.New(o.ShareWindow),
-		services: make(map[string]*service),
-		targets:  make(map[ids.Target]*target),
-		attempts: make(map[ID]*attempt),
+		opts:        o,
+		random:      rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15)),
+		window:      share.New(o.ShareWindow),
+		services:    make(map[string]*service),
+		targets:     make(map[ids.Target]*target),
+		attempts:    make(map[ID]*attempt),
+		leavingRuns: make(map[run]time.Time),
 	}
 }
 
@@ -84,7 +89,8 @@
 }
 
 // SetTargets replaces the list of targets. A new run of a target starts without the
-// state of the earlier run.
+// state of the earlier run; a run that said that it leaves stays out whatever the list
+// says.
 func (ac *Controller) SetTargets(all []routing.Target) {
 	for _, s := range ac.services {
 		s.targets = nil
@@ -95,6 +101,7 @@
 		current := ac.targets[t.ID]
 		if current == nil || !current.IsSameRun(t) {
 			current = newTarget(t)
+			current.leavingSince = ac.leavingSince(t.ID, t.StartTimeMS)
 			ac.targets[t.ID] = current
 		}
 		current.Target = t
@@ -146,7 +153,10 @@
 func (ac *Controller) service(name string) *service {
 	s := ac.services[name]
 	if s == nil {
-		s = &service{name: name, peerBacklogs: make(map[ids.Instance]peerBacklog), recentRefusals: make(map[refusalKind]refusal)}
+		s = &service{
+			name: name, peerBacklogs: make(map[ids.Instance]peerBacklog), recentRefusals: make(map[refusalKind]refusal),
+			lastResortTime: time.Duration(lastResortShare * float64(ac.opts.DrainTimeout)),
+		}
 		ac.services[name] = s
 	}
 	return s
@@ -156,7 +166,7 @@
 func (ac *Controller) Submit(now time.Time, r Request) Verdict {
 	s := ac.services[r.Service]
 	if s == nil || s.latency == nil {
-		return Verdict{ID: r.ID, Refused: NoTarget, RetryAfter: ac.jitteredRetryAfter(noTargetRetryAfter)}
+		return ac.refuseNoTarget(&r)
 	}
 	s.recordObjective(now, r.Objective)
 	if s.isEngine() {
@@ -182,7 +192,7 @@
 	}
 	c, found := s.choose(now, r, ac.opts.Domain, rank)
 	if !found {
-		return Verdict{ID: r.ID, Refused: NoTarget, RetryAfter: ac.jitteredRetryAfter(noTargetRetryAfter)}
+		return ac.refuseNoTarget(r)
 	}
 	wait := time.Duration(float64(s.expectedQueueWait(now)) * s.queue.shareAhead(rank, r.Priority))
 	c.inputs.QueueWait = wait
@@ -198,7 +208,7 @@
 	c, found := s.chooseWithRoom(now, r, ac.opts.Domain)
 	switch {
 	case !found:
-		return Verdict{ID: r.ID, Refused: NoTarget, RetryAfter: ac.jitteredRetryAfter(noTargetRetryAfter)}
+		return ac.refuseNoTarget(r)
 	case c.hasRoom && s.queue.len() == 0:
 		return ac.send(now, s, r, c)
 	}
--- a/internal/core/admit/fetch.go
+++ b/internal/core/admit/fetch.go
@@ -33,7 +33,7 @@
 	shared := sel.req.Parts[:len(sel.req.Parts)-1]
 	complete := false
 	for _, t := range s.targets {
-		if t.Draining {
+		if t.isLeaving() {
 			continue
 		}
 		tokens, all := t.cache.prefilledPrefix(sel.now, shared)
--- a/internal/core/admit/queueing.go
+++ b/internal/core/admit/queueing.go
@@ -47,10 +47,11 @@
 
 func (ac *Controller) pollService(now time.Time, s *service, out []Verdict) []Verdict {
 	s.queue.sort(now, func(r *Request) share.Rank { return ac.rank(now, s, r) })
+	hasTarget := s.hasTarget(now, nil)
 	kept := s.queue.waiting[:0]
 	waiting := s.queue.waiting
 	for i, e := range waiting {
-		v, decided := ac.decideQueued(now, s, e, i < maxScanned)
+		v, decided := ac.decideQueued(now, s, e, i < maxScanned || !hasTarget)
 		if decided {
 			out = append(out, v)
 			continue
@@ -63,7 +64,8 @@
 }
 
 // decideQueued decides on a queued request, if possible. Unless scan is set it looks
-// for a target only once the request is due to be refused.
+// for a target only once the request is due to be refused. A request that no target will
+// accept is refused at once.
 func (ac *Controller) decideQueued(now time.Time, s *service, e *entry, scan bool) (Verdict, bool) {
 	if !scan && now.Before(e.refuseAt) {
 		return Verdict{}, false
@@ -75,12 +77,13 @@
 	if found && c.hasRoom {
 		return ac.send(now, s, e.req, c), true
 	}
-	if now.Before(e.refuseAt) {
+	if now.Before(e.refuseAt) && (found || s.hasTarget(now, e.req.Exclude)) {
 		return Verdict{}, false
 	}
-	v := Verdict{ID: e.req.ID, Refused: Expired, RetryAfter: ac.jitteredRetryAfter(s.expectedQueueWait(now)), Inputs: c.inputs}
+	v := Verdict{ID: e.req.ID, Refused: Expired, RetryAfter: ac.jitteredRetryAfter(s.expectedQueueWait(now))}
 	if !found {
-		v.Refused = NoTarget
+		v = ac.refuseNoTarget(e.req)
 	}
+	v.Inputs = c.inputs
 	return v, true
 }
--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -18,6 +18,8 @@
 	conf    *routing.Service
 	targets []*target
 	latency *latencyModel
+	// lastResortTime is how long a leaving target is used if there is no other.
+	lastResortTime time.Duration
 
 	// shortestObjective is the shortest latency objective observed within
 	// tightestObjectiveTTL.
@@ -82,7 +84,7 @@
 	requests, tokens := s.fleetBacklog(now)
 	slots, available := 0, 0
 	for _, t := range s.targets {
-		if !t.Draining && t.health.isAvailable(now) {
+		if !t.isLeaving() && t.health.isAvailable(now) {
 			slots += max(1, t.Slots)
 			available++
 		}
--- a/internal/core/admit/target.go
+++ b/internal/core/admit/target.go
@@ -51,6 +51,8 @@
 
 	cache  prefixCache
 	health health
+	// leavingSince is when the target first said that it leaves, zero if it has not.
+	leavingSince time.Time
 
 	// lastSlowness is the smoothed ratio of observed to expected latency as of slownessAt.
 	lastSlowness float64
@@ -147,16 +149,21 @@
 
 // isUsable reports whether the request may be sent to the target.
 func (t *target) isUsable(now time.Time, r *Request) bool {
-	return !t.Draining && t.health.isAvailable(now) && !slices.Contains(r.Exclude, t.ID)
+	return !t.isLeaving() && t.mayTake(now, r)
+}
+
+// mayTake is like isUsable, whether or not the target leaves.
+func (t *target) mayTake(now time.Time, r *Request) bool {
+	return t.health.isAvailable(now) && !slices.Contains(r.Exclude, t.ID)
 }
 
 // homeTarget returns the target at which all routers place a shared part: the one with
-// the highest rendezvous weight, nil if all targets are draining.
+// the highest rendezvous weight, nil if all targets leave.
 func homeTarget(targets []*target, key uint64) *target {
 	var best *target
 	var top uint64
 	for _, t := range targets {
-		if t.Draining {
+		if t.isLeaving() {
 			continue
 		}
 		if w := rendezvous.Mix(key ^ t.hash); best == nil || w > top {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -147,6 +147,7 @@
 // to the caller if they are valid.
 func (a *attempt) handleResponse(resp *http.Response) (attemptOutcome, error) {
 	respMeta := a.server.opts.Headers.DecodeResponse(resp)
+	a.reportStatement(resp.StatusCode, respMeta)
 	if respMeta.ID != "" && respMeta.ID != a.meta.ID {
 		return a.invalidResponse("response carries the id of another request")
 	}
--- a/internal/edge/headers.go
+++ b/internal/edge/headers.go
@@ -51,6 +51,8 @@
 	// Replaced is set if the response comes from another target than the one that
 	// the request was meant for.
 	Replaced bool
+	// Leaving is set if the target states that it is about to exit.
+	Leaving bool
 	// Signed is set if the response carries the target's signature.
 	Signed bool
 }
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -13,6 +13,8 @@
 	Decision(Decision)
 	// Request records a request when it ends.
 	Request(RequestRecord)
+	// Statement records that a target said something new of itself.
+	Statement(StatementRecord)
 }
 
 // Decision is one decision of the scheduler on a request.
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -166,6 +166,14 @@
 	s.update(func(now time.Time) { s.admission.AttemptEnded(now, id, end) })
 }
 
+// RecordStatement records what a target said of itself in the response to a request,
+// and reports whether that was new.
+func (s *Scheduler) RecordStatement(id admit.ID, st admit.Statement) bool {
+	var isNew bool
+	s.update(func(now time.Time) { isNew = s.admission.RecordStatement(now, id, st) })
+	return isNew
+}
+
 // SetConfig replaces the configuration.
 func (s *Scheduler) SetConfig(c *routing.Config) {
 	s.update(func(time.Time) { s.admission.SetConfig(c) })
--- /dev/null
+++ b/internal/edge/statement.go
@@ -0,0 +1,25 @@
+package edge
+
+import (
+	"github.com/umberhill/umberhill/internal/core/admit"
+	"github.com/umberhill/umberhill/internal/routing"
+)
+
+// StatementRecord is the log record of something new that a target said of itself.
+type StatementRecord struct {
+	Target routing.Target
+	// Request is the id of the request in whose response the target said so, Status the
+	// status of that response.
+	Request string
+	Status  int
+}
+
+// reportStatement reports what the target says of itself in a response. It is called
+// with the head of every response, also of one that is then rejected as invalid.
+func (a *attempt) reportStatement(status int, m ResponseMeta) {
+	st := admit.Statement{Leaving: m.Leaving}
+	if st == (admit.Statement{}) || !a.server.opts.Scheduler.RecordStatement(a.verdict.ID, st) {
+		return
+	}
+	a.server.opts.Log.Statement(StatementRecord{Target: a.verdict.Target, Request: a.meta.ID, Status: status})
+}
--- a/internal/explain/logs.go
+++ b/internal/explain/logs.go
@@ -140,6 +140,9 @@
 	case "target listed", "target gone", "target ejected", "target restored":
 		target, _ := l.Fields["target"].(string)
 		return "target " + target
+	case "target leaves":
+		target, _ := l.Fields["target"].(string)
+		return "statement of " + target
 	}
 	return ""
 }
@@ -149,7 +152,7 @@
 func decisionSubjects(l Line) []string {
 	subjects := []string{"configuration", "store", "peers"}
 	if target, ok := l.Fields["target"].(string); ok {
-		subjects = append(subjects, "target "+target)
+		subjects = append(subjects, "target "+target, "statement of "+target)
 	}
 	return subjects
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,9 +122,10 @@
 		debug.SetGCPercent(gcPercent)
 	}
 	n.scheduler = edge.NewScheduler(admit.Options{
-		Domain:      s.Domain,
-		ShareWindow: s.ShareWindow,
-		Seed:        uint64(n.incarnation),
+		Domain:       s.Domain,
+		ShareWindow:  s.ShareWindow,
+		DrainTimeout: s.DrainTimeout,
+		Seed:         uint64(n.incarnation),
 	}, n.logHealth)
 	n.pool = upstream.NewPool(upstream.Options{
 		DialTimeout:    dialTimeout,
--- a/internal/node/request_log.go
+++ b/internal/node/request_log.go
@@ -25,7 +25,7 @@
 // so that lines of normal requests do not displace them.
 type requestLog struct {
 	logger  *logrus.Entry
-	queue   chan any // edge.Decision or edge.RequestRecord
+	queue   chan any // edge.Decision, edge.RequestRecord or edge.StatementRecord
 	dropped atomic.Int64
 
 	// normalLeft and problemLeft are the lines that may still be written in the
@@ -54,6 +54,9 @@
 	l.put(e, isNormal(e))
 }
 
+// Statement implements edge.Log. Statements are rare, so their rate is not bounded.
+func (l *requestLog) Statement(s edge.StatementRecord) { l.enqueue(s) }
+
 // isNormal reports whether a request was served with at most one attempt.
 func isNormal(e edge.RequestRecord) bool { return e.Outcome == "served" && len(e.Attempts) <= 1 }
 
@@ -68,6 +71,11 @@
 		l.dropped.Add(1)
 		return
 	}
+	l.enqueue(line)
+}
+
+// enqueue queues a line. It drops and counts the line if the queue is full.
+func (l *requestLog) enqueue(line any) {
 	select {
 	case l.queue <- line:
 	default:
@@ -111,6 +119,8 @@
 		l.logger.WithFields(decisionFields(line)).Info("request " + line.Step)
 	case edge.RequestRecord:
 		l.logger.WithFields(recordFields(line)).Info("request ended")
+	case edge.StatementRecord:
+		l.logger.WithFields(statementFields(line)).Info("target leaves")
 	}
 }
 
@@ -158,6 +168,15 @@
 	f["report_age_ms"], f["levels_age_ms"] = st.ReportAge.Milliseconds(), st.LevelsAge.Milliseconds()
 }
 
+// statementFields names the request as answer_to: the line is about the target, and not
+// one of the request's lines.
+func statementFields(s edge.StatementRecord) logrus.Fields {
+	return logrus.Fields{
+		"target": s.Target.ID, "service": s.Target.Service, "address": s.Target.Address, "born": s.Target.StartTimeMS,
+		"answer_to": s.Request, "answer_status": s.Status,
+	}
+}
+
 func recordFields(e edge.RequestRecord) logrus.Fields {
 	f := logrus.Fields{
 		"request": e.ID, "route": e.Route, "version": e.ConfigVersion, "status": e.Status,
