edge: a refusal while all targets want no requests states their time

What callers saw: 503 with Retry-After 0.40 although all targets of the service had just asked for 5 s without requests; the caller returned only to be refused again. Cause: after a rejection the retry budget came first. If it was used up, the request ended with the Retry-After for busy targets; if not, a retry was taken from it for an attempt that was then not made. Change: after an attempt that did not run, admission is asked whether all targets want no requests; the request is then refused with their time, and takes no retry.

Test: TestRetryAfterHoldsWithoutRetryBudget fails before ("Retry-After:[0.40]", want 4.9 to 7.5 s).

--- a/internal/core/admit/turnaway.go
+++ b/internal/core/admit/turnaway.go
@@ -106,6 +106,19 @@
 	return until, ok
 }
 
+// RefuseTurnedAway reports whether a request is refused because all targets of its service
+// want no requests, and returns the verdict.
+func (ac *Controller) RefuseTurnedAway(now time.Time, r Request) (Verdict, bool) {
+	s := ac.services[r.Service]
+	if s == nil {
+		return Verdict{}, false
+	}
+	if _, ok := s.turnedAwayUntil(now); !ok {
+		return Verdict{}, false
+	}
+	return ac.refuseNoTarget(now, s, &r), true
+}
+
 // refuseNoTarget refuses a request because no target of the service is usable.
 func (ac *Controller) refuseNoTarget(now time.Time, s *service, r *Request) Verdict {
 	if until, ok := s.turnedAwayUntil(now); ok {
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -165,6 +165,12 @@
 		e.cancel()
 	case outcomeNotSent, outcomeRejected:
 		e.rejectedAttempts++
+		// Another attempt would be refused. It must not take from the retry budget.
+		if v, refused := e.server.opts.Scheduler.RefuseTurnedAway(e.admitRequest()); refused {
+			e.logDecision(v, 0)
+			e.refuseByVerdict(v)
+			return true
+		}
 		// An attempt that reached a target takes from the retry budget, because the
 		// next attempt is then a repeat of the request at the service.
 		if e.rejectedAttempts <= maxRejectedAttempts && (outcome == outcomeNotSent || e.server.budget(e.service).Take()) {
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -139,6 +139,14 @@
 	return s.admission.RefuseEarly(time.Now(), r)
 }
 
+// RefuseTurnedAway reports whether all targets of a request's service want no requests,
+// and returns the verdict that refuses it.
+func (s *Scheduler) RefuseTurnedAway(r admit.Request) (admit.Verdict, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.admission.RefuseTurnedAway(time.Now(), r)
+}
+
 // cancel removes a request from the queue, or releases its target unused if the
 // verdict came first.
 func (s *Scheduler) cancel(id admit.ID, ch chan admit.Verdict) (admit.Verdict, bool) {
