replay: engines that turn requests away and say for how long

Pattern turn-away: three of eight engines turn all requests away for 8 s and ask for 2 s without any.

--- a/internal/replay/pattern.go
+++ b/internal/replay/pattern.go
@@ -46,6 +46,11 @@
 	HotSubjectShare float64
 	// IsDown reports whether an engine is down at a time since the start; nil stands for never.
 	IsDown func(engine int, at time.Duration) bool
+	// TurnsAway reports whether an engine turns requests away at a time since the start,
+	// and says that it wants none for RetryAfter; nil stands for never.
+	TurnsAway func(engine int, at time.Duration) bool
+	// RetryAfter is the time that engines state when they turn requests away, 0 for none.
+	RetryAfter time.Duration
 	// RoutersReached returns the number of routers to which a workspace's callers are
 	// connected; nil stands for all.
 	RoutersReached func(workspace int) int
@@ -133,7 +138,11 @@
 	loss := newPattern("engine-loss", "a third of the engines are down for some seconds")
 	loss.LoadFactor = func(time.Duration) float64 { return 0.8 }
 	loss.IsDown = func(engine int, at time.Duration) bool { return engine < 3 && at >= 8*second && at < 16*second }
-	return []Pattern{calm, overload, burst, flood, hot, loss}
+	turnAway := newPattern("turn-away", "a third of the engines turn requests away for some seconds and say for how long")
+	turnAway.LoadFactor = func(time.Duration) float64 { return 0.8 }
+	turnAway.TurnsAway = func(engine int, at time.Duration) bool { return engine < 3 && at >= 8*second && at < 16*second }
+	turnAway.RetryAfter = 2 * second
+	return []Pattern{calm, overload, burst, flood, hot, loss, turnAway}
 }
 
 // generate returns the pattern's requests ordered by arrival time.
--- a/internal/replay/policy.go
+++ b/internal/replay/policy.go
@@ -30,6 +30,7 @@
 	submit(now time.Time, r *request) admit.Verdict
 	answerStarted(now time.Time, id admit.ID)
 	attemptEnded(now time.Time, id admit.ID, end admit.End)
+	targetStated(now time.Time, id admit.ID, st admit.Statement)
 	poll(now time.Time) []admit.Verdict
 }
 
@@ -77,6 +78,10 @@
 	d.controller.AttemptEnded(now, id, end)
 }
 
+func (d admitDispatcher) targetStated(now time.Time, id admit.ID, st admit.Statement) {
+	d.controller.RecordStatement(now, id, st)
+}
+
 func (d admitDispatcher) poll(now time.Time) []admit.Verdict { return d.controller.Poll(now) }
 
 // baselineDispatcher applies a baseline policy: it dispatches every request immediately
@@ -132,3 +137,5 @@
 }
 
 func (d *baselineDispatcher) poll(time.Time) []admit.Verdict { return nil }
+
+func (d *baselineDispatcher) targetStated(time.Time, admit.ID, admit.Statement) {}
--- a/internal/replay/simulation.go
+++ b/internal/replay/simulation.go
@@ -38,6 +38,8 @@
 	// Requests is the number of requests; the other four fields count them by outcome.
 	// A request is abandoned when its caller times out waiting for an event.
 	Requests, OnTime, Late, Refused, Abandoned int
+	// TurnedAway counts the attempts that engines turned away.
+	TurnedAway int
 	// Worth is the share of requests answered on time, with each late response counted as
 	// lateResponseWorth.
 	Worth float64
@@ -205,6 +207,12 @@
 		s.failAttempt(r, admit.End{Result: admit.Unreachable, NotRun: true})
 		return
 	}
+	if s.turnsAway(i) {
+		s.routers[r.router].targetStated(s.virtualTime(), r.ID, admit.Statement{RetryAfter: s.pattern.RetryAfter})
+		s.result.TurnedAway++
+		s.failAttempt(r, admit.End{Result: admit.Rejected, NotRun: true})
+		return
+	}
 	j := &job{req: r, lastEventAt: s.now}
 	id := r.ID
 	s.schedule(eventTimeout, func() { s.abandonIfStalled(i, j, id) })
@@ -233,7 +241,11 @@
 
 func (s *simulation) isDown(i int) bool { return s.pattern.IsDown != nil && s.pattern.IsDown(i, s.now) }
 
-// failAttempt ends an attempt whose engine is down; the caller may retry.
+func (s *simulation) turnsAway(i int) bool {
+	return s.pattern.TurnsAway != nil && s.pattern.TurnsAway(i, s.now)
+}
+
+// failAttempt ends an attempt that an engine did not serve; the caller may retry.
 func (s *simulation) failAttempt(r *request, end admit.End) {
 	delete(s.inFlight, r.ID)
 	s.routers[r.router].attemptEnded(s.virtualTime(), r.ID, end)
--- a/internal/replay/simulation_test.go
+++ b/internal/replay/simulation_test.go
@@ -80,3 +80,22 @@
 		}
 	}
 }
+
+// Guards against attempts at engines that have said that they want none, and against
+// engines that are left out for longer than they asked.
+func TestEnginesThatTurnRequestsAwayAreLeftAlone(t *testing.T) {
+	for seed := range uint64(3) {
+		p := patterns()["turn-away"]
+		heeded := replay.Simulate(p, replay.Admit, seed)
+		p.RetryAfter = 0
+		unstated := replay.Simulate(p, replay.Admit, seed)
+		t.Logf("seed %d: %+v; without a stated time: %+v", seed, heeded, unstated)
+		// The engines are asked at most four times in eight seconds, once by each router.
+		if most := 4 * 3 * p.Routers; heeded.TurnedAway > most || unstated.TurnedAway < 10*most {
+			t.Errorf("seed %d: %d attempts turned away, want at most %d; without a stated time %d, want at least %d", seed, heeded.TurnedAway, most, unstated.TurnedAway, 10*most)
+		}
+		if heeded.Worth <= unstated.Worth {
+			t.Errorf("seed %d: worth %.3f, want more than the %.3f without a stated time", seed, heeded.Worth, unstated.Worth)
+		}
+	}
+}
