peer: a call ends with its context while the peer accepts no streams

Cause: yamux's OpenStream takes no context and blocks while 16 streams wait for the peer to accept them. A stream that its caller closes counts as established for the timeout of the open, so that does not end the session; the place in the backlog returns only with the timeout of the half-closed stream, 10 s later. A peer that sends heartbeats but accepts no calls held the 17th call for 8.48 s, measured with a context of 100 ms. Change: OpenStream runs in a goroutine that closes the stream if the context ends first; each link has at most 16 of them. Not covered: a write that waits for the connection ends with the link's timeout, not with the context, and the timeout of an open still does not close the session of such a peer if its callers give up first.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -97,11 +97,43 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	s, err := l.session.OpenStream()
-	if err != nil {
+	return l.openStream(ctx)
+}
+
+// openStream opens a stream of the session. OpenStream takes no context, and it blocks
+// while acceptBacklog streams wait for the peer to accept them, so it runs in a goroutine,
+// which closes the stream if ctx ends first. opening bounds these goroutines.
+func (l *link) openStream(ctx context.Context) (*stream, error) {
+	select {
+	case l.opening <- struct{}{}:
+	case <-l.done:
+		return nil, ErrNotLinked
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	opened, failed := make(chan *stream), make(chan error, 1)
+	go func() {
+		defer func() { <-l.opening }()
+		s, err := l.session.OpenStream()
+		if err != nil {
+			failed <- err
+			return
+		}
+		added := l.streams.add(s)
+		select {
+		case opened <- added:
+		case <-ctx.Done():
+			discard(added)
+		}
+	}()
+	select {
+	case s := <-opened:
+		return s, nil
+	case err := <-failed:
 		return nil, err
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	return l.streams.add(s), nil
 }
 
 func (m *Mesh) exchange(stream *stream, request *peerv1.CallRequest) (*peerv1.CallResponse, error) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -52,6 +52,8 @@
 	opened  chan struct{}
 	session *yamux.Session
 	streams openStreams
+	// opening has an element for each goroutine that opens a stream.
+	opening chan struct{}
 
 	// lastReceivedNanos is when the last message arrived, in ns since
 	// Mesh.createdAt.
@@ -63,16 +65,17 @@
 func newLink(m *Mesh, id member.LinkID, info member.Info, conn net.Conn, dialed bool) *link {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	l := &link{
-		mesh:   m,
-		id:     id,
-		info:   info,
-		conn:   conn,
-		dialed: dialed,
-		queue:  newSendQueue(),
-		ctx:    ctx,
-		cancel: cancel,
-		done:   make(chan struct{}),
-		opened: make(chan struct{}),
+		mesh:    m,
+		id:      id,
+		info:    info,
+		conn:    conn,
+		dialed:  dialed,
+		queue:   newSendQueue(),
+		ctx:     ctx,
+		cancel:  cancel,
+		done:    make(chan struct{}),
+		opened:  make(chan struct{}),
+		opening: make(chan struct{}, acceptBacklog),
 	}
 	now := time.Now()
 	l.markReceived(now)
--- a/internal/peer/stream_test.go
+++ b/internal/peer/stream_test.go
@@ -120,6 +120,30 @@
 	}
 }
 
+// Guards against calls that outlast their context while a peer sends heartbeats but accepts
+// no calls.
+func TestCallEndsWithItsContextAtPeerThatAcceptsNone(t *testing.T) {
+	g := NewWithT(t)
+	a := start(t, "a")
+	connectPeer(t, a)
+	g.Eventually(a.Live).Should(HaveLen(1))
+	const calls = 3 * acceptBacklog
+	ended := make(chan error, calls)
+	for range calls {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			_, err := a.Call(ctx, "evil", "hang", nil)
+			ended <- err
+		}()
+	}
+	for range calls {
+		var err error
+		g.Eventually(ended).WithTimeout(2 * time.Second).Should(Receive(&err))
+		g.Expect(err).To(MatchError(context.DeadlineExceeded))
+	}
+}
+
 // connectPeer links to a node as the peer "evil", which accepts no calls. It sends
 // heartbeats until stop is called.
 func connectPeer(t *testing.T, n *node) (session *yamux.Session, stop func()) {
