faultlink: a relay continues to accept after an error of Accept

Cause: the relay ended its accept loop at the first error, also at those of a lack of memory or file descriptors, and left its listener open. The kernel completes further connections, and their clients wait without an answer until the relay is closed. Change: it retries after 50 ms until it is closed.

--- a/internal/faultlink/relay.go
+++ b/internal/faultlink/relay.go
@@ -11,10 +11,14 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+
+	"github.com/umberhill/umberhill/internal/pause"
 )
 
 const (
 	dialTimeout = 5 * time.Second
+	// acceptRetryDelay is the delay after a failed accept.
+	acceptRetryDelay = 50 * time.Millisecond
 	// chunkBytes is the largest size of a chunk.
 	chunkBytes = 32 << 10
 	// queueChunks bounds the chunks that are read ahead in each direction.
@@ -83,6 +87,10 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "relay to %s: listen", opts.Target)
 	}
+	return start(opts, listener), nil
+}
+
+func start(opts Options, listener net.Listener) *Relay {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{
 		opts:     opts,
@@ -94,7 +102,7 @@
 		conns:    map[*relayedConn]struct{}{},
 	}
 	r.wg.Go(r.accept)
-	return r, nil
+	return r
 }
 
 // Address returns the IP and port on which the relay listens.
@@ -156,12 +164,21 @@
 	return r.defaultRule
 }
 
+// accept serves incoming connections until the relay is closed. Accept also fails while
+// the system lacks memory or file descriptors.
 func (r *Relay) accept() {
 	for {
 		conn, err := r.listener.Accept()
-		if err != nil {
+		if r.ctx.Err() != nil {
+			if err == nil {
+				_ = conn.Close()
+			}
 			return
 		}
+		if err != nil {
+			pause.Sleep(r.ctx, acceptRetryDelay)
+			continue
+		}
 		r.wg.Go(func() { r.serve(conn) })
 	}
 }
