--- a/internal/harness/links.go
+++ b/internal/harness/links.go
@@ -139,9 +139,8 @@
 }
 
 const (
-	// ownerLookupAttempts bounds the lookups of a connection's owner. The
-	// kernel's socket table is read in parts, and a read can miss an existing
-	// socket.
+	// ownerLookupAttempts bounds the lookups of a connection's owner: a scan of the
+	// kernel's socket table can miss an existing socket.
 	ownerLookupAttempts = 20
 	ownerLookupInterval = 5 * time.Millisecond
 )
--- a/internal/harness/sockets_test.go
+++ b/internal/harness/sockets_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // Guards against rules that are applied to the wrong connection. Two connections
@@ -27,6 +28,50 @@
 	}
 }
 
+// Guards against a lookup that reads the table of all sockets: relays make it for each new
+// connection, and the machine may hold tens of thousands of sockets of other processes.
+func TestSocketInodeDoesNotDependOnTheNumberOfSockets(t *testing.T) {
+	const others, lookups, limit = 4000, 50, 50 * time.Millisecond
+	const perListener = 100
+	addr := listenAddr(t)
+	for i := range others {
+		if i%perListener == 0 {
+			addr = listenAddr(t)
+		}
+		dialFrom(t, "127.0.0.1:0", addr)
+	}
+	conn := dialFrom(t, "127.0.0.1:0", addr)
+	before := processorTime(t)
+	for range lookups {
+		if _, ok := socketInode(conn.LocalAddr(), conn.RemoteAddr()); !ok {
+			t.Fatal("socket not found")
+		}
+	}
+	if used := processorTime(t) - before; used > limit {
+		t.Errorf("%v of processor time for %d lookups beside %d connections, want at most %v", used, lookups, others, limit)
+	}
+}
+
+// processorTime returns the user and system time of this process.
+func processorTime(t *testing.T) time.Duration {
+	t.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// The kernel keeps a closed connection for a while, without a socket.
+func TestSocketInodeOfAClosedConnection(t *testing.T) {
+	conn := dialFrom(t, "127.0.0.1:0", listenAddr(t))
+	local, remote := conn.LocalAddr(), conn.RemoteAddr()
+	_ = conn.Close()
+	if inode, ok := socketInode(local, remote); ok {
+		t.Errorf("socket with inode %s found for a closed connection", inode)
+	}
+}
+
 func listenAddr(t *testing.T) net.Addr {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
