--- a/internal/faultlink/accept_test.go
+++ b/internal/faultlink/accept_test.go
@@ -45,6 +45,9 @@
 	case <-time.After(5 * time.Second):
 		t.Fatal("the relay accepted no connection within 5 s after an error")
 	}
+	if s := relay.Stats(); s.AcceptErrors != 1 || s.Accepted != 1 {
+		t.Errorf("%d accept errors and %d accepted connections, want 1 and 1", s.AcceptErrors, s.Accepted)
+	}
 }
 
 func listen(t *testing.T) net.Listener {
--- a/internal/faultlink/conn.go
+++ b/internal/faultlink/conn.go
@@ -85,7 +85,9 @@
 		if !direction(rule).Hold {
 			return rc.sleep(time.Until(arrivedAt.Add(direction(rule).Delay)))
 		}
+		rc.relay.updateStats(func(s *Stats) { s.Held++ })
 		<-changed
+		rc.relay.updateStats(func(s *Stats) { s.Held-- })
 	}
 }
 
--- a/internal/faultlink/relay.go
+++ b/internal/faultlink/relay.go
@@ -76,6 +76,23 @@
 	defaultRule Rule
 	changed     chan struct{}
 	conns       map[*relayedConn]struct{}
+	stats       Stats
+}
+
+// Stats describes the connections of a relay.
+type Stats struct {
+	// Accepted counts the accepted connections, AcceptErrors the failed accepts.
+	Accepted, AcceptErrors int
+	// Unnamed counts the connections for which ClientName returned an empty name.
+	// LongestNaming is the longest time that it took; no data is relayed before.
+	Unnamed       int
+	LongestNaming time.Duration
+	// Dialed counts the connections to the target, DialErrors the failed ones.
+	Dialed, DialErrors int
+	// Open is the number of relayed connections by client, and Held the number of their
+	// directions that wait for a change of the rules.
+	Open map[string]int
+	Held int
 }
 
 // New starts a relay. It runs until Close is called.
@@ -126,6 +143,24 @@
 	})
 }
 
+// Stats returns the state of the relay's connections since it was created.
+func (r *Relay) Stats() Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stats := r.stats
+	stats.Open = make(map[string]int)
+	for rc := range r.conns {
+		stats.Open[rc.clientName]++
+	}
+	return stats
+}
+
+func (r *Relay) updateStats(change func(*Stats)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(&r.stats)
+}
+
 // Close closes all connections and returns once the relay has stopped.
 func (r *Relay) Close() {
 	r.cancel()
@@ -176,9 +211,11 @@
 			return
 		}
 		if err != nil {
+			r.updateStats(func(s *Stats) { s.AcceptErrors++ })
 			pause.Sleep(r.ctx, acceptRetryDelay)
 			continue
 		}
+		r.updateStats(func(s *Stats) { s.Accepted++ })
 		r.wg.Go(func() { r.serve(conn) })
 	}
 }
@@ -188,7 +225,7 @@
 	defer client.Close()
 	rc := &relayedConn{relay: r, clientConn: client}
 	if r.opts.ClientName != nil {
-		rc.clientName = r.opts.ClientName(client.RemoteAddr(), client.LocalAddr())
+		rc.clientName = r.nameClient(client)
 	}
 	rule, _ := r.rule(rc.clientName)
 	if rule.Reset {
@@ -196,8 +233,10 @@
 	}
 	target, err := net.DialTimeout("tcp", r.opts.Target, dialTimeout)
 	if err != nil {
+		r.updateStats(func(s *Stats) { s.DialErrors++ })
 		return
 	}
+	r.updateStats(func(s *Stats) { s.Dialed++ })
 	rc.targetConn = target
 	if !r.add(rc) {
 		rc.close()
@@ -207,6 +246,19 @@
 	rc.run()
 }
 
+func (r *Relay) nameClient(client net.Conn) string {
+	began := time.Now()
+	name := r.opts.ClientName(client.RemoteAddr(), client.LocalAddr())
+	took := time.Since(began)
+	r.updateStats(func(s *Stats) {
+		s.LongestNaming = max(s.LongestNaming, took)
+		if name == "" {
+			s.Unnamed++
+		}
+	})
+	return name
+}
+
 // add registers a connection. It returns false if the relay is closed or the rule in
 // force resets the connection.
 func (r *Relay) add(rc *relayedConn) bool {
--- a/internal/harness/links.go
+++ b/internal/harness/links.go
@@ -1,7 +1,10 @@
 package harness
 
 import (
+	"fmt"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -85,6 +88,22 @@
 	}
 }
 
+// Report describes the connections of the relays to the targets and to the platform,
+// one line for each relay.
+func (l *Links) Report() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var lines []string
+	for t, relay := range l.targets {
+		lines = append(lines, fmt.Sprintf("relay to %s: %+v", t.Object.ID, relay.Stats()))
+	}
+	for r, relay := range l.platform {
+		lines = append(lines, fmt.Sprintf("relay from %s to the platform: %+v", r.ID, relay.Stats()))
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "\n")
+}
+
 func (l *Links) close() {
 	for _, relay := range l.relays() {
 		relay.Close()
--- a/test/partition/partition_test.go
+++ b/test/partition/partition_test.go
@@ -83,6 +83,29 @@
 	Expect(harness.Clean()).To(Succeed())
 })
 
+// A failed spec reports the relays, the engines and the targets as a router sees them,
+// before the faults are removed: this tells a target that stopped from one that its
+// connections don't reach.
+var _ = JustAfterEach(func(ctx context.Context) {
+	if fleet == nil || !CurrentSpecReport().Failed() {
+		return
+	}
+	GinkgoWriter.Println(fleet.Links.Report())
+	for _, e := range fleet.Engines {
+		stats, err := e.EngineStats(ctx)
+		GinkgoWriter.Printf("%s: %+v %v\n", e.Object.ID, stats, err)
+	}
+	for _, r := range fleet.Routers {
+		failures := InterceptGomegaFailures(func() {
+			GinkgoWriter.Printf("targets at %s: %+v\n", r.ID, fleetStatus(Default, r).Targets)
+		})
+		if len(failures) > 0 {
+			GinkgoWriter.Println("status of", r.ID, "not read:", failures)
+		}
+	}
+	GinkgoWriter.Println(fleet.Logs())
+})
+
 // heal removes all link faults and waits until every router is linked to all
 // others, reaches the platform and has the same configuration in force.
 func heal() {
@@ -161,7 +184,7 @@
 		defer caller.Close()
 		Eventually(func(g Gomega) {
 			resp := caller.Complete(ctx, request())
-			g.Expect(harness.CheckResponse(request(), resp)).To(Equal(harness.VerdictCorrect), "%s: %+v", r.ID, resp)
+			g.Expect(harness.CheckResponse(request(), resp)).To(Equal(harness.VerdictCorrect), "%s: %v: %+v", r.ID, resp.Refusal, resp)
 		}).WithTimeout(eventualTimeout).Should(Succeed())
 	}
 }
