peer: count every violation that yamux finds

Cause: a link asked its closed session once for the error that ended it. While accepted streams were left, AcceptStream returned the error of such a stream instead, and a link that ended before its control stream was accepted did not ask at all. The link was closed, but not counted in peer.malformed, and its log line named another cause. Change: the link asks until no accepted stream can be left, also after a failed open of the control stream.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -141,11 +141,17 @@
 		return l.write(ctx, control)
 	})
 	g.run(func() error { return l.serveCalls(ctx, g, session) })
-	err = g.wait()
-	// AcceptStream on a closed session returns the error that ended it, which
-	// distinguishes a protocol violation from a lost connection.
-	if _, cause := session.AcceptStream(); isProtocolViolation(cause) {
-		return cause
+	return violationOr(session, g.wait())
+}
+
+// violationOr returns the protocol violation that ended a closed session, or err if
+// another cause ended it. AcceptStream returns the cause once no accepted stream is left;
+// before that it may return the error of a stream.
+func violationOr(session *yamux.Session, err error) error {
+	for range acceptBacklog + 1 {
+		if _, cause := session.AcceptStream(); isProtocolViolation(cause) {
+			return cause
+		}
 	}
 	return err
 }
@@ -161,7 +167,7 @@
 	control, err := l.controlStream(session)
 	if err != nil {
 		discard(session)
-		return nil, nil, errors.Wrap(err, "open control stream")
+		return nil, nil, errors.Wrap(violationOr(session, err), "open control stream")
 	}
 	l.session = session
 	close(l.opened)
--- a/internal/peer/untrusted_peer_test.go
+++ b/internal/peer/untrusted_peer_test.go
@@ -193,6 +193,35 @@
 	}
 }
 
+// A violation that yamux finds must be counted whether or not streams of the session wait to
+// be accepted when it ends. The order varies, hence the repeats.
+func TestDuplicateStreamClosesTheLinkAndIsCounted(t *testing.T) {
+	const syn, repeats = 1, 30
+	cases := map[string][]uint32{
+		"control stream": {1, 1},
+		"call":           {1, 3, 3},
+		"last of calls":  {1, 3, 5, 7, 9, 11, 13, 13},
+	}
+	for name, streams := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, scope := startWithScope(t, "a")
+			var input []byte
+			for _, id := range streams {
+				input = append(input, yamuxHeader(0, syn, id, 0)...)
+			}
+			for i := range repeats {
+				conn := dialWithHello(t, a)
+				_, err := conn.Write(input)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Eventually(counterSum(scope, "peer.links_closed")).Should(BeEquivalentTo(i + 1))
+				g.Eventually(isClosed(conn)).Should(BeTrue())
+			}
+			g.Expect(counterSum(scope, "peer.malformed")()).To(BeEquivalentTo(repeats))
+		})
+	}
+}
+
 // A message of an unknown kind, as a later version may send, must be counted and
 // must not end the link.
 func TestUnknownKindIsIgnored(t *testing.T) {
