peer: test every end of a session that yamux starts for a busy loop

The test had closed here, closed by the peer and the open timeout; this adds a failed write, a malformed header and a duplicate stream.

--- a/internal/peer/stream_test.go
+++ b/internal/peer/stream_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,10 +16,19 @@
 	"github.com/umberhill/umberhill/internal/core/member"
 )
 
-// heldConn is a connection whose Close blocks until released.
+// heldConn is a connection whose Close blocks until released, and whose writes fail while
+// broken is set.
 type heldConn struct {
 	net.Conn
 	closing, released chan struct{}
+	broken            atomic.Bool
+}
+
+func (c *heldConn) Write(p []byte) (int, error) {
+	if c.broken.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
 }
 
 func (c *heldConn) Close() error {
@@ -30,10 +40,23 @@
 // Guards against readers and writers that use a processor from the end of a session until
 // its connection is closed.
 func TestEndOfSessionDoesNotUseTheProcessor(t *testing.T) {
-	ends := map[string]func(l *link, remote net.Conn){
-		"closed here":        func(l *link, _ net.Conn) { go l.session.Close() },
-		"closed by the peer": func(_ *link, remote net.Conn) { _ = remote.Close() },
-		"timeout of a call that the peer does not accept": func(l *link, _ net.Conn) { _, _ = l.session.OpenStream() },
+	const synWindow, syn = 1, 1
+	ends := map[string]func(l *link, local *heldConn, remote net.Conn){
+		"closed here":        func(l *link, _ *heldConn, _ net.Conn) { go l.session.Close() },
+		"closed by the peer": func(_ *link, _ *heldConn, remote net.Conn) { _ = remote.Close() },
+		"timeout of a call that the peer does not accept": func(l *link, _ *heldConn, _ net.Conn) { _, _ = l.session.OpenStream() },
+		"failed write": func(l *link, local *heldConn, _ net.Conn) {
+			local.broken.Store(true)
+			_, _ = l.session.OpenStream()
+		},
+		"malformed header": func(_ *link, _ *heldConn, remote net.Conn) {
+			_, _ = remote.Write([]byte{9, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0})
+		},
+		"duplicate stream": func(_ *link, _ *heldConn, remote net.Conn) {
+			for range 2 {
+				_, _ = remote.Write(yamuxHeader(synWindow, syn, 2, 0))
+			}
+		},
 	}
 	for name, end := range ends {
 		t.Run(name, func(t *testing.T) {
@@ -58,7 +81,7 @@
 			}
 			go func() { ended <- fill(stream) }()
 			go func() { _, err := stream.Read(make([]byte, 1)); ended <- err }()
-			end(l, remote)
+			end(l, conn, remote)
 			<-conn.closing
 			const held, limit = 500 * time.Millisecond, 100 * time.Millisecond
 			before := cpuTime(t)
