--- a/internal/faultlink/relay.go
+++ b/internal/faultlink/relay.go
@@ -11,10 +11,14 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+
+	"github.com/umberhill/umberhill/internal/pause"
 )
 
 const (
 	dialTimeout = 5 * time.Second
+	// acceptRetryDelay is the delay after a failed accept.
+	acceptRetryDelay = 50 * time.Millisecond
 	// chunkBytes is the largest size of a chunk.
 	chunkBytes = 32 << 10
 	// queueChunks bounds the chunks that are read ahead in each direction.
@@ -72,6 +76,23 @@
 	defaultRule Rule
 	changed     chan struct{}
 	conns       map[*relayedConn]struct{}
+	stats       Stats
+}
+
+// Stats describes the connections of a relay.
+type Stats struct {
+	// Accepted counts the accepted connections, AcceptErrors the failed accepts.
+	Accepted, AcceptErrors int
+	// Unnamed counts the connections for which ClientName returned an empty name.
+	// LongestNaming is the longest time that it took; no data is relayed before.
+	Unnamed       int
+	LongestNaming time.Duration
+	// Dialed counts the connections to the target, DialErrors the failed ones.
+	Dialed, DialErrors int
+	// Open is the number of relayed connections by client, and Held the number of their
+	// directions that wait for a change of the rules.
+	Open map[string]int
+	Held int
 }
 
 // New starts a relay. It runs until Close is called.
@@ -83,6 +104,10 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "relay to %s: listen", opts.Target)
 	}
+	return start(opts, listener), nil
+}
+
+func start(opts Options, listener net.Listener) *Relay {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{
 		opts:     opts,
@@ -94,7 +119,7 @@
 		conns:    map[*relayedConn]struct{}{},
 	}
 	r.wg.Go(r.accept)
-	return r, nil
+	return r
 }
 
 // Address returns the IP and port on which the relay listens.
@@ -118,6 +143,24 @@
 	})
 }
 
+// Stats returns the state of the relay's connections since it was created.
+func (r *Relay) Stats() Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stats := r.stats
+	stats.Open = make(map[string]int)
+	for rc := range r.conns {
+		stats.Open[rc.clientName]++
+	}
+	return stats
+}
+
+func (r *Relay) updateStats(change func(*Stats)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(&r.stats)
+}
+
 // Close closes all connections and returns once the relay has stopped.
 func (r *Relay) Close() {
 	r.cancel()
@@ -156,12 +199,23 @@
 	return r.defaultRule
 }
 
+// accept serves incoming connections until the relay is closed. Accept also fails while
+// the system lacks memory or file descriptors.
 func (r *Relay) accept() {
 	for {
 		conn, err := r.listener.Accept()
-		if err != nil {
+		if r.ctx.Err() != nil {
+			if err == nil {
+				_ = conn.Close()
+			}
 			return
 		}
+		if err != nil {
+			r.updateStats(func(s *Stats) { s.AcceptErrors++ })
+			pause.Sleep(r.ctx, acceptRetryDelay)
+			continue
+		}
+		r.updateStats(func(s *Stats) { s.Accepted++ })
 		r.wg.Go(func() { r.serve(conn) })
 	}
 }
@@ -171,7 +225,7 @@
 	defer client.Close()
 	rc := &relayedConn{relay: r, clientConn: client}
 	if r.opts.ClientName != nil {
-		rc.clientName = r.opts.ClientName(client.RemoteAddr(), client.LocalAddr())
+		rc.clientName = r.nameClient(client)
 	}
 	rule, _ := r.rule(rc.clientName)
 	if rule.Reset {
@@ -179,8 +233,10 @@
 	}
 	target, err := net.DialTimeout("tcp", r.opts.Target, dialTimeout)
 	if err != nil {
+		r.updateStats(func(s *Stats) { s.DialErrors++ })
 		return
 	}
+	r.updateStats(func(s *Stats) { s.Dialed++ })
 	rc.targetConn = target
 	if !r.add(rc) {
 		rc.close()
@@ -190,6 +246,19 @@
 	rc.run()
 }
 
+func (r *Relay) nameClient(client net.Conn) string {
+	began := time.Now()
+	name := r.opts.ClientName(client.RemoteAddr(), client.LocalAddr())
+	took := time.Since(began)
+	r.updateStats(func(s *Stats) {
+		s.LongestNaming = max(s.LongestNaming, took)
+		if name == "" {
+			s.Unnamed++
+		}
+	})
+	return name
+}
+
 // add registers a connection. It returns false if the relay is closed or the rule in
 // force resets the connection.
 func (r *Relay) add(rc *relayedConn) bool {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -52,6 +52,8 @@
 	opened  chan struct{}
 	session *yamux.Session
 	streams openStreams
+	// opening has an element for each goroutine that opens a stream.
+	opening chan struct{}
 
 	// lastReceivedNanos is when the last message arrived, in ns since
 	// Mesh.createdAt.
@@ -63,16 +65,17 @@
 func newLink(m *Mesh, id member.LinkID, info member.Info, conn net.Conn, dialed bool) *link {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	l := &link{
-		mesh:   m,
-		id:     id,
-		info:   info,
-		conn:   conn,
-		dialed: dialed,
-		queue:  newSendQueue(),
-		ctx:    ctx,
-		cancel: cancel,
-		done:   make(chan struct{}),
-		opened: make(chan struct{}),
+		mesh:    m,
+		id:      id,
+		info:    info,
+		conn:    conn,
+		dialed:  dialed,
+		queue:   newSendQueue(),
+		ctx:     ctx,
+		cancel:  cancel,
+		done:    make(chan struct{}),
+		opened:  make(chan struct{}),
+		opening: make(chan struct{}, acceptBacklog),
 	}
 	now := time.Now()
 	l.markReceived(now)
@@ -138,11 +141,17 @@
 		return l.write(ctx, control)
 	})
 	g.run(func() error { return l.serveCalls(ctx, g, session) })
-	err = g.wait()
-	// AcceptStream on a closed session returns the error that ended it, which
-	// distinguishes a protocol violation from a lost connection.
-	if _, cause := session.AcceptStream(); isProtocolViolation(cause) {
-		return cause
+	return violationOr(session, g.wait())
+}
+
+// violationOr returns the protocol violation that ended a closed session, or err if
+// another cause ended it. AcceptStream returns the cause once no accepted stream is left;
+// before that it may return the error of a stream.
+func violationOr(session *yamux.Session, err error) error {
+	for range acceptBacklog + 1 {
+		if _, cause := session.AcceptStream(); isProtocolViolation(cause) {
+			return cause
+		}
 	}
 	return err
 }
@@ -158,7 +167,7 @@
 	control, err := l.controlStream(session)
 	if err != nil {
 		discard(session)
-		return nil, nil, errors.Wrap(err, "open control stream")
+		return nil, nil, errors.Wrap(violationOr(session, err), "open control stream")
 	}
 	l.session = session
 	close(l.opened)
