connlimit: failing test of a close within a pipelined request

Bytes of the next request that net/http read together with the one before are not seen, so the connection counts as waiting.

--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -190,3 +190,45 @@
 		t.Error("not drained after the last connection was closed")
 	}
 }
+
+// Guards against closing a connection on which a part of the next request was read together
+// with the one before.
+func TestConnectionWithPipelinedPartIsNotClosed(t *testing.T) {
+	for name, closeIdle := range map[string]func(t *testing.T, l *Limiter, address string){
+		"idle timeout": func(_ *testing.T, l *Limiter, _ string) {
+			l.CloseExpired(time.Now().Add(time.Minute), Timeouts{Idle: time.Millisecond})
+		},
+		"limit": func(t *testing.T, _ *Limiter, address string) { openIdleConn(t, address) },
+		"drain": func(_ *testing.T, l *Limiter, _ string) { l.Drain() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := New(1, ignoreClose)
+			address := startServer(t, l)
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			head := "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+			if _, err := io.WriteString(c, head+head[:10]); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(20 * time.Millisecond)
+			closeIdle(t, l, address)
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(c, head[10:])
+			r := bufio.NewReader(c)
+			for i := range 2 {
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil {
+					t.Fatalf("response %d: got error %v, want status 200", i+1, err)
+				}
+				if resp.StatusCode != http.StatusOK {
+					t.Errorf("response %d: got status %d, want 200", i+1, resp.StatusCode)
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+		})
+	}
+}
