connlimit: failing test of a drain that misses a connection

A connection that was accepted before the drain and reported to Track during it is never asked to close; without other connections the drain ends before it.

--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -232,3 +232,16 @@
 		})
 	}
 }
+
+// Guards against a drain that never closes a connection accepted just before it.
+func TestDrainClosesConnectionReportedLate(t *testing.T) {
+	l := New(0, ignoreClose)
+	serving, late := l.newConn(&net.TCPConn{}), l.newConn(&net.TCPConn{})
+	l.updateState(serving, http.StateNew)
+	l.updateState(serving, http.StateActive)
+	l.Drain()
+	l.updateState(late, http.StateNew)
+	if !late.isClosing() {
+		t.Error("the connection that was reported after the drain began stays open, want it closed")
+	}
+}
