--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -245,3 +246,24 @@
 		t.Error("the connection that was reported after the drain began stays open, want it closed")
 	}
 }
+
+// Guards against a drain that waits for a TLS connection on which no request has begun.
+func TestDrainClosesNewTLSConnection(t *testing.T) {
+	l := New(0, ignoreClose)
+	s := httptest.NewUnstartedServer(http.NotFoundHandler())
+	s.Listener = l.Listen(s.Listener.(*net.TCPListener))
+	s.Config.ConnState = l.Track
+	s.StartTLS()
+	t.Cleanup(s.Close)
+	c, err := tls.Dial("tcp", s.Listener.Addr().String(), &tls.Config{InsecureSkipVerify: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	time.Sleep(50 * time.Millisecond)
+	select {
+	case <-l.Drain():
+	case <-time.After(time.Second):
+		t.Error("not drained after 1 s, want the connection closed")
+	}
+}
