--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -76,9 +76,8 @@
 	switch {
 	case c.fullRead == 0:
 		c.fullRead = bufferSize
-	case c.phase == waiting && bufferSize < c.fullRead && !c.isTLS:
-		c.phase, c.since = receiving, time.Now()
-		revoked = c.revokeClose()
+	case bufferSize < c.fullRead && !c.isTLS:
+		revoked = c.startReceiving()
 	}
 	c.mu.Unlock()
 	if revoked {
@@ -89,17 +88,23 @@
 // recordRead records that bytes were read.
 func (c *Conn) recordRead() {
 	c.mu.Lock()
-	revoked := false
-	if c.phase == waiting {
-		c.phase, c.since = receiving, time.Now()
-		revoked = c.revokeClose()
-	}
+	revoked := c.startReceiving()
 	c.mu.Unlock()
 	if revoked {
 		c.limiter.keep()
 	}
 }
 
+// startReceiving records that a part of a request has arrived if the connection waits for
+// one, and reports whether that revoked a request to close it. c.mu must be held.
+func (c *Conn) startReceiving() (revoked bool) {
+	if c.phase != waiting {
+		return false
+	}
+	c.phase, c.since = receiving, time.Now()
+	return c.revokeClose()
+}
+
 // revokeClose revokes a request to close the connection and reports whether there was
 // one. c.mu must be held.
 func (c *Conn) revokeClose() bool {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -44,6 +44,7 @@
 }
 
 func (e *exchange) newAttempt(v admit.Verdict, waited time.Duration) *attempt {
+	e.attempts++
 	a := &attempt{exchange: e, verdict: v, startedAt: time.Now(), end: admit.End{Result: admit.Canceled}}
 	a.record = AttemptRecord{Target: v.Target.ID, TargetVersion: v.Target.SoftwareVersion, Inputs: v.Inputs, Waited: waited}
 	if e.stream.started {
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -46,9 +46,10 @@
 	// caller retries the request.
 	fingerprint uint64
 
-	// exclude lists the targets tried so far. ranAttempts counts the attempts in which
-	// the target may have started to run the request, rejectedAttempts those in which
-	// it did not.
+	// attempts counts the attempts begun, ranAttempts those in which the target may have
+	// started to run the request, rejectedAttempts those in which it did not. exclude lists
+	// the targets tried so far.
+	attempts         int
 	exclude          []ids.Target
 	ranAttempts      int
 	rejectedAttempts int
--- a/internal/edge/failover.go
+++ b/internal/edge/failover.go
@@ -63,7 +63,8 @@
 }
 
 // tryTakeOver sends a request whose present target is silent. Its outcome is outcomeSent
-// unless the target rejects the request or fails within failoverTimeout.
+// unless the target rejects the request, fails or responds with another kind of response
+// within failoverTimeout.
 func (a *attempt) tryTakeOver(ctx context.Context) (attemptOutcome, error) {
 	if outcome, err := a.send(ctx); outcome != outcomeSent {
 		return outcome, err
@@ -78,13 +79,14 @@
 		return outcomeUnknown, err
 	}
 	meta := a.server.opts.Headers.DecodeResponse(a.resp)
-	if a.resp.StatusCode/100 == 2 {
+	success := a.resp.StatusCode/100 == 2
+	if success && meta.ID == a.meta.ID && meta.Signed && isEventStream(a.resp) {
 		return outcomeSent, nil
 	}
 	a.reportStatement(a.resp.StatusCode, meta)
 	a.stopAbort()
 	a.conn.Close()
-	if !meta.NotRun {
+	if success || !meta.NotRun {
 		a.end.Result = admit.Failed
 		if a.turnedAway {
 			a.end.Result = admit.Rejected
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -59,7 +59,7 @@
 		Request:   e.meta.ID,
 		Workspace: e.workspace,
 		Step:      step,
-		Attempt:   len(e.record.Attempts) + 1,
+		Attempt:   e.attempts + 1,
 		Target:    v.Target.ID,
 		Reason:    v.Refused,
 		Inputs:    v.Inputs,
