connlimit: a head that takes longer than net/http gives it gets 408

What callers saw (LOST): in the product's own daemon a head that takes over 10 s was ended without a response. Found by the review. Cause: net/http does not respond when its own time for a head has passed. Evidence: TestSlowHeadGetsResponse, failing 3 of 3.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -127,6 +127,11 @@
 	case reason == "":
 		again = c.readDeadline.IsZero() || time.Now().Before(c.readDeadline)
 		_ = c.applyDeadline()
+		if !again && c.phase == receiving {
+			// The time that net/http gives a head has passed. It would not respond.
+			reason = HeadTimeout
+			c.closed, ended = true, true
+		}
 	case c.phase == waiting && c.hasUnread():
 		again = c.revokeClose()
 	default:
