--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -38,6 +38,8 @@
 	// idle holds the connections that have served a request, the one whose last response
 	// ended first comes first.
 	idle *list.List
+	// accepted counts the connections accepted so far.
+	accepted int
 	// closing counts the open connections that are being closed.
 	closing int
 	// drained is closed when the last connection is closed, nil unless draining.
@@ -108,6 +110,7 @@
 	l.limiter.mu.Lock()
 	defer l.limiter.mu.Unlock()
 	l.limiter.conns[conn] = nil
+	l.limiter.accepted++
 	return conn, nil
 }
 
@@ -202,6 +205,14 @@
 // open returns the number of connections that are not being closed. l.mu must be held.
 func (l *Limiter) open() int { return len(l.conns) - l.closing }
 
+// Counts returns the number of connections accepted so far, and of those that are open and
+// not being closed.
+func (l *Limiter) Counts() (accepted, open int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.accepted, l.open()
+}
+
 // IsAboveSoftLimit reports whether responses should ask callers to close their
 // connections.
 func (l *Limiter) IsAboveSoftLimit() bool { return l.utilization() > softLimitRatio }
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -47,6 +47,10 @@
 	e.attempts++
 	a := &attempt{exchange: e, verdict: v, startedAt: time.Now(), end: admit.End{Result: admit.Canceled}}
 	a.record = AttemptRecord{Target: v.Target.ID, TargetVersion: v.Target.SoftwareVersion, Inputs: v.Inputs, Waited: waited}
+	e.countLoad(func(l *WorkspaceLoad) {
+		l.Attempts++
+		l.ChargedTokens += int64(v.Inputs.ChargedTokens)
+	})
 	if e.stream.started {
 		e.server.counts.resumed.Inc(1)
 	}
--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -53,9 +53,16 @@
 		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
 		e.record.RetryAfter = f.retryAfter
 	}
-	if f.closesConn || !e.discardBody() {
+	closesConn := f.closesConn || !e.discardBody()
+	if closesConn {
 		h.Set("Connection", "close")
 	}
+	e.countLoad(func(l *WorkspaceLoad) {
+		l.Refused[f.reason]++
+		if closesConn {
+			l.ClosedConns++
+		}
+	})
 	e.record.Status, e.record.Reason = f.status, f.reason
 	if f.detail != "" {
 		e.record.Reason += ": " + f.detail
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -78,6 +78,8 @@
 	bodyBytes byteBudget
 	// responseBytes is the memory of targets' responses.
 	responseBytes byteBudget
+	// loads counts the requests for engines by workspace.
+	loads workspaceLoads
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -228,9 +230,13 @@
 // overloaded or if the scheduler would refuse the request anyway. Requests for
 // plain services are not refused here, because they cost little.
 func (e *exchange) refuseEarly() *refusal {
-	if e.serviceConfig == nil || e.serviceConfig.Engine == nil {
+	if !e.usesEngine() {
 		return nil
 	}
+	e.countLoad(func(l *WorkspaceLoad) {
+		l.Requests++
+		l.RequestedTokens += e.weightedTokens()
+	})
 	if shedder := e.server.opts.LoadShedder; shedder != nil && shedder.shouldRefuse(e.workspace) {
 		return &refusal{
 			status: http.StatusServiceUnavailable, reason: "router_busy", retryAfter: busyRetryAfter(),
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -95,6 +95,7 @@
 	a.responseStarted = true
 	a.limitSilence(a.ctx, a.nextEventTimeout())
 	a.record.TimeToFirstByte = time.Since(a.startedAt)
+	a.countLoad(func(l *WorkspaceLoad) { l.StartedTokens += int64(a.verdict.Inputs.ChargedTokens) })
 	a.server.opts.Scheduler.ResponseStarted(a.verdict.ID)
 }
 
--- /dev/null
+++ b/internal/node/load_log.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/umberhill/umberhill/internal/edge"
+	"github.com/umberhill/umberhill/internal/ids"
+)
+
+const (
+	// loadLogInterval is the interval of the lines about load.
+	loadLogInterval = time.Second
+	// maxLoadLines bounds the workspaces of which each interval has a line.
+	maxLoadLines = 8
+)
+
+// logLoad logs until ctx is done what the router did in each interval with the requests for
+// engines, by workspace. Unlike the lines of single requests, these counts are complete.
+func (n *Node) logLoad(ctx context.Context) {
+	ticker := time.NewTicker(loadLogInterval)
+	defer ticker.Stop()
+	accepted := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		before := accepted
+		var open int
+		accepted, open = n.callerConns.Counts()
+		loads := n.server.TakeWorkspaceLoads()
+		if len(loads) == 0 {
+			continue
+		}
+		n.logger.WithFields(logrus.Fields{
+			"refuse_share": n.loadShedder.RefuseShare(), "diverts": n.loadShedder.ShouldDivert(),
+			"caller_conns": open, "caller_conns_accepted": accepted - before,
+		}).Info("router load")
+		for _, ws := range largestWorkspaces(loads) {
+			n.logger.WithFields(workspaceLoadFields(ws, loads[ws])).Info("workspace load")
+		}
+	}
+}
+
+// largestWorkspaces returns the workspaces that requested most, maxLoadLines at most.
+func largestWorkspaces(loads map[ids.Workspace]*edge.WorkspaceLoad) []ids.Workspace {
+	all := slices.SortedFunc(maps.Keys(loads), func(a, b ids.Workspace) int {
+		return cmp.Or(cmp.Compare(loads[b].RequestedTokens, loads[a].RequestedTokens), cmp.Compare(a, b))
+	})
+	return all[:min(len(all), maxLoadLines)]
+}
+
+func workspaceLoadFields(ws ids.Workspace, l *edge.WorkspaceLoad) logrus.Fields {
+	return logrus.Fields{
+		"workspace": ws, "requests": l.Requests, "attempts": l.Attempts, "refused": l.Refused, "closed_conns": l.ClosedConns,
+		"requested_tokens": l.RequestedTokens, "charged_tokens": l.ChargedTokens, "started_tokens": l.StartedTokens,
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -280,6 +280,7 @@
 func (n *Node) addOwnDuties() {
 	n.AddDuty(duty.Loop("scheduler", n.scheduler.Run))
 	n.AddDuty(duty.Loop("request log", n.log.run))
+	n.AddDuty(duty.Loop("load log", n.logLoad))
 	n.AddDuty(duty.Loop("targets", n.directory.run))
 	n.AddDuty(duty.Loop("idle connections", n.closeIdleConns))
 	n.AddDuty(duty.Loop("reading the store again", n.refresh))
