--- a/internal/core/pressure/diverter.go
+++ b/internal/core/pressure/diverter.go
@@ -4,15 +4,16 @@
 
 const (
 	// divertShare is the refused share from which new connections are diverted: at
-	// least half of the load is then better served by other instances.
-	divertShare = 0.5
+	// least half of the load is then better served by other instances. The diversion ends
+	// below restoreShare, when most of the load has gone.
+	divertShare  = 0.5
+	restoreShare = 0.1
 	// divertAfter is how long the refused share must have been that high: several
 	// observations, so that a short burst only leads to refusals.
 	divertAfter = time.Second
-	// divertDuration is how long new connections are diverted, and longer while the
-	// refused share stays that high. It is several times the one or two seconds that a
-	// load balancer's health checks take to detect the change.
-	divertDuration = 5 * time.Second
+	// minDiversion is the least duration of a diversion. A load balancer's health checks
+	// take one or two seconds to detect it.
+	minDiversion = 2 * time.Second
 )
 
 // Diverter decides when an overloaded instance takes no new connections, so that
@@ -24,8 +25,8 @@
 type Diverter struct {
 	// overSince is when the refused share reached divertShare, zero while it is below.
 	overSince time.Time
-	// until is when the current diversion ends.
-	until time.Time
+	// since is when the current diversion began, zero for none.
+	since time.Time
 }
 
 // Observe adds the current share of refused requests and reports whether new
@@ -37,12 +38,13 @@
 	case d.overSince.IsZero():
 		d.overSince = now
 	}
-	if now.Before(d.until) {
-		return true
-	}
-	if d.overSince.IsZero() || now.Sub(d.overSince) < divertAfter {
-		return false
+	switch {
+	case !d.since.IsZero():
+		if refused < restoreShare && now.Sub(d.since) >= minDiversion {
+			d.since = time.Time{}
+		}
+	case !d.overSince.IsZero() && now.Sub(d.overSince) >= divertAfter:
+		d.since = now
 	}
-	d.until = now.Add(divertDuration)
-	return true
+	return !d.since.IsZero()
 }
--- a/internal/core/pressure/pressure.go
+++ b/internal/core/pressure/pressure.go
@@ -16,10 +16,13 @@
 	// ms. For the values see docs/ROUNDS.md, fce6e49.
 	highDelay = 15 * time.Millisecond
 	lowDelay  = 6 * time.Millisecond
-	// shareIncrease and shareDecrease are the steps of the refused share with each
-	// observation. It shrinks more slowly than it grows, to prevent oscillation.
+	// shareIncrease and shareDecrease are the largest steps of the refused share with each
+	// observation. It shrinks more slowly than it grows, to prevent oscillation. It grows by
+	// less while the delay is below fullStepDelay, so that it does not grow far beyond what
+	// the overload needs.
 	shareIncrease = 0.12
-	shareDecrease = 0.02
+	shareDecrease = 0.04
+	fullStepDelay = 2 * highDelay
 	// maxShare is the largest refused share. Some load must be admitted to observe
 	// whether the overload is over.
 	maxShare = 0.95
@@ -40,7 +43,8 @@
 	c.delay += time.Duration(delayWeight * float64(max(0, delay)-c.delay))
 	switch {
 	case c.delay > highDelay:
-		c.share = min(maxShare, c.share+shareIncrease)
+		step := shareIncrease * min(1, float64(c.delay)/float64(fullStepDelay))
+		c.share = min(maxShare, c.share+step)
 	case c.delay < lowDelay:
 		c.share = max(0, c.share-shareDecrease)
 	}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -181,7 +181,7 @@
 // refusal if the request can't be accepted.
 func (e *exchange) prepare() *refusal {
 	if isNearLimit := e.server.opts.IsNearConnLimit; isNearLimit != nil && isNearLimit() {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "too_many_connections", retryAfter: busyRetryAfter()}
+		return &refusal{status: http.StatusServiceUnavailable, reason: "too_many_connections", retryAfter: withJitter(busyRetryAfter, rand.Float64())}
 	}
 	current := e.server.active.Load()
 	if current == nil {
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -76,7 +76,7 @@
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !n.isReady() {
+	if n.loadShedder.CheckDivert() || !n.isReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
