--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -55,7 +55,7 @@
 		e.server.counts.resumed.Inc(1)
 	}
 	if q := e.server.opts.Quarantine; q != nil {
-		q.TryStart(uint64(v.ID), e.fingerprint, v.Target.ID, false)
+		q.TryStart(uint64(v.ID), e.fingerprint, e.meta.SharedParts, v.Target.ID, false)
 	}
 	return a
 }
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -132,9 +132,7 @@
 	ctx, cancel := context.WithDeadline(e.r.Context(), e.deadline)
 	defer cancel()
 	if e.isQuarantined() {
-		// The request would crash another target. There is no Retry-After, since a
-		// retry by the caller would be refused too.
-		e.refuse(&refusal{status: http.StatusBadGateway, reason: "quarantined"})
+		e.refuseQuarantined()
 		return
 	}
 	e.server.budget(e.service).RecordFirstAttempt()
@@ -143,6 +141,10 @@
 		a := e.successor
 		e.successor = nil
 		if a == nil {
+			if e.hasQuarantinedPart() {
+				e.refuseQuarantined()
+				return
+			}
 			submitted := time.Now()
 			v, decided := e.server.opts.Scheduler.Acquire(ctx, e.admitRequest(), e.logQueued)
 			if !decided {
@@ -154,7 +156,14 @@
 				e.refuseByVerdict(v)
 				return
 			}
-			a = e.newAttempt(v, time.Since(submitted))
+			waited := time.Since(submitted)
+			if e.hasQuarantinedPart() {
+				// It was quarantined while the request waited.
+				e.server.opts.Scheduler.AttemptEnded(v.ID, admit.End{Result: admit.Canceled, NotRun: true})
+				e.refuseQuarantined()
+				return
+			}
+			a = e.newAttempt(v, waited)
 		}
 		outcome := e.attempt(ctx, a)
 		if e.handleOutcome(outcome) {
@@ -164,6 +173,16 @@
 	}
 }
 
+// refuseQuarantined ends a request that would crash another target. There is no Retry-After,
+// since a retry by the caller would be refused too.
+func (e *exchange) refuseQuarantined() {
+	if e.stream.started {
+		e.abort("quarantined")
+		return
+	}
+	e.refuse(&refusal{status: http.StatusBadGateway, reason: "quarantined"})
+}
+
 func (e *exchange) admitRequest() admit.Request {
 	r := admit.Request{
 		Service:      e.service,
--- a/internal/edge/failover.go
+++ b/internal/edge/failover.go
@@ -33,6 +33,9 @@
 	if a.ranAttempts+1 >= max(1, a.route.MaxAttempts) || a.rejectedAttempts >= maxRejectedAttempts {
 		return false
 	}
+	if a.hasQuarantinedPart() {
+		return false
+	}
 	r := a.admitRequest()
 	r.Exclude = append(slices.Clone(r.Exclude), a.verdict.Target.ID)
 	v, started := a.server.opts.Scheduler.TryAcquire(r)
--- a/internal/edge/headers.go
+++ b/internal/edge/headers.go
@@ -21,6 +21,9 @@
 	PromptTokens, OutputTokens int
 	// Parts are the parts of the prompt, for the lookup in prefix caches.
 	Parts []admit.Part
+	// SharedParts are the fingerprints of the prompt's parts for the quarantine, without the
+	// last one, which belongs to the request or its session alone.
+	SharedParts []uint64
 	// LastEventID is the id of the last event that the caller received of a stream
 	// that it resumes. It is empty if the caller does not resume a stream.
 	LastEventID string
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -18,6 +18,13 @@
 	return !q.Admit(e.fingerprint).Run
 }
 
+// hasQuarantinedPart reports whether a part of the request's prompt is known to crash the
+// targets that begin an answer on it.
+func (e *exchange) hasQuarantinedPart() bool {
+	q := e.server.opts.Quarantine
+	return q != nil && len(e.meta.SharedParts) > 0 && !q.AdmitParts(e.meta.SharedParts)
+}
+
 // reportOutcome reports the outcome of an attempt to the quarantine. If the
 // connection broke, it first checks in the background whether the target still
 // accepts connections, so that the caller does not wait for the check.
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -64,10 +64,13 @@
 type Quarantine interface {
 	// Admit returns whether a request with the fingerprint may run.
 	Admit(fingerprint uint64) quarantine.Verdict
-	// TryStart records that an attempt is about to be sent to a target, and Finish
-	// records its outcome. Each attempt is passed to both. The server ignores the
-	// result of TryStart.
-	TryStart(id, fingerprint uint64, target ids.Target, solo bool) bool
+	// AdmitParts returns whether a request with the given shared parts may run.
+	AdmitParts(parts []uint64) bool
+	// TryStart records that an attempt is about to be sent to a target, Began that its
+	// answer has begun, and Finish its outcome. Each attempt is passed to TryStart and
+	// Finish. The server ignores the result of TryStart.
+	TryStart(id, fingerprint uint64, parts []uint64, target ids.Target, solo bool) bool
+	Began(id uint64)
 	Finish(id uint64, outcome quarantine.Outcome)
 }
 
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -93,6 +93,9 @@
 		return
 	}
 	a.responseStarted = true
+	if q := a.server.opts.Quarantine; q != nil {
+		q.Began(uint64(a.verdict.ID))
+	}
 	a.limitSilence(a.ctx, a.nextEventTimeout())
 	a.record.TimeToFirstByte = time.Since(a.startedAt)
 	a.countLoad(func(l *WorkspaceLoad) { l.StartedTokens += int64(a.verdict.Inputs.ChargedTokens) })
--- a/internal/filter/attempt/attempt.go
+++ b/internal/filter/attempt/attempt.go
@@ -39,7 +39,7 @@
 type Quarantine interface {
 	// TryStart records that an attempt is about to be dispatched. It returns false if
 	// the attempt must not be dispatched.
-	TryStart(attempt, fingerprint uint64, target ids.Target, solo bool) bool
+	TryStart(attempt, fingerprint uint64, parts []uint64, target ids.Target, solo bool) bool
 	Finish(attempt uint64, outcome quarantine.Outcome)
 }
 
@@ -71,7 +71,7 @@
 	if isClaimExpired(x) {
 		return f.abortUnsent(x, outcome.CodeDeadline, "the claim for this request is too old")
 	}
-	if !f.opts.Quarantine.TryStart(uint64(x.AttemptID), x.Fingerprint, x.Target, x.Solo) {
+	if !f.opts.Quarantine.TryStart(uint64(x.AttemptID), x.Fingerprint, nil, x.Target, x.Solo) {
 		return f.abortUnsent(x, outcome.CodeTargetRejected, "the request has become suspect")
 	}
 	result, err := f.opts.Relay.Do(f.context(x), f.call(x, address), x.Response)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -54,6 +54,8 @@
 	decodeConfig ConfigDecoder
 	plan         atomic.Pointer[hub.Plan]
 	sums         reportSums
+	// livePeers are those of the last PeersChanged, which alone uses it.
+	livePeers map[ids.Instance]bool
 	// pullRequests receives the peers that hold newer state.
 	pullRequests chan pullRequest
 }
@@ -223,6 +225,11 @@
 	}
 }
 
+// sendQuarantineTo sends such a message to one router.
+func (n *Node) sendQuarantineTo(peer ids.Instance, m *quarantinev1.Message) {
+	n.fleet.mesh.Send(peer, &peerv1.Envelope{Body: &peerv1.Envelope_Quarantine{Quarantine: m}})
+}
+
 // Receive implements peer.Handler.
 func (f *fleet) Receive(from peer.Peer, env *peerv1.Envelope) {
 	if m := env.GetQuarantine(); m != nil {
@@ -243,8 +250,14 @@
 // PeersChanged implements peer.Handler.
 func (f *fleet) PeersChanged(live []peer.Peer) {
 	names := make([]ids.Instance, 0, len(live))
+	before := f.livePeers
+	f.livePeers = make(map[ids.Instance]bool, len(live))
 	for _, p := range live {
 		names = append(names, p.Instance)
+		f.livePeers[p.Instance] = true
+		if !before[p.Instance] {
+			f.node.quarantine.PeerJoined(p.Instance)
+		}
 	}
 	f.node.logger.WithField("peers", names).Info("live routers changed")
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,6 +155,7 @@
 		Self:           s.Instance,
 		Incarnation:    n.incarnation,
 		Broadcast:      n.sendQuarantine,
+		Send:           n.sendQuarantineTo,
 		Duration:       quarantineDuration,
 		DeathThreshold: maxTargetCrashes,
 		Logger:         n.logger,
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -71,6 +71,8 @@
 	// Broadcast sends a message to all other routers. It must not block and may
 	// lose messages. Default: messages are dropped.
 	Broadcast func(*quarantinev1.Message)
+	// Send sends a message to one router, on the same terms. Default: Broadcast.
+	Send func(ids.Instance, *quarantinev1.Message)
 	// IsIsolated reports whether the router is partitioned: the fleet has other
 	// routers, but none is reachable. It then runs no trials, since the other
 	// routers may be running them. Default: never.
@@ -106,10 +108,14 @@
 
 // attempt is a dispatched request.
 type attempt struct {
-	fp        uint64
+	fp uint64
+	// parts are the fingerprints of the parts of its prompt that other requests can share.
+	parts     []uint64
 	target    ids.Target
 	solo      bool
 	startedMS int64 // Unix milliseconds
+	// began is set once its answer has begun.
+	began bool
 }
 
 // Controller decides which requests may run on this router. It is safe for
@@ -118,9 +124,12 @@
 	opts  Options
 	scope tally.Scope
 
-	mu             sync.Mutex
-	table          *quarantine.Table
-	trials         *quarantine.Trials
+	mu     sync.Mutex
+	table  *quarantine.Table
+	trials *quarantine.Trials
+	sound  quarantine.SoundParts
+	// spread is that of IsPartBlocked.
+	spread         float64
 	running        map[uint64]attempt // by attempt ID
 	deaths         map[ids.Target]death
 	deathCounter   uint64
@@ -149,6 +158,9 @@
 	if o.Broadcast == nil {
 		o.Broadcast = func(*quarantinev1.Message) {}
 	}
+	if o.Send == nil {
+		o.Send = func(_ ids.Instance, m *quarantinev1.Message) { o.Broadcast(m) }
+	}
 	if o.IsIsolated == nil {
 		o.IsIsolated = func() bool { return false }
 	}
@@ -158,11 +170,15 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
+	scope := o.Scope.SubScope("quarantine")
+	scope.Counter("part_refused").Inc(0)
+	scope.Counter("part_cleared").Inc(0)
 	return &Controller{
 		opts:    o,
-		scope:   o.Scope.SubScope("quarantine"),
+		scope:   scope,
 		table:   quarantine.New(o.Duration),
 		trials:  quarantine.NewTrials(quarantine.Owner{Instance: o.Self, Incarnation: o.Incarnation}),
+		spread:  spreadOf(o.Self),
 		running: map[uint64]attempt{},
 		deaths:  map[ids.Target]death{},
 	}
@@ -204,6 +220,7 @@
 	c.mu.Lock()
 	now := c.opts.Now()
 	c.table.Expire(now)
+	c.sound.Expire(now)
 	msg := &quarantinev1.Message{}
 	for _, fp := range c.trials.Expire(now) {
 		msg.Trials = append(msg.Trials, c.trialMessage(fp, false, true))
@@ -337,8 +354,9 @@
 
 // TryStart records that an attempt is about to be dispatched. It returns false if
 // the attempt must not be dispatched, because its content has become suspect since
-// it was admitted.
-func (c *Controller) TryStart(id, fp uint64, target ids.Target, solo bool) bool {
+// it was admitted. Parts are the fingerprints of the parts of its prompt that other
+// requests can share.
+func (c *Controller) TryStart(id, fp uint64, parts []uint64, target ids.Target, solo bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !solo && c.opts.DeathThreshold == 0 && c.table.Status(fp, c.opts.Now()).Level != quarantine.Clean {
@@ -349,7 +367,7 @@
 		c.trials.MarkDispatched(fp)
 	}
 	if len(c.running) < maxTrackedAttempts {
-		c.running[id] = attempt{fp: fp, target: target, solo: solo, startedMS: c.opts.Now().UnixMilli()}
+		c.running[id] = attempt{fp: fp, parts: parts, target: target, solo: solo, startedMS: c.opts.Now().UnixMilli()}
 	}
 	return true
 }
@@ -368,6 +386,9 @@
 	switch outcome {
 	case OK:
 		c.clearCrashes(a, msg)
+		if !a.began {
+			msg.Crashes = append(msg.Crashes, c.clearParts(a.parts).GetCrashes()...)
+		}
 	case Crashed:
 		c.recordCrash(a, msg)
 	case Canceled:
@@ -405,6 +426,7 @@
 		StartedMS:   a.startedMS,
 		AtMS:        now.UnixMilli(),
 	}
+	c.recordPartCrashes(a, crash, msg)
 	if !c.table.Add(crash, now) {
 		return
 	}
--- a/internal/quarantine/controller_test.go
+++ b/internal/quarantine/controller_test.go
@@ -87,7 +87,7 @@
 		return false
 	}
 	f.attempt++
-	if !f.routers[router].TryStart(f.attempt, fp, target, v.Solo) {
+	if !f.routers[router].TryStart(f.attempt, fp, nil, target, v.Solo) {
 		return false
 	}
 	f.routers[router].Finish(f.attempt, outcome)
@@ -130,7 +130,7 @@
 	}
 	crashes := 0
 	for i, r := range f.routers {
-		if r.TryStart(uint64(i), 1, "t1", false) {
+		if r.TryStart(uint64(i), 1, nil, "t1", false) {
 			r.Finish(uint64(i), Crashed)
 			crashes++
 		}
@@ -199,7 +199,7 @@
 func TestSoloRunClearsSuspects(t *testing.T) {
 	f := newFleet(t, 4)
 	for i := range 13 { // request 0 crashes the target
-		f.routers[i%4].TryStart(uint64(i), uint64(i), "t1", false)
+		f.routers[i%4].TryStart(uint64(i), uint64(i), nil, "t1", false)
 	}
 	for i := range 13 {
 		f.routers[i%4].Finish(uint64(i), Crashed)
@@ -259,7 +259,7 @@
 		t.Fatalf("got %+v after the trial was withdrawn, want a solo run", v)
 	}
 	// Withdraw after the dispatch must not end the trial.
-	f.routers[1].TryStart(7, 1, "t2", true)
+	f.routers[1].TryStart(7, 1, nil, "t2", true)
 	f.routers[1].Withdraw(1)
 	if v := f.admit(0, 1); v.Run {
 		t.Fatal("two trials at once")
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -21,8 +21,9 @@
 func (c *Controller) Receive(from ids.Instance, msg *quarantinev1.Message) {
 	c.mu.Lock()
 	now := c.opts.Now()
+	cleared := &quarantinev1.Message{}
 	for _, crash := range msg.GetCrashes() {
-		c.applyCrash(crash, now)
+		c.applyCrash(crash, now, cleared)
 	}
 	for _, t := range msg.GetTrials() {
 		c.applyTrial(from, t, now)
@@ -33,13 +34,16 @@
 		response = c.fullSync()
 	}
 	c.mu.Unlock()
+	c.broadcast(cleared)
 	if response != nil {
 		c.scope.Counter("told").Inc(1)
 		c.broadcast(response)
 	}
 }
 
-func (c *Controller) applyCrash(m *quarantinev1.Crash, now time.Time) {
+// applyCrash records another router's report. It adds the crashes that it clears, since an
+// answer has just begun here on the part, to a message.
+func (c *Controller) applyCrash(m *quarantinev1.Crash, now time.Time, cleared *quarantinev1.Message) {
 	if len(m.GetCrashId()) > maxIDBytes || len(m.GetTarget()) > maxIDBytes {
 		c.scope.Counter("bad_messages").Inc(1)
 		return
@@ -53,9 +57,15 @@
 		Cleared:     m.GetCleared(),
 		StartedMS:   m.GetBeganMs(),
 	}
-	if c.table.Add(crash, now) {
-		c.logIfQuarantined(crash.Fingerprint, now)
+	wasBlocked := c.table.IsPartBlocked(crash.Fingerprint, now, c.spread)
+	if !c.table.Add(crash, now) {
+		return
+	}
+	if c.sound.IsSound(crash.Fingerprint, now) {
+		c.clearPart(crash.Fingerprint, cleared)
 	}
+	c.logIfQuarantined(crash.Fingerprint, now)
+	c.logIfBlocked(crash.Fingerprint, wasBlocked)
 }
 
 // crashesOfQuarantined returns a message with the crashes of the requests that are
