--- a/internal/core/quarantine/parts.go
+++ b/internal/core/quarantine/parts.go
@@ -8,6 +8,18 @@
 // Table as a request has. Requests with a part in common are otherwise different, so that
 // none of them crashes many targets itself.
 
+// partBit is set in the fingerprints of parts and not in those of requests.
+const partBit = 1 << 63
+
+// PartFingerprint returns the fingerprint of a part from a hash of it.
+func PartFingerprint(hash uint64) uint64 { return hash | partBit }
+
+// RequestFingerprint returns the fingerprint of a request from a hash of it.
+func RequestFingerprint(hash uint64) uint64 { return hash &^ partBit }
+
+// IsPart reports whether a fingerprint is that of a part.
+func IsPart(fp uint64) bool { return fp&partBit != 0 }
+
 const (
 	// partDeaths is the number of deaths from which requests with a part are refused. A part
 	// without guilt is rarely at so many targets that die before an answer begins on it.
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -185,7 +185,7 @@
 }
 
 // Fingerprint returns the fingerprint of a request: a cryptographic digest of
-// workspace, pool and body, truncated to 64 bits. It is cryptographic because
+// workspace, pool and body, truncated to 63 bits. It is cryptographic because
 // callers choose the content and must not be able to construct collisions cheaply.
 func Fingerprint(ws ids.Workspace, pool ids.Pool, body []byte) uint64 {
 	h := sha256.New()
@@ -196,7 +196,7 @@
 		h.Write([]byte(s))
 	}
 	h.Write(body)
-	return binary.LittleEndian.Uint64(h.Sum(nil))
+	return quarantine.RequestFingerprint(binary.LittleEndian.Uint64(h.Sum(nil)))
 }
 
 // Run calls Tick every trialInterval until ctx is done. It always returns nil.
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -61,10 +61,13 @@
 	if !c.table.Add(crash, now) {
 		return
 	}
+	if !quarantine.IsPart(crash.Fingerprint) {
+		c.logIfQuarantined(crash.Fingerprint, now)
+		return
+	}
 	if c.sound.IsSound(crash.Fingerprint, now) {
 		c.clearPart(crash.Fingerprint, cleared)
 	}
-	c.logIfQuarantined(crash.Fingerprint, now)
 	c.logIfBlocked(crash.Fingerprint, wasBlocked)
 }
 
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -11,7 +12,9 @@
 )
 
 // PartFingerprint returns the fingerprint of a part of a prompt with the given name.
-func PartFingerprint(name string) uint64 { return xxhash.Sum64String("part\x00" + name) }
+func PartFingerprint(name string) uint64 {
+	return quarantine.PartFingerprint(xxhash.Sum64String(name))
+}
 
 // spreadOf returns a number from 0 to 1 that differs between routers.
 func spreadOf(self ids.Instance) float64 {
@@ -117,8 +120,7 @@
 	now := c.opts.Now()
 	msg := &quarantinev1.Message{}
 	for _, fp := range c.table.Fingerprints() {
-		isRefused := c.opts.DeathThreshold > 0 && c.table.CountDeaths(fp, now) >= c.opts.DeathThreshold
-		if !isRefused && !c.table.IsPartBlocked(fp, now, c.spread) || len(msg.Crashes) >= maxSyncCrashes {
+		if !c.isRefused(fp, now) || len(msg.Crashes) >= maxSyncCrashes {
 			continue
 		}
 		for _, crash := range c.table.CrashesOf(fp) {
@@ -130,3 +132,11 @@
 		c.opts.Send(peer, msg)
 	}
 }
+
+// isRefused reports whether requests with the fingerprint, or with the part, are refused.
+func (c *Controller) isRefused(fp uint64, now time.Time) bool {
+	if quarantine.IsPart(fp) {
+		return c.table.IsPartBlocked(fp, now, c.spread)
+	}
+	return c.opts.DeathThreshold > 0 && c.table.CountDeaths(fp, now) >= c.opts.DeathThreshold
+}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -9,9 +9,12 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/umberhill/umberhill/internal/core/quarantine"
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
+const deadlyPart = 1<<63 | 7
+
 // promptRequest is a running request in partsFleet.
 type promptRequest struct {
 	router   int
@@ -140,12 +143,13 @@
 // run lets requests arrive for a time: each has the same first part and one of many second
 // parts, and a share of them has a deadly one.
 func (f *partsFleet) run(d time.Duration, perSecond, deadlyShare float64, deadly []uint64) {
-	const first, seconds = 1, 200
+	const seconds = 200
+	first := quarantine.PartFingerprint(1)
 	for end := f.now.Add(d); f.now.Before(end); f.step() {
 		if f.random.Float64() >= perSecond/100 {
 			continue
 		}
-		second := uint64(100 + f.random.IntN(seconds))
+		second := quarantine.PartFingerprint(uint64(100 + f.random.IntN(seconds)))
 		if f.random.Float64() < deadlyShare {
 			second = deadly[f.random.IntN(len(deadly))]
 		}
@@ -161,9 +165,9 @@
 		deadly      []uint64
 		otherDeaths bool
 	}{
-		{"one part", []uint64{7}, false},
-		{"two parts", []uint64{7, 8}, false},
-		{"other deaths", []uint64{7}, true},
+		{"one part", []uint64{deadlyPart}, false},
+		{"two parts", []uint64{deadlyPart, deadlyPart + 1}, false},
+		{"other deaths", []uint64{deadlyPart}, true},
 	} {
 		for seed := range uint64(10) {
 			f := newPartsFleet(t, 6, 9, seed)
@@ -193,17 +197,17 @@
 func TestPartIsFreeOnceAnAnswerBeginsOnIt(t *testing.T) {
 	f := newPartsFleet(t, 3, 100, 1)
 	for i := range 6 {
-		f.submit(i%3, 7)
+		f.submit(i%3, deadlyPart)
 	}
 	for range 4 {
 		f.kill(f.running[0].target)
 	}
-	if len(f.running) == 0 || f.routers[0].AdmitParts([]uint64{7}) {
+	if len(f.running) == 0 || f.routers[0].AdmitParts([]uint64{deadlyPart}) {
 		t.Fatalf("%d requests run and the part is not refused, want some and the part refused", len(f.running))
 	}
 	f.routers[f.running[0].router].Began(f.running[0].id)
 	for i, r := range f.routers {
-		if !r.AdmitParts([]uint64{7}) {
+		if !r.AdmitParts([]uint64{deadlyPart}) {
 			t.Errorf("router %d refuses the part after an answer began on it", i)
 		}
 	}
@@ -213,14 +217,14 @@
 func TestRequestThatWasAnsweredIsNotBlamed(t *testing.T) {
 	f := newPartsFleet(t, 2, 9, 1)
 	for range 5 {
-		f.submit(0, 7)
+		f.submit(0, deadlyPart)
 		r := f.running[len(f.running)-1]
 		f.routers[0].Began(r.id)
 		f.now = f.now.Add(2 * time.Second)
 		f.kill(r.target)
 		f.now = f.now.Add(4 * time.Second)
 	}
-	if !f.routers[0].AdmitParts([]uint64{7}) {
+	if !f.routers[0].AdmitParts([]uint64{deadlyPart}) {
 		t.Error("the part is refused although an answer had begun on it at each target that died")
 	}
 }
@@ -229,9 +233,9 @@
 // before the others.
 func TestPartIsTriedAgainAfterSomeTime(t *testing.T) {
 	f := newPartsFleet(t, 8, 9, 1)
-	f.deadly[7] = true
+	f.deadly[deadlyPart] = true
 	for f.crashes < 3 {
-		f.submit(f.attemptRouter(), 7)
+		f.submit(f.attemptRouter(), deadlyPart)
 		for range 60 {
 			f.step()
 		}
@@ -239,7 +243,7 @@
 	admitting := func() int {
 		n := 0
 		for _, r := range f.routers {
-			if r.AdmitParts([]uint64{7}) {
+			if r.AdmitParts([]uint64{deadlyPart}) {
 				n++
 			}
 		}
@@ -262,8 +266,8 @@
 // Guards against a router that has restarted and sends requests that its peers refuse.
 func TestRestartedRouterLearnsOfDeadlyParts(t *testing.T) {
 	f := newPartsFleet(t, 4, 9, 1)
-	f.deadly[7] = true
-	f.run(5*time.Second, 60, 0.2, []uint64{7})
+	f.deadly[deadlyPart] = true
+	f.run(5*time.Second, 60, 0.2, []uint64{deadlyPart})
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	o := f.routers[0].opts
@@ -272,7 +276,7 @@
 	for _, r := range f.routers[1:] {
 		r.PeerJoined(f.routers[0].opts.Self)
 	}
-	if f.routers[0].AdmitParts([]uint64{7}) {
+	if f.routers[0].AdmitParts([]uint64{deadlyPart}) {
 		t.Error("the restarted router admits the part that its peers refuse")
 	}
 }
