--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -356,17 +356,39 @@
 			PromptTokens: 4000, ArrivedAt: start, Deadline: start.Add(responseTimeout), Objective: objective,
 		}
 	}
-	if _, refused := h.RefuseEarly(start, big()); refused {
+	if _, refused := h.RefuseEarly(start, big(), false); refused {
 		t.Error("refused early although no request was refused before")
 	}
 	for h.Submit(start, big()).Refused == "" {
 	}
-	v, refused := h.RefuseEarly(start.Add(time.Millisecond), big())
+	v, refused := h.RefuseEarly(start.Add(time.Millisecond), big(), false)
 	if !refused || v.Refused == "" || v.RetryAfter <= 0 {
 		t.Errorf("got verdict %+v right after the refusal of a request of the same kind, want refused with a Retry-After", v)
 	}
-	if _, refused := h.RefuseEarly(start.Add(50*time.Millisecond), big()); refused {
-		t.Error("refused early 50 ms after the last refusal, want it expired")
+	for _, isOverloaded := range []bool{false, true} {
+		if _, refused := h.RefuseEarly(start.Add(50*time.Millisecond), big(), isOverloaded); refused {
+			t.Errorf("overloaded %v: refused early 50 ms after the last refusal, want it expired", isOverloaded)
+		}
+	}
+}
+
+// Guards against an overloaded router that evaluates all targets for hundreds of requests a
+// second which it then refuses, and has no processor time left for the others (FAIR).
+func TestRefusalHoldsForLongerOnAnOverloadedRouter(t *testing.T) {
+	h := newHarness(t, 1, 0)
+	big := admit.Request{
+		ID: 1000, Service: "llm", Workspace: "a", Parts: []admit.Part{{Key: 1, Tokens: 4000}},
+		PromptTokens: 4000, ArrivedAt: start, Deadline: start.Add(responseTimeout), Objective: objective,
+	}
+	for h.Submit(start, big).Refused == "" {
+		big.ID++
+	}
+	later := start.Add(20 * time.Millisecond)
+	if _, refused := h.RefuseEarly(later, big, false); refused {
+		t.Error("refused early 20 ms after the last refusal, want it expired")
+	}
+	if _, refused := h.RefuseEarly(later, big, true); !refused {
+		t.Error("not refused early 20 ms after the last refusal on an overloaded router")
 	}
 }
 
--- a/internal/core/admit/controller.go
+++ b/internal/core/admit/controller.go
@@ -205,7 +205,7 @@
 
 // decide decides on a request of a workspace with the given rank.
 func (ac *Controller) decide(now time.Time, s *service, r *Request, rank share.Rank) Verdict {
-	if v, refused := ac.refuseRepeated(now, s, r, rank); refused {
+	if v, refused := ac.refuseRepeated(now, s, r, rank, refusalTTL); refused {
 		return v
 	}
 	if rank == share.Excess {
--- a/internal/core/admit/refusal.go
+++ b/internal/core/admit/refusal.go
@@ -9,8 +9,11 @@
 
 // refusalTTL is how long a refusal applies to requests of the same kind, so that under
 // a flood not every request incurs the choice of a target. It is well below any
-// objective.
-const refusalTTL = 5 * time.Millisecond
+// objective. It is longer on an overloaded router, whose processor time it saves.
+const (
+	refusalTTL         = 5 * time.Millisecond
+	overloadRefusalTTL = 25 * time.Millisecond
+)
 
 // refusalKind groups requests that are refused alike: all those beyond their
 // workspace's fair share, the others by objective and priority.
@@ -22,8 +25,8 @@
 
 // refusal is the outcome of the last refused request of a kind.
 type refusal struct {
-	until time.Time
-	rank  share.Rank
+	at   time.Time
+	rank share.Rank
 	// wait is the expected time in the queue.
 	wait time.Duration
 }
@@ -41,18 +44,22 @@
 	if r.KeepsVersion {
 		return
 	}
-	s.recentRefusals[refusalKindOf(r, rank)] = refusal{until: now.Add(refusalTTL), rank: rank, wait: wait}
+	s.recentRefusals[refusalKindOf(r, rank)] = refusal{at: now, rank: rank, wait: wait}
 }
 
 // RefuseEarly reports whether a request is refused without evaluating the targets
 // because a request of the same kind has just been refused, and returns the verdict.
-func (ac *Controller) RefuseEarly(now time.Time, r Request) (Verdict, bool) {
+// On an overloaded router that holds for longer.
+func (ac *Controller) RefuseEarly(now time.Time, r Request, isOverloaded bool) (Verdict, bool) {
 	s := ac.services[r.Service]
 	if s == nil {
 		return Verdict{}, false
 	}
-	rank := ac.rank(now, s, &r)
-	v, refused := ac.refuseRepeated(now, s, &r, rank)
+	rank, ttl := ac.rank(now, s, &r), refusalTTL
+	if isOverloaded {
+		ttl = overloadRefusalTTL
+	}
+	v, refused := ac.refuseRepeated(now, s, &r, rank, ttl)
 	if refused {
 		ac.window.RecordRequested(now, r.Workspace, r.weightedTokens())
 	}
@@ -60,10 +67,10 @@
 }
 
 // refuseRepeated refuses a request for an engine as the last one of its kind was
-// refused, unless the workspace has a better rank.
-func (ac *Controller) refuseRepeated(now time.Time, s *service, r *Request, rank share.Rank) (Verdict, bool) {
+// refused, less than ttl ago, unless the workspace has a better rank.
+func (ac *Controller) refuseRepeated(now time.Time, s *service, r *Request, rank share.Rank, ttl time.Duration) (Verdict, bool) {
 	last := s.recentRefusals[refusalKindOf(r, rank)]
-	if !s.isEngine() || r.KeepsVersion || !now.Before(last.until) || rank < last.rank {
+	if !s.isEngine() || r.KeepsVersion || now.Sub(last.at) >= ttl || rank < last.rank {
 		return Verdict{}, false
 	}
 	return ac.refuse(now, r, Inputs{Rank: rank, QueueWait: last.wait}), true
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -143,10 +143,10 @@
 
 // RefuseEarly reports whether a request would be refused like the most recent ones
 // of its workspace. It does not examine the targets.
-func (s *Scheduler) RefuseEarly(r admit.Request) (admit.Verdict, bool) {
+func (s *Scheduler) RefuseEarly(r admit.Request, isOverloaded bool) (admit.Verdict, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.admission.RefuseEarly(time.Now(), r)
+	return s.admission.RefuseEarly(time.Now(), r, isOverloaded)
 }
 
 // RefuseTurnedAway reports whether all targets of a request's service want no requests,
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -263,7 +263,7 @@
 // refuseEarly returns the refusal of a request that the scheduler would refuse like the most
 // recent ones of its kind, nil for none.
 func (s *Server) refuseEarly(r admit.Request) *refusal {
-	v, refused := s.opts.Scheduler.RefuseEarly(r)
+	v, refused := s.opts.Scheduler.RefuseEarly(r, s.isOverloaded())
 	if !refused {
 		return nil
 	}
