platform, node: a start reads lists at the store's lower price, and once

Cause: each start read all pages of both lists exactly, then read configuration and targets again at the first check, since no read was known yet. Change: the first lists of targets and routers may be stale; the watch begins at once from the earliest revision of their pages, so what changed since is read. After a compaction the list is exact again. The configuration is always exact. The first re-read waits for its age, which is in proportion to the time that a change may take (0.35 and 0.1 a rank; as before at 2 s). Tests: TestStartReadsListsAtTheLowerPrice failed before (4 exact pages of targets, 2 of the configuration, want 0 and 1); TestChangesSinceAStaleListAreApplied, with and without compaction, guards what the change could lose.

--- a/internal/node/freshness.go
+++ b/internal/node/freshness.go
@@ -13,11 +13,13 @@
 
 const (
 	// A watch of the store may miss changes while it waits. If no router has read
-	// the full state for refreshAge, routers therefore read it again in the order of
-	// their rank, each refreshRankDelay after the one before. The total delay stays
-	// well below the two seconds within which a change must be in force.
-	refreshAge       = 700 * time.Millisecond
-	refreshRankDelay = 200 * time.Millisecond
+	// the full state for refreshAgeShare of the time within which a change of the
+	// configuration or of the targets must be in force, routers therefore read it again in the order of their rank, each
+	// refreshRankShare of that time after the one before.
+	refreshAgeShare  = 0.35
+	refreshRankShare = 0.1
+	// minChangeDelay is the shortest such time that refreshes are made for.
+	minChangeDelay = 2 * time.Second
 	// maxRefreshRank is the highest rank. Routers beyond it have the same rank.
 	maxRefreshRank = 3
 	// refreshCheckInterval is how often the age of the last read is checked.
@@ -65,7 +67,8 @@
 	}
 	ticker := time.NewTicker(refreshCheckInterval)
 	defer ticker.Stop()
-	var next time.Time
+	// The watches read everything at the start.
+	next := time.Now().Add(n.refreshAgeOf(n.refreshRank()))
 	for {
 		select {
 		case <-ctx.Done():
@@ -73,7 +76,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		if now.Before(next) || n.freshness.age(now) < refreshAge+time.Duration(n.refreshRank())*refreshRankDelay {
+		if now.Before(next) || n.freshness.age(now) < n.refreshAgeOf(n.refreshRank()) {
 			continue
 		}
 		if err := n.refresher(ctx); err != nil {
@@ -85,6 +88,13 @@
 	}
 }
 
+// refreshAgeOf returns the age of the last read at which a router of the given rank reads
+// the store again.
+func (n *Node) refreshAgeOf(rank int) time.Duration {
+	delay := max(min(n.settings.ConfigDelay, n.settings.DrainTimeout), minChangeDelay)
+	return time.Duration((refreshAgeShare + refreshRankShare*float64(rank)) * float64(delay))
+}
+
 // refreshRank returns the rank of this router among the live routers that it is
 // linked to. Rank 0 reads the store first.
 func (n *Node) refreshRank() int {
--- a/internal/node/watch_interval.go
+++ b/internal/node/watch_interval.go
@@ -24,7 +24,7 @@
 // IsUpdatedByHub reports whether this router is a follower and its state is recent
 // enough that it need not watch the store itself.
 func (n *Node) IsUpdatedByHub() bool {
-	return n.isFollower() && n.freshness.age(time.Now()) < refreshAge+maxRefreshRank*refreshRankDelay
+	return n.isFollower() && n.freshness.age(time.Now()) < n.refreshAgeOf(maxRefreshRank)
 }
 
 // WatchInterval returns the minimum time between two watches of the store, so that
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -174,10 +174,19 @@
 	return out, err
 }
 
-// List returns the objects of a kind and the revision of the first page. A watch from
+// List returns the objects of a kind and the earliest revision of its pages. A watch from
 // that revision returns the changes made while the further pages were read.
 func (c *Client) List(ctx context.Context, kind api.Kind) (objs []Object, asOf uint64, err error) {
-	cl := Call{Op: OpList, Kind: kind}
+	return c.list(ctx, Call{Op: OpList, Kind: kind})
+}
+
+// ListStale is like List, but the objects may be some seconds old, where the service has a
+// cheaper read of that kind. A watch from the returned revision returns what changed since.
+func (c *Client) ListStale(ctx context.Context, kind api.Kind) (objs []Object, asOf uint64, err error) {
+	return c.list(ctx, Call{Op: OpList, Kind: kind, MayBeStale: true})
+}
+
+func (c *Client) list(ctx context.Context, cl Call) (objs []Object, asOf uint64, err error) {
 	var listEra uint64
 	left := c.maxList
 	for {
@@ -195,14 +204,17 @@
 		if err != nil {
 			return nil, 0, err
 		}
+		pageRevision := revision.Join(pageEra, page.Revision)
 		if cl.After == "" {
-			listEra, asOf = pageEra, revision.Join(pageEra, page.Revision)
+			listEra, asOf = pageEra, pageRevision
 		}
 		if pageEra != listEra {
 			// The pages are of different copies of the store.
 			objs, cl.After, left = nil, "", c.maxList
 			continue
 		}
+		// Pages that may be stale are not necessarily of increasing revisions.
+		asOf = min(asOf, pageRevision)
 		for _, o := range page.Objects {
 			o.Version = revision.Join(pageEra, o.Version)
 			objs = append(objs, o)
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -32,6 +32,9 @@
 	Name string
 	// After is the name after which a list continues.
 	After string
+	// MayBeStale allows a list that is some seconds old. A service without such reads
+	// ignores it.
+	MayBeStale bool
 	// Kinds, Since and Wait are the parameters of a watch.
 	Kinds []api.Kind
 	Since uint64
