node, platform: followers need not watch the list of routers

With 295 routers each follower watched the list of routers, and got an answer for each router that came or went. Cause: a follower needs from it only the hubs of its failure domain, and did not know whether its hub had the same. Change: the hubs' totals carry a hash of their domain's hubs and the number of routers; a follower whose hub has the same hubs, in the same era of the store, does not watch. The number of routers, by which the retry budget is divided, comes from the hub. A follower without updates from a hub looks for its hubs each second, not each 4 s. Test: TestFollowerDoesNotWatchRoutersThatItsHubConfirms (new mechanism). TestFollowersCallTheStoreLessOften compares a follower that hubs keep up to date.

--- a/internal/core/hub/plan.go
+++ b/internal/core/hub/plan.go
@@ -114,6 +114,15 @@
 	return ""
 }
 
+// HubsKey returns a hash of the hubs of a domain, 0 if there are none.
+func (p *Plan) HubsKey(domain ids.Domain) uint64 {
+	var key uint64
+	for _, h := range p.Hubs[domain] {
+		key = rendezvous.Mix(key ^ xxhash.Sum64String(string(h)))
+	}
+	return key
+}
+
 // IsHub reports whether a router is a hub of a domain.
 func (p *Plan) IsHub(domain ids.Domain, i ids.Instance) bool {
 	return slices.Contains(p.Hubs[domain], i)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -54,6 +54,10 @@
 	decodeConfig ConfigDecoder
 	plan         atomic.Pointer[hub.Plan]
 	sums         reportSums
+	// hubsDiffer is set while the hub's list of routers gives other hubs than this router's.
+	hubsDiffer atomic.Bool
+	// hubEra is the store's era in the last total from a hub.
+	hubEra atomic.Uint64
 	// livePeers are those of the last PeersChanged, which alone uses it.
 	livePeers map[ids.Instance]bool
 	// pullRequests receives the peers that hold newer state.
--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	fleetv1 "github.com/umberhill/umberhill/api/fleet/v1"
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
@@ -44,6 +45,7 @@
 // the routers that get the state from hubs must call the store less often.
 func TestFollowersCallTheStoreLessOften(t *testing.T) {
 	small, large := newNodeInFleet(8), newNodeInFleet(80)
+	large.freshness.observe(time.Now(), 0)
 	if small.ExtraRetryDelay() != 0 || large.ExtraRetryDelay() == 0 {
 		t.Errorf("extra delay after a failed call: %v in a fleet of 8, want none; %v in a fleet of 80, want more than none", small.ExtraRetryDelay(), large.ExtraRetryDelay())
 	}
@@ -51,3 +53,33 @@
 		t.Error("routers of a large fleet watch as often as those of a small one")
 	}
 }
+
+// Guards against a fleet in which each follower reads the list of routers for each router
+// that starts or stops: it needs only the hubs of its domain, which its hub confirms.
+func TestFollowerDoesNotWatchRoutersThatItsHubConfirms(t *testing.T) {
+	const era = 3
+	n := newNodeInFleet(80)
+	if n.IsRouterListCurrent(era) {
+		t.Error("list is current before a report of a hub, want not")
+	}
+	plan := n.fleet.plan.Load()
+	hubName := plan.Hubs["a"][0]
+	observe := func(key uint64) {
+		n.freshness.observe(time.Now(), 0)
+		n.fleet.observeHub(plan, &fleetv1.Report{Scope: fleetv1.Scope_SCOPE_FLEET, HubsKey: key, StoreEra: era, Routers: 81})
+	}
+	observe(plan.HubsKey("a"))
+	if !n.IsRouterListCurrent(era) {
+		t.Errorf("list is not current although hub %s has the same hubs", hubName)
+	}
+	if got := n.server.Routers(); got != 81 {
+		t.Errorf("routers that share the retry budget: got %d, want the hub's 81", got)
+	}
+	if n.IsRouterListCurrent(era - 1) {
+		t.Error("list of an earlier era of the store is current, want not: the store may have lost this router's entry")
+	}
+	observe(plan.HubsKey("a") + 1)
+	if n.IsRouterListCurrent(era) {
+		t.Error("list is current although the hub has other hubs, want not")
+	}
+}
--- a/internal/node/report_sums.go
+++ b/internal/node/report_sums.go
@@ -55,11 +55,21 @@
 		f.sums.addDomain(from.Domain, from.Instance, r)
 	case r.GetScope() == fleetv1.Scope_SCOPE_FLEET && plan.IsFollower():
 		if plan.PreferredHub(f.node.settings.Domain, f.isLive) == from.Instance {
+			f.observeHub(plan, r)
 			f.applyTotal(r)
 		}
 	}
 }
 
+// observeHub records what a hub of this router's domain says of the list of routers.
+func (f *fleet) observeHub(plan *hub.Plan, r *fleetv1.Report) {
+	f.hubEra.Store(r.GetStoreEra())
+	f.hubsDiffer.Store(r.GetHubsKey() != plan.HubsKey(f.node.settings.Domain))
+	if n := r.GetRouters(); n > 0 {
+		f.node.server.SetRouters(int(n))
+	}
+}
+
 func (f *fleet) isLive(i ids.Instance) bool {
 	for _, p := range f.mesh.Live() {
 		if p.Instance == i && !p.Draining {
@@ -97,6 +107,8 @@
 	domain, total := f.sums.aggregate(plan, own, f.isLive)
 	f.setRevisions(domain)
 	f.setRevisions(total)
+	total.HubsKey = plan.HubsKey(f.node.settings.Domain)
+	total.Routers = uint32(f.node.server.Routers())
 	self := f.node.settings.Domain
 	f.broadcast(domain, func(p peer.Peer) bool { return p.Domain != self && plan.IsHub(p.Domain, p.Instance) })
 	f.broadcast(total, func(p peer.Peer) bool { return p.Domain == self && !plan.IsHub(self, p.Instance) })
--- a/internal/node/watch_interval.go
+++ b/internal/node/watch_interval.go
@@ -9,7 +9,7 @@
 	watchInterval         = 100 * time.Millisecond
 	followerWatchInterval = 700 * time.Millisecond
 	// routerListInterval and followerRouterListInterval bound the rate of watches of
-	// the list of routers. A follower only needs the hubs of its domain from it.
+	// the list of routers, the latter for followers that hubs keep up to date.
 	routerListInterval         = time.Second
 	followerRouterListInterval = 4 * time.Second
 	// followerRetryDelay is added to the delay after each failed call of a follower.
@@ -27,6 +27,13 @@
 	return n.isFollower() && n.freshness.age(time.Now()) < n.refreshAgeOf(maxRefreshRank)
 }
 
+// IsRouterListCurrent reports whether this router is a follower whose hub has the same hubs
+// on its list of routers, as of the given era of the store, so that it need not watch the
+// list. Of that list a follower only needs the hubs of its failure domain.
+func (n *Node) IsRouterListCurrent(era uint64) bool {
+	return n.IsUpdatedByHub() && !n.fleet.hubsDiffer.Load() && n.fleet.hubEra.Load() == era
+}
+
 // WatchInterval returns the minimum time between two watches of the store, so that
 // changes in quick succession do not need one call each.
 func (n *Node) WatchInterval() time.Duration {
@@ -49,7 +56,7 @@
 // routers, so that a rolling restart of the fleet does not cause a call from each
 // router for each restart.
 func (n *Node) RouterListInterval() time.Duration {
-	if n.isFollower() {
+	if n.IsUpdatedByHub() {
 		return followerRouterListInterval
 	}
 	return routerListInterval
