admit, replay: a router of a large fleet considers few engines

Cause: 295 routers choose among the same 240 engines by sums of the load that are 160 to 240 ms old. In that time the fleet sends several requests to each engine, and all of them go to those that the last sum showed as idle. Change: with sums from hubs a router considers its four first usable engines of its own domain and one of the others, in an order of its own, besides the engines that have the request's shared parts and the part's home. In a full mesh, nothing changes. The replay models domains and sums through hubs for it.

--- a/internal/core/admit/choose.go
+++ b/internal/core/admit/choose.go
@@ -122,6 +122,11 @@
 // forEachCandidate calls visit with the evaluation of each usable target. If there are
 // none, it visits those of last resort, and those for which a request can wait.
 func (s *service) forEachCandidate(sel *selection, visit func(candidate)) {
+	if s.subset.isBounded && s.isEngine() {
+		if s.subset.visit(sel, func(t *target) { visit(s.evaluate(sel, t)) }) {
+			return
+		}
+	}
 	found := false
 	for _, t := range s.targets {
 		if t.isUsable(sel.now, sel.req) {
@@ -243,7 +248,8 @@
 		c.wait = s.latency.meanDuration() * time.Duration(running+1-slots) / time.Duration(slots)
 		c.cost += c.wait
 	}
-	if predicted > sel.remaining {
+	isLate := predicted > sel.remaining
+	if isLate {
 		c.cost += r.Objective
 	}
 	boundShare := sel.boundShare(sharedMissing)
@@ -252,10 +258,10 @@
 	// For a workspace beyond its fair share, an engine that responds late does not count
 	// as idle. An engine without work is tried nevertheless, so that its recovery is
 	// observed.
-	isLate := sel.rank == share.Excess && predicted > sel.remaining
+	isAvoided := isLate && sel.rank == share.Excess
 	c.hasRoom = float64(running+1) <= float64(slots)*boundShare &&
 		(pending == 0 || float64(tokensAhead) <= maxPending) &&
-		(running == 0 || !isLate && neededMemory <= maxMemoryShare*boundShare*float64(s.conf.Engine.MemoryTokens))
+		(running == 0 || !isAvoided && neededMemory <= maxMemoryShare*boundShare*float64(s.conf.Engine.MemoryTokens))
 	return c
 }
 
--- a/internal/core/admit/controller.go
+++ b/internal/core/admit/controller.go
@@ -45,7 +45,8 @@
 	ShareWindow time.Duration
 	// DrainTimeout is how long a target may get requests after it said that it leaves.
 	DrainTimeout time.Duration
-	// Seed is the seed of the jitter of Retry-After.
+	// Seed is the seed of the jitter of Retry-After, and of the engines that the router
+	// prefers in a large fleet. It differs between routers.
 	Seed uint64
 }
 
@@ -116,6 +117,7 @@
 	}
 	for _, s := range ac.services {
 		slices.SortFunc(s.targets, func(a, b *target) int { return compareIDs(a.ID, b.ID) })
+		s.subset.set(s.targets, ac.opts.Seed, ac.opts.Domain)
 	}
 	ac.initLatencyModels()
 }
--- a/internal/core/admit/report.go
+++ b/internal/core/admit/report.go
@@ -72,6 +72,9 @@
 		}
 	}
 	ac.ApplyPeerReport(now, fleetPeer, loads, backlogs, usage)
+	for _, s := range ac.services {
+		s.subset.isBounded = true
+	}
 }
 
 // LocalReport returns this router's load, backlog and workspace usage for a report to
--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -17,6 +17,7 @@
 	name    string
 	conf    *routing.Service
 	targets []*target
+	subset  subset
 	latency *latencyModel
 	// lastResortTime is how long a leaving target is used if there is no other.
 	lastResortTime time.Duration
--- /dev/null
+++ b/internal/core/admit/subset.go
@@ -0,0 +1,89 @@
+package admit
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/umberhill/umberhill/internal/core/rendezvous"
+	"github.com/umberhill/umberhill/internal/ids"
+)
+
+// In a fleet whose routers know each other's load only through the sums of hubs, a view is
+// older than the time between two requests for the same engine. If all routers considered
+// all engines, they would all send their next requests to the one that the last sum showed
+// as idle. Each router therefore considers few engines, which only few other routers
+// consider too, and those at which a request finds its shared parts.
+const (
+	// subsetLocal and subsetRemote are the numbers of engines that a router considers in
+	// its own failure domain and in the others.
+	subsetLocal  = 4
+	subsetRemote = 1
+	// maxCachedCandidates bounds the further engines that are considered since they have
+	// the request's shared parts cached. A part that most requests share is at all engines.
+	maxCachedCandidates = 3
+)
+
+// subset orders the engines of a service by this router's preference: those that come first
+// are considered for its requests. The order differs between routers.
+type subset struct {
+	local, remote []*target
+	// isBounded is set while only the first engines are considered.
+	isBounded bool
+}
+
+// set orders the engines for the router with the given seed in the given domain.
+func (ss *subset) set(targets []*target, seed uint64, domain ids.Domain) {
+	ss.local, ss.remote = nil, nil
+	for _, t := range targets {
+		if t.Domain == domain {
+			ss.local = append(ss.local, t)
+		} else {
+			ss.remote = append(ss.remote, t)
+		}
+	}
+	mixed := rendezvous.Mix(seed)
+	for _, list := range [][]*target{ss.local, ss.remote} {
+		slices.SortFunc(list, func(a, b *target) int {
+			return cmp.Compare(rendezvous.Mix(a.hash^mixed), rendezvous.Mix(b.hash^mixed))
+		})
+	}
+}
+
+// visit calls visit for each engine that is considered for a request and usable, and
+// reports whether there is any.
+func (ss *subset) visit(sel *selection, visit func(*target)) bool {
+	visited := make([]*target, 0, subsetLocal+subsetRemote+maxCachedCandidates+1)
+	offer := func(t *target) bool {
+		if slices.Contains(visited, t) || !t.isUsable(sel.now, sel.req) {
+			return false
+		}
+		visited = append(visited, t)
+		visit(t)
+		return true
+	}
+	if sel.home != nil {
+		offer(sel.home)
+	}
+	cached := 0
+	for _, t := range sel.sources {
+		if cached == maxCachedCandidates {
+			break
+		}
+		if offer(t) {
+			cached++
+		}
+	}
+	offerFirst := func(list []*target, n int) {
+		for _, t := range list {
+			if n == 0 {
+				return
+			}
+			if offer(t) {
+				n--
+			}
+		}
+	}
+	offerFirst(ss.local, subsetLocal)
+	offerFirst(ss.remote, subsetRemote)
+	return len(visited) > 0
+}
--- /dev/null
+++ b/internal/core/admit/subset_test.go
@@ -0,0 +1,45 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/core/admit"
+	"github.com/umberhill/umberhill/internal/ids"
+)
+
+// Guards against a router that refuses requests while the engines that it prefers are down,
+// although others are idle.
+func TestEnginesBeyondThePreferredOnesAreUsedWhileThoseAreDown(t *testing.T) {
+	h := newHarness(t, 30, 0)
+	h.ApplyFleetReport(start, nil, nil, nil)
+	down := make(map[ids.Target]bool)
+	for len(down) < 20 {
+		v := h.submit(start, "a", "llm", admit.Part{Key: uint64(len(down)), Tokens: 100})
+		if v.Target.ID == "" {
+			t.Fatalf("request was refused as %q with %d of 30 engines down, want it sent", v.Refused, len(down))
+		}
+		if down[v.Target.ID] {
+			t.Fatalf("request was sent to %s, which is paused", v.Target.ID)
+		}
+		down[v.Target.ID] = true
+		h.AttemptEnded(start.Add(time.Millisecond), v.ID, admit.End{Result: admit.Unreachable, NotRun: true})
+	}
+}
+
+// Guards against routers of a large fleet that all consider the same engines: their view of
+// the load is older than the time between two requests of the fleet for one engine.
+func TestRouterOfALargeFleetUsesFewEngines(t *testing.T) {
+	h := newHarness(t, 40, 0)
+	h.ApplyFleetReport(start, nil, nil, nil)
+	used := make(map[ids.Target]bool)
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		v := h.submit(now, "a", "llm", admit.Part{Key: uint64(i), Tokens: 100})
+		used[v.Target.ID] = true
+		h.serve(v, now)
+	}
+	if len(used) > 8 {
+		t.Errorf("100 requests one after the other went to %d of 40 engines, want at most 8", len(used))
+	}
+}
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -50,6 +50,8 @@
 	// durations.
 	prefilledTokens, repeatedTokens int
 	busyTime                        time.Duration
+	// arrivals counts the requests that the engine got.
+	arrivals int
 }
 
 // admitWaiting moves waiting requests into the batch in order of arrival, as long as
--- a/internal/replay/pattern.go
+++ b/internal/replay/pattern.go
@@ -56,6 +56,12 @@
 	RoutersReached func(workspace int) int
 	// ReportDelay is the time until a router's load report arrives at the others.
 	ReportDelay time.Duration
+	// ReportsAreSummed is set if each router gets the sum of all reports, as through hubs,
+	// instead of each report.
+	ReportsAreSummed bool
+	// Domains is the number of failure domains, over which routers and engines are spread
+	// evenly; 0 stands for 1.
+	Domains int
 	// EventGapObjective bounds the pauses between the events of a stream that is on time.
 	EventGapObjective time.Duration
 	// TokensPerSecond is the configured capacity of all engines together.
--- a/internal/replay/policy.go
+++ b/internal/replay/policy.go
@@ -34,26 +34,31 @@
 	poll(now time.Time) []admit.Verdict
 }
 
-func newTargets(n int) []routing.Target {
+func newTargets(p *Pattern) []routing.Target {
 	var all []routing.Target
-	for i := range n {
-		all = append(all, routing.Target{ID: ids.Target(fmt.Sprintf("e%03d", i)), Service: "llm", Domain: "z"})
+	for i := range p.Engines {
+		all = append(all, routing.Target{ID: ids.Target(fmt.Sprintf("e%03d", i)), Service: "llm", Domain: p.domainOf(i)})
 	}
 	return all
 }
 
+// domainOf returns the failure domain of the router or engine with an index.
+func (p *Pattern) domainOf(index int) ids.Domain {
+	return ids.Domain(fmt.Sprintf("z%d", index%max(1, p.Domains)))
+}
+
 // admitDispatcher dispatches with the controller of package admit.
 type admitDispatcher struct{ controller *admit.Controller }
 
-func newAdmitDispatcher(p *Pattern, seed uint64) admitDispatcher {
-	controller := admit.New(admit.Options{Domain: "z", ShareWindow: 4 * time.Second, Seed: seed})
+func newAdmitDispatcher(p *Pattern, router int) admitDispatcher {
+	controller := admit.New(admit.Options{Domain: p.domainOf(router), ShareWindow: 4 * time.Second, Seed: uint64(router)})
 	controller.SetConfig(&routing.Config{
 		Services: map[string]*routing.Service{"llm": {
 			Name: "llm", Engine: p.Spec.routingConfig(),
 		}},
 		Limits: routing.Limits{TokensPerSecond: p.TokensPerSecond},
 	})
-	all := newTargets(p.Engines)
+	all := newTargets(p)
 	for i := range all {
 		all[i].Slots = p.Spec.Slots
 	}
@@ -96,7 +101,7 @@
 
 func newBaselineDispatcher(policy Policy, p *Pattern, seed int) *baselineDispatcher {
 	return &baselineDispatcher{
-		policy: policy, targets: newTargets(p.Engines), nextTarget: seed,
+		policy: policy, targets: newTargets(p), nextTarget: seed,
 		inFlight: make([]int, p.Engines), targetIndex: make(map[admit.ID]int),
 	}
 }
--- a/internal/replay/simulation.go
+++ b/internal/replay/simulation.go
@@ -56,6 +56,9 @@
 	// Utilisation is the mean time in which an engine ran steps, divided by the pattern's
 	// duration. It can exceed 1, since steps after the end of the pattern count too.
 	Utilisation float64
+	// BusiestEngine is the number of requests that the engine with most of them got, divided
+	// by the mean.
+	BusiestEngine float64
 }
 
 type event struct {
@@ -112,7 +115,7 @@
 		prefilledParts: make(map[uint64]bool), servedWorth: make(map[ids.Workspace]float64), requests: make(map[ids.Workspace]int),
 		engineIndex: make(map[ids.Target]int), result: Result{Pattern: p.Name, Policy: policy},
 	}
-	for i, t := range newTargets(p.Engines) {
+	for i, t := range newTargets(&p) {
 		s.engineIndex[t.ID] = i
 	}
 	for range p.Engines {
@@ -120,7 +123,7 @@
 	}
 	for i := range p.Routers {
 		if policy == Admit {
-			s.routers = append(s.routers, newAdmitDispatcher(&p, uint64(i)))
+			s.routers = append(s.routers, newAdmitDispatcher(&p, i))
 		} else {
 			s.routers = append(s.routers, newBaselineDispatcher(policy, &p, i))
 		}
@@ -235,6 +238,7 @@
 		s.failAttempt(j.req, admit.End{Result: admit.Failed})
 		return
 	}
+	s.engines[i].arrivals++
 	s.engines[i].waiting = append(s.engines[i].waiting, j)
 	s.startStep(i)
 }
@@ -359,19 +363,33 @@
 // exchangeReports sends each router's load to the others, which receive it after the
 // pattern's ReportDelay.
 func (s *simulation) exchangeReports() {
-	for i, d := range s.routers {
+	reports := make([]report, 0, len(s.routers))
+	for _, d := range s.routers {
 		from, ok := d.(admitDispatcher)
 		if !ok {
 			return
 		}
-		loads, backlogs, use := from.controller.LocalReport(s.virtualTime())
-		s.schedule(s.pattern.ReportDelay, func() {
+		reports = append(reports, newReport(from.controller.LocalReport(s.virtualTime())))
+	}
+	s.schedule(s.pattern.ReportDelay, func() {
+		if s.pattern.ReportsAreSummed {
+			s.applyTotal(sumReports(reports))
+			return
+		}
+		for i, r := range reports {
 			for k, receiver := range s.routers {
-				if to, ok := receiver.(admitDispatcher); ok && k != i {
-					to.controller.ApplyPeerReport(s.virtualTime(), ids.Instance(rune('A'+i)), loads, backlogs, use)
+				if k != i {
+					receiver.(admitDispatcher).controller.ApplyPeerReport(s.virtualTime(), ids.Instance(rune('A'+i)), r.loads, r.backlogs, r.usage)
 				}
 			}
-		})
+		}
+	})
+}
+
+func (s *simulation) applyTotal(total report) {
+	for _, receiver := range s.routers {
+		r := total.clone()
+		receiver.(admitDispatcher).controller.ApplyFleetReport(s.virtualTime(), r.loads, r.backlogs, r.usage)
 	}
 }
 
@@ -386,11 +404,15 @@
 	}
 	r.WorstShare = s.fairness.worstShare()
 	prefilled, repeated, busy := 0, 0, time.Duration(0)
+	arrivals, most := 0, 0
 	for _, e := range s.engines {
 		prefilled += e.prefilledTokens
 		repeated += e.repeatedTokens
 		busy += e.busyTime
+		arrivals += e.arrivals
+		most = max(most, e.arrivals)
 	}
+	r.BusiestEngine = float64(most*len(s.engines)) / float64(max(1, arrivals))
 	r.RepeatedPrefillShare = float64(repeated) / float64(max(1, prefilled))
 	r.Utilisation = float64(busy) / float64(s.pattern.Duration) / float64(len(s.engines))
 	return *r
