admit: a late request gets part of an engine only

What callers saw: the line outlives the flood. Cause: a request that waited, or that every engine would serve late, took the same room as one on time. Each router sees only its own few waiting requests, so one router's late request went before another's punctual one, and made that late in turn. Change: a request whose response would be late at an engine may fill 0.6 of it, unless its workspace is behind its share.

--- a/internal/core/admit/choose.go
+++ b/internal/core/admit/choose.go
@@ -50,6 +50,10 @@
 	// workspace beyond its fair share may prefill again what another engine has cached:
 	// half of what it may use otherwise (see docs/ROUNDS.md, 7f84252).
 	duplicatePrefillShare = 0.3
+	// lateBoundShare is the fraction of an engine's bounds that is open to a request whose
+	// response would be late there, unless its workspace is behind its share. Otherwise late
+	// requests would make others late, beyond the end of the overload.
+	lateBoundShare = 0.6
 	// smallPrefillTokens is the number of tokens up to which a duplicate prefill is not
 	// worth avoiding; it takes an engine a few ms.
 	smallPrefillTokens = 256
@@ -253,6 +257,9 @@
 		c.cost += r.Objective
 	}
 	boundShare := sel.boundShare(sharedMissing)
+	if isLate && sel.rank >= share.Fair {
+		boundShare *= lateBoundShare
+	}
 	maxPending := float64(s.latency.tokensIn(s.shortestObjective)) * maxPendingPrefillShare * boundShare / slowFactor
 	neededMemory := float64(memory+r.PromptTokens) + expectedOutputShare*float64(r.OutputTokens)
 	// For a workspace beyond its fair share, an engine that responds late does not count
--- a/internal/replay/large_fleet_test.go
+++ b/internal/replay/large_fleet_test.go
@@ -63,3 +63,19 @@
 func TestManyRoutersServeOverloadInTime(t *testing.T) {
 	expectWorth(t, 1.2, 0.6)
 }
+
+// Guards against an overload in which each late request delays the next: most responses
+// came late, and it stayed so for seconds after the overload.
+func TestOverloadOfALargeFleetDoesNotMakeMostResponsesLate(t *testing.T) {
+	for _, size := range largeFleetSizes {
+		for seed := uint64(1); seed <= 3; seed++ {
+			t.Run(fmt.Sprintf("%d routers, %d engines, seed %d", size.routers, size.engines, seed), func(t *testing.T) {
+				t.Parallel()
+				r := replay.Simulate(largeFleet(size.routers, size.engines, size.domains, 1.2), replay.Admit, seed)
+				if r.Late > r.OnTime/2 {
+					t.Errorf("%d responses on time and %d late, want at most half as many late as on time", r.OnTime, r.Late)
+				}
+			})
+		}
+	}
+}
