admit: routers of a large fleet share a few plain targets at random

Cause: the sums of the load are 160 to 240 ms old, a request takes 30 ms. All routers send to the target that the last sum showed as idle, and all wait for one that it showed as full. Change: with sums from hubs a router spreads requests over the plain targets at random, slow and failing ones get fewer, and it sends a share of its requests that falls and rises with the occupancy of all targets together. What is beyond the share is refused at once.

--- a/internal/core/admit/attempt.go
+++ b/internal/core/admit/attempt.go
@@ -15,6 +15,7 @@
 		v.FetchFrom = c.source.Target
 	}
 	t.running++
+	s.throttle.recordSent()
 	t.pendingTokens += c.inputs.UncachedTokens
 	t.memoryTokens += r.PromptTokens + r.OutputTokens
 	t.health.recordSent(r.ID)
--- a/internal/core/admit/choose.go
+++ b/internal/core/admit/choose.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/umberhill/umberhill/internal/core/share"
@@ -54,6 +55,9 @@
 	// response would be late there, unless its workspace is behind its share. Otherwise late
 	// requests would make others late, beyond the end of the overload.
 	lateBoundShare = 0.6
+	// randomCostSpread is the range of the random cost of a plain target, in mean durations
+	// of a request.
+	randomCostSpread = 3
 	// smallPrefillTokens is the number of tokens up to which a duplicate prefill is not
 	// worth avoiding; it takes an engine a few ms.
 	smallPrefillTokens = 256
@@ -126,7 +130,7 @@
 // forEachCandidate calls visit with the evaluation of each usable target. If there are
 // none, it visits those of last resort, and those for which a request can wait.
 func (s *service) forEachCandidate(sel *selection, visit func(candidate)) {
-	if s.subset.isBounded && s.isEngine() {
+	if s.isViewOld && s.isEngine() {
 		if s.subset.visit(sel, func(t *target) { visit(s.evaluate(sel, t)) }) {
 			return
 		}
@@ -188,11 +192,13 @@
 	// boundScale scales an engine's bounds: 1, or less for a workspace beyond its fair
 	// share while requests of others wait.
 	boundScale float64
+	// random is a source of random numbers.
+	random *rand.Rand
 }
 
 // newSelection prepares the choice of a target for a request.
 func (s *service) newSelection(now time.Time, r *Request, rank share.Rank) *selection {
-	sel := &selection{now: now, req: r, rank: rank, remaining: r.dueAt().Sub(now), boundScale: 1, sources: s.sourcesBuf[:0]}
+	sel := &selection{now: now, req: r, rank: rank, remaining: r.dueAt().Sub(now), boundScale: 1, sources: s.sourcesBuf[:0], random: s.random}
 	s.findSharedParts(sel)
 	if rank == share.Excess {
 		sel.boundScale = s.excessBoundScale(now)
@@ -273,6 +279,9 @@
 }
 
 func (s *service) evaluatePlain(sel *selection, t *target) candidate {
+	if s.isViewOld {
+		return s.evaluatePlainAtRandom(sel, t)
+	}
 	running, _, _ := t.fleetLoad(sel.now)
 	slots := max(1, t.Slots)
 	duration := time.Duration(float64(s.latency.meanDuration()) * t.slowness(sel.now))
@@ -286,3 +295,16 @@
 		inputs:  Inputs{Running: running, PredictedLatency: predicted, Rank: sel.rank},
 	}
 }
+
+// evaluatePlainAtRandom ignores the reported load, see throttle. Slow and failing targets get
+// fewer requests than others.
+func (s *service) evaluatePlainAtRandom(sel *selection, t *target) candidate {
+	running, _, _ := t.fleetLoad(sel.now)
+	mean := s.latency.meanDuration()
+	predicted := time.Duration(float64(mean) * t.slowness(sel.now))
+	return candidate{
+		cost:    predicted + time.Duration(randomCostSpread*sel.random.Float64()*float64(mean)),
+		hasRoom: s.throttle.hasCredit(),
+		inputs:  Inputs{Running: running, PredictedLatency: predicted, Rank: sel.rank},
+	}
+}
--- a/internal/core/admit/controller.go
+++ b/internal/core/admit/controller.go
@@ -158,6 +158,7 @@
 	if s == nil {
 		s = &service{
 			name: name, peerBacklogs: make(map[ids.Instance]peerBacklog), recentRefusals: make(map[refusalKind]refusal),
+			random: ac.random, throttle: throttle{share: 1},
 			lastResortTime: time.Duration(lastResortShare * float64(ac.opts.DrainTimeout)),
 		}
 		ac.services[name] = s
@@ -177,6 +178,7 @@
 	}
 	rank := ac.rank(now, s, &r)
 	if !s.isEngine() {
+		s.throttle.recordArrival()
 		return ac.decide(now, s, &r, rank)
 	}
 	standing := ac.window.Standing(now, r.Workspace)
@@ -222,6 +224,11 @@
 	if c.hasRoom && !s.queue.hasAhead(rank, r.Priority) {
 		return ac.send(now, s, r, c)
 	}
+	if !s.isEngine() && s.isViewOld {
+		// The queue would not become shorter: the share of requests that are sent is for new
+		// ones as much as for those that wait.
+		return ac.refuse(now, r, c.inputs)
+	}
 	return ac.enqueue(now, s, r, c, wait)
 }
 
--- a/internal/core/admit/report.go
+++ b/internal/core/admit/report.go
@@ -73,7 +73,10 @@
 	}
 	ac.ApplyPeerReport(now, fleetPeer, loads, backlogs, usage)
 	for _, s := range ac.services {
-		s.subset.isBounded = true
+		s.isViewOld = true
+		if !s.isEngine() {
+			s.adaptThrottle(now)
+		}
 	}
 }
 
--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,7 +19,11 @@
 	conf    *routing.Service
 	targets []*target
 	subset  subset
-	latency *latencyModel
+	// throttle applies to plain targets while isViewOld is set.
+	throttle throttle
+	// isViewOld is set once the load of the fleet comes from the sums of hubs.
+	isViewOld bool
+	latency   *latencyModel
 	// lastResortTime is how long a leaving target is used if there is no other.
 	lastResortTime time.Duration
 
@@ -30,6 +35,7 @@
 	// recentRefusals holds the last refusal of each kind, valid for refusalTTL.
 	recentRefusals map[refusalKind]refusal
 
+	random *rand.Rand
 	// sourcesBuf is a buffer reused by selections.
 	sourcesBuf []*target
 
@@ -79,6 +85,19 @@
 	return requests, tokens
 }
 
+// adaptThrottle adapts the throttle to the load of all usable targets.
+func (s *service) adaptThrottle(now time.Time) {
+	requests, slots := 0, 0
+	for _, t := range s.targets {
+		if !t.isLeaving() && t.health.isAvailable(now) {
+			running, _, _ := t.fleetLoad(now)
+			requests += running
+			slots += max(1, t.Slots)
+		}
+	}
+	s.throttle.observe(requests, slots)
+}
+
 // expectedQueueWait returns the expected time until the requests that wait now, at all
 // routers together, have been sent.
 func (s *service) expectedQueueWait(now time.Time) time.Duration {
--- a/internal/core/admit/subset.go
+++ b/internal/core/admit/subset.go
@@ -27,8 +27,6 @@
 // are considered for its requests. The order differs between routers.
 type subset struct {
 	local, remote []*target
-	// isBounded is set while only the first engines are considered.
-	isBounded bool
 }
 
 // set orders the engines for the router with the given seed in the given domain.
