--- a/internal/core/admit/subset.go
+++ b/internal/core/admit/subset.go
@@ -17,7 +17,7 @@
 	// subsetLocal and subsetRemote are the numbers of engines that a router considers in
 	// its own failure domain and in the others.
 	subsetLocal  = 4
-	subsetRemote = 1
+	subsetRemote = 2
 	// maxCachedCandidates bounds the further engines that are considered since they have
 	// the request's shared parts cached. A part that most requests share is at all engines.
 	maxCachedCandidates = 3
--- a/internal/replay/large_fleet_test.go
+++ b/internal/replay/large_fleet_test.go
@@ -79,3 +79,21 @@
 		}
 	}
 }
+
+// Guards against a domain with most of the requests that leaves the other domains' engines
+// idle: what they can serve must not be refused.
+func TestHotDomainUsesTheEnginesOfTheOthers(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			even := largeFleet(120, 60, 5, 0.4)
+			hot := even
+			hot.FirstDomainShare = 0.9
+			base, all := replay.Simulate(even, replay.Admit, seed), replay.Simulate(hot, replay.Admit, seed)
+			if all.Worth < 0.9*base.Worth {
+				t.Errorf("worth %.3f (%d on time, %d late, %d refused) with nine tenths of the requests in one domain, want at least 0.9 of %.3f with even parts",
+					all.Worth, all.OnTime, all.Late, all.Refused, base.Worth)
+			}
+		})
+	}
+}
--- a/internal/replay/pattern.go
+++ b/internal/replay/pattern.go
@@ -62,6 +62,9 @@
 	// Domains is the number of failure domains, over which routers and engines are spread
 	// evenly; 0 stands for 1.
 	Domains int
+	// FirstDomainShare is the share of the requests, 0 to 1, whose callers are in the first
+	// domain; 0 stands for an even part.
+	FirstDomainShare float64
 	// EventGapObjective bounds the pauses between the events of a stream that is on time.
 	EventGapObjective time.Duration
 	// TokensPerSecond is the configured capacity of all engines together.
@@ -207,7 +210,7 @@
 	if p.RoutersReached != nil {
 		routers = p.RoutersReached(ws)
 	}
-	r := &request{kind: kind, arrivedAt: at, router: random.IntN(routers), routersReached: routers, isFirstAttempt: true}
+	r := &request{kind: kind, arrivedAt: at, router: p.pickRouter(random, routers), routersReached: routers, isFirstAttempt: true}
 	r.Request = admit.Request{
 		Service:      "llm",
 		Workspace:    ids.Workspace(rune('a' + ws)),
@@ -219,6 +222,15 @@
 	return r
 }
 
+// pickRouter returns one of the first routers for a request.
+func (p *Pattern) pickRouter(random *rand.Rand, routers int) int {
+	i := random.IntN(routers)
+	if random.Float64() < p.FirstDomainShare {
+		i -= i % max(1, p.Domains)
+	}
+	return i
+}
+
 // poisson returns a Poisson-distributed number. Its running time grows with the mean,
 // which must be small.
 func poisson(random *rand.Rand, mean float64) int {
