node, platform: a router that starts waits for the state from its hub

Cause: while the whole fleet starts, a router's first list of routers lacks most of them, and hubs told their followers of a recent read only 1.4 s after their start. Until then each router listed and watched everything itself. Change: a router looks for further routers each 250 ms in its first 2 s; its watches of the configuration and the targets begin once hubs keep it up to date, or it has had a list of a small fleet for 300 ms, or after 1.2 s. A hub reads the store again 300 ms after its start.

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -54,6 +54,8 @@
 	decodeConfig ConfigDecoder
 	plan         atomic.Pointer[hub.Plan]
 	sums         reportSums
+	// hasRouterList is set once the plan is based on a list of routers.
+	hasRouterList atomic.Bool
 	// hubsDiffer is set while the hub's list of routers gives other hubs than this router's.
 	hubsDiffer atomic.Bool
 	// hubEra is the store's era in the last total from a hub.
@@ -120,6 +122,7 @@
 		seeds = append(seeds, settings.Seed{Instance: string(name), Address: r.Address, Domain: string(r.Domain)})
 	}
 	f.mesh.SetPeers(seeds)
+	f.hasRouterList.Store(true)
 }
 
 func (f *fleet) newHeartbeat() *peerv1.Heartbeat {
--- a/internal/node/freshness.go
+++ b/internal/node/freshness.go
@@ -24,6 +24,9 @@
 	maxRefreshRank = 3
 	// refreshCheckInterval is how often the age of the last read is checked.
 	refreshCheckInterval = 50 * time.Millisecond
+	// firstRefreshDelay is how long after its start a router reads the store again at the
+	// earliest. Until then it gets the list of routers, which tells whether it is a hub.
+	firstRefreshDelay = 300 * time.Millisecond
 	// refreshRetryDelay is the delay after a failed read.
 	refreshRetryDelay = 300 * time.Millisecond
 )
@@ -67,8 +70,8 @@
 	}
 	ticker := time.NewTicker(refreshCheckInterval)
 	defer ticker.Stop()
-	// The watches read everything at the start.
-	next := time.Now().Add(n.refreshAgeOf(n.refreshRank()))
+	started := time.Now()
+	next := started.Add(firstRefreshDelay)
 	for {
 		select {
 		case <-ctx.Done():
@@ -76,7 +79,13 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		if now.Before(next) || n.freshness.age(now) < n.refreshAgeOf(n.refreshRank()) {
+		age := n.freshness.age(now)
+		if !n.isHub() {
+			// The watches read everything at the start. A hub reads it again, so that its
+			// followers need not watch.
+			age = min(age, now.Sub(started))
+		}
+		if now.Before(next) || age < n.refreshAgeOf(n.refreshRank()) {
 			continue
 		}
 		if err := n.refresher(ctx); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,6 +83,7 @@
 type Node struct {
 	settings      Settings
 	incarnation   ids.Incarnation
+	createdAt     time.Time
 	logger        *logrus.Entry
 	scope         tally.Scope
 	metrics       http.Handler
@@ -124,7 +125,7 @@
 // New returns a node that is not yet running. Run starts it.
 func New(s Settings, headers edge.HeaderCodec, logger *logrus.Logger) *Node {
 	now := time.Now()
-	n := &Node{settings: s, incarnation: ids.Incarnation(now.UnixNano()), targets: routing.NewTargets(nil), gracePeriod: s.GracePeriod}
+	n := &Node{settings: s, incarnation: ids.Incarnation(now.UnixNano()), createdAt: now, targets: routing.NewTargets(nil), gracePeriod: s.GracePeriod}
 	n.logger = logger.WithFields(logrus.Fields{"instance": s.Instance, "domain": s.Domain})
 	n.scope, n.metrics, n.metricsCloser = obs.NewScope(nil)
 	if s.MemoryMB > 0 {
--- a/internal/node/watch_interval.go
+++ b/internal/node/watch_interval.go
@@ -1,6 +1,11 @@
 package node
 
-import "time"
+import (
+	"context"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/pause"
+)
 
 // Intervals at which a router watches the store.
 const (
@@ -12,6 +17,17 @@
 	// the list of routers, the latter for followers that hubs keep up to date.
 	routerListInterval         = time.Second
 	followerRouterListInterval = 4 * time.Second
+	// While the whole fleet starts, a router's first list of routers lacks most of them.
+	// startingRouterListInterval bounds the rate of watches of the list during the first
+	// startDuration, and routerListSettleTime is how long a router waits for further routers
+	// before it takes the fleet for a small one.
+	startingRouterListInterval = 250 * time.Millisecond
+	startDuration              = 2 * time.Second
+	routerListSettleTime       = 300 * time.Millisecond
+	// hubTimeout is how long a router that starts waits for its hub before it reads the
+	// store, and hubCheckInterval how often it checks.
+	hubTimeout       = 1200 * time.Millisecond
+	hubCheckInterval = 20 * time.Millisecond
 	// followerRetryDelay is added to the delay after each failed call of a follower.
 	// The hubs retry more often, and send it the state once one of them reaches the
 	// store.
@@ -21,6 +37,9 @@
 // isFollower reports whether this router gets the fleet's state from hubs.
 func (n *Node) isFollower() bool { return n.fleet != nil && n.fleet.plan.Load().IsFollower() }
 
+// isHub reports whether this router sums up the reports of its failure domain.
+func (n *Node) isHub() bool { return n.fleet != nil && n.fleet.plan.Load().Hub }
+
 // IsUpdatedByHub reports whether this router is a follower and its state is recent
 // enough that it need not watch the store itself.
 func (n *Node) IsUpdatedByHub() bool {
@@ -34,6 +53,28 @@
 	return n.IsUpdatedByHub() && !n.fleet.hubsDiffer.Load() && n.fleet.hubEra.Load() == era
 }
 
+// AwaitHub returns once hubs keep this router up to date, once it has known for
+// routerListSettleTime that it has no hub, or after hubTimeout.
+func (n *Node) AwaitHub(ctx context.Context) {
+	if n.fleet == nil {
+		return
+	}
+	var listedSince time.Time
+	for deadline := time.Now().Add(hubTimeout); ctx.Err() == nil && !n.IsUpdatedByHub(); pause.Sleep(ctx, hubCheckInterval) {
+		now := time.Now()
+		switch {
+		case now.After(deadline):
+			return
+		case !n.fleet.hasRouterList.Load() || n.isFollower():
+			listedSince = time.Time{}
+		case listedSince.IsZero():
+			listedSince = now
+		case now.Sub(listedSince) > routerListSettleTime:
+			return
+		}
+	}
+}
+
 // WatchInterval returns the minimum time between two watches of the store, so that
 // changes in quick succession do not need one call each.
 func (n *Node) WatchInterval() time.Duration {
@@ -56,8 +97,11 @@
 // routers, so that a rolling restart of the fleet does not cause a call from each
 // router for each restart.
 func (n *Node) RouterListInterval() time.Duration {
-	if n.IsUpdatedByHub() {
+	switch {
+	case n.IsUpdatedByHub():
 		return followerRouterListInterval
+	case time.Since(n.createdAt) < startDuration:
+		return startingRouterListInterval
 	}
 	return routerListInterval
 }
