edge, upstream: a stream that trickles bytes is stalled

Cause: each byte from the target ended the silence after which a resumable stream is resumed elsewhere, also one that makes no event, and comments. Change: while a stream is relayed, an event with data is progress, or 1 KiB of one, so that a large event may arrive slowly. Tests: TestStalledStreamThatTricklesBytesIsResumed failed before, with bytes and with comments (truncated after 5 of 20 events); TestSlowLargeEventDoesNotMoveTheStream passed before, too.

--- a/internal/edge/failover.go
+++ b/internal/edge/failover.go
@@ -24,6 +24,8 @@
 	a.conn.SetReadLimits(upstream.ReadLimits{
 		Deadline: a.deadline, Silence: silence,
 		OnSilence: func() bool { return !a.failOver() },
+		// Bytes that make no event do not show that a stream goes on.
+		OnlyMarked: a.isRelayingStream,
 	})
 }
 
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -20,6 +20,9 @@
 	// predictedLatencyFactor times the predicted latency is the timeout of the first
 	// event, if that is longer than minSilence.
 	predictedLatencyFactor = 3
+	// minProgressBytes is the number of bytes of an incomplete event that count as progress
+	// of a stream, as an event does. Fewer, or comments, do not show that a stream goes on.
+	minProgressBytes = 1 << 10
 	// streamBufferBytes is the size of the buffer for reads from a stream.
 	streamBufferBytes = 4 << 10
 	// maxEventBytes limits the size of one event.
@@ -53,6 +56,10 @@
 	var pending []byte
 	var held int64
 	defer func() { a.releaseResponse(held) }()
+	a.isRelayingStream = true
+	a.limitSilence(a.ctx, a.firstEventTimeout())
+	// unmarkedBytes is the number of bytes read since the last progress.
+	unmarkedBytes := 0
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
@@ -63,6 +70,10 @@
 			pending = append(pending, buf[:n]...)
 			complete, partial := splitEvents(pending, unscanned)
 			valid, eventErr := a.stream.advance(complete)
+			if unmarkedBytes += n; unmarkedBytes >= minProgressBytes || hasData(complete[:valid]) {
+				a.conn.MarkProgress()
+				unmarkedBytes = 0
+			}
 			if err := a.sendEvents(resp, complete[:valid]); err != nil {
 				return a.callerWriteFailed(err)
 			}
@@ -183,6 +194,11 @@
 	a.server.counts.firstByteTime.Record(a.exchange.record.TimeToFirstByte)
 }
 
+// hasData reports whether one of the complete events has data.
+func hasData(events []byte) bool {
+	return bytes.HasPrefix(events, []byte("data:")) || bytes.Contains(events, []byte("\ndata:"))
+}
+
 // eventID returns the id of an event, empty for none.
 func eventID(event []byte) string {
 	for len(event) > 0 {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -52,6 +52,8 @@
 	// returned bytes, or when the request was sent.
 	limits     ReadLimits
 	lastReadAt time.Time
+	// progressAt is when MarkProgress was last called.
+	progressAt time.Time
 
 	// keepAlive is the idle timeout that the target stated, 0 if it stated none.
 	keepAlive time.Duration
@@ -70,10 +72,12 @@
 type ReadLimits struct {
 	// Deadline is when reads fail. The zero time sets no limit.
 	Deadline time.Time
-	// Silence is the time without a byte after which OnSilence is called, 0 for none. If
+	// Silence is the time without progress after which OnSilence is called, 0 for none. If
 	// it returns false, the read fails with os.ErrDeadlineExceeded.
 	Silence   time.Duration
 	OnSilence func() (wait bool)
+	// OnlyMarked is set if only calls of MarkProgress are progress, and not each byte.
+	OnlyMarked bool
 }
 
 func newConn(netConn net.Conn, e Endpoint) *Conn {
@@ -89,11 +93,15 @@
 // Read implements io.Reader.
 func (s source) Read(p []byte) (int, error) {
 	for {
-		silence := s.limits.Silence
-		if silence <= 0 || !s.limits.Deadline.IsZero() && !time.Now().Add(silence).Before(s.limits.Deadline) {
+		since := time.Now()
+		if s.limits.OnlyMarked {
+			since = s.progressAt
+		}
+		silentAt := since.Add(s.limits.Silence)
+		if s.limits.Silence <= 0 || !s.limits.Deadline.IsZero() && !silentAt.Before(s.limits.Deadline) {
 			return s.readUntil(p, s.limits.Deadline)
 		}
-		n, err := s.readUntil(p, time.Now().Add(silence))
+		n, err := s.readUntil(p, silentAt)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
@@ -104,6 +112,7 @@
 		if !s.limits.OnSilence() {
 			return n, err
 		}
+		s.MarkProgress()
 	}
 }
 
@@ -131,8 +140,14 @@
 // HasSentBytes reports whether a byte of the last request may have been sent.
 func (c *Conn) HasSentBytes() bool { return c.bytesSent.Load() }
 
-// SetReadLimits sets the limits for future reads.
-func (c *Conn) SetReadLimits(l ReadLimits) { c.limits = l }
+// SetReadLimits sets the limits for future reads. A silence begins anew.
+func (c *Conn) SetReadLimits(l ReadLimits) {
+	c.limits = l
+	c.MarkProgress()
+}
+
+// MarkProgress records that the response has made progress, which ends a silence.
+func (c *Conn) MarkProgress() { c.progressAt = time.Now() }
 
 // AwaitResponse waits for the first byte of a response until the deadline. It reads no more
 // of it.
