hub, node: hubs sum up the reports of fleets of more than 12 routers

Cause: in a full mesh of 23 routers each sends and receives 440 reports a second, about half of such a link. Change: a full mesh up to 12 routers, instead of 24. Tests: TestReportsOfARouterAreBounded failed before at 23 and 24 routers (440, 460 for at most 250).

--- a/internal/core/hub/plan.go
+++ b/internal/core/hub/plan.go
@@ -19,9 +19,9 @@
 
 const (
 	// MaxFullMeshRouters is the largest number of routers on the fleet's list with
-	// which all link to each other. MaxFullMeshPeers in package core/member has the
-	// same value but never counts the router itself.
-	MaxFullMeshRouters = 24
+	// which all link to each other. The reports of a full mesh grow with the square of
+	// the fleet, and small routers have links of 10 Mbit/s.
+	MaxFullMeshRouters = 12
 	// PerDomain is the number of hubs in a failure domain. With two, one may fail.
 	PerDomain = 2
 )
--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -83,3 +83,15 @@
 		t.Error("list is current although the hub has other hubs, want not")
 	}
 }
+
+// Guards against reports that take half of a small router's link of 10 Mbit/s: in a full mesh
+// of 23 routers each sent and received 440 a second.
+func TestReportsOfARouterAreBounded(t *testing.T) {
+	const maxPerSecond = 250
+	for _, routers := range []int{2, 8, 12, 13, 23, 24, 25, 80, 295} {
+		plan := newNodeInFleet(routers).fleet.plan.Load()
+		if n := float64(len(plan.Links)) / reportIntervalOf(plan).Seconds(); n > maxPerSecond {
+			t.Errorf("%d routers: %.0f reports a second of the smallest router, want at most %d", routers, n, maxPerSecond)
+		}
+	}
+}
