admit: expired parts of prompts are forgotten

Cause: each router tracks which parts are cached at each of 240 engines, and removed parts that no longer count only once an engine had 8,192 of them. Change: they are removed whenever the number of parts has doubled since the last removal.

--- a/internal/core/admit/cache.go
+++ b/internal/core/admit/cache.go
@@ -10,6 +10,8 @@
 	cacheTTL = 12 * time.Second
 	// maxCachedParts bounds the parts tracked per engine.
 	maxCachedParts = 8192
+	// minEvictParts is the least number of parts at which expired ones are removed.
+	minEvictParts = 256
 	// reportInterval is the minimum time between two reports of the same part to peers,
 	// so that a part in steady use is not reported with each request.
 	reportInterval = time.Second
@@ -20,6 +22,8 @@
 // prefixCache is the estimated content of one engine's prefix cache.
 type prefixCache struct {
 	parts map[uint64]cachedPart
+	// evictAt is the number of parts at which expired ones are removed next.
+	evictAt int
 	// unreported holds the keys of shared parts that this router sent to the engine and
 	// has not yet reported to its peers.
 	unreported []uint64
@@ -81,7 +85,7 @@
 		readyAt = cached.readyAt
 	}
 	c.parts[key] = cachedPart{usedAt: now, readyAt: readyAt}
-	if len(c.parts) > maxCachedParts {
+	if len(c.parts) > max(c.evictAt, minEvictParts) {
 		c.evict(now)
 	}
 }
@@ -105,4 +109,6 @@
 	if len(c.parts) > maxCachedParts {
 		clear(c.parts)
 	}
+	// The cost of a removal is spread over as many additions as there are parts.
+	c.evictAt = min(2*len(c.parts), maxCachedParts)
 }
