share: saturated engines are noticed after half a second

Cause: the flood's first seconds, until more had been requested than is started for 2 s. Until then all were guaranteed what they asked for, and were refused as saturated alike (80% of levo542's requests with rank guaranteed, in the log). Change: 0.5 s, which is enough for the first requests of a load to start.

--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -23,9 +23,12 @@
 	// so that the level can rise while engines have room for more.
 	growthFactor = 1.05
 	// saturationFactor times the tokens that were started is taken for the capacity if more
-	// is configured, and more than that has been requested for the decay time: the configured
-	// capacity is not reached while engines are down, and may be wrong.
+	// is configured, and more than that is requested: the configured capacity is not reached
+	// while engines are down, and may be wrong.
 	saturationFactor = 1.25
+	// saturationDelay is how long that must last. The first requests of a load are requested
+	// before any is started.
+	saturationDelay = 500 * time.Millisecond
 	// minSaturatedShare is the fraction of the configured capacity that must be requested for
 	// engines to count as saturated.
 	minSaturatedShare = 0.05
@@ -282,7 +285,7 @@
 		w.saturatedSince = now
 	}
 	w.peakRequested = max(w.peakRequested, requested)
-	return now.Sub(w.saturatedSince) >= w.decayTime
+	return now.Sub(w.saturatedSince) >= saturationDelay
 }
 
 func sum(values []float64) float64 {
