Revert "admit: a nearly idle engine takes a large prompt"

The large prompts that are refused in the first second of a router's traffic remain: the learned prefill rate starts from the configured throughput, a third of the real one there.

--- a/internal/core/admit/choose.go
+++ b/internal/core/admit/choose.go
@@ -14,10 +14,6 @@
 	// maxPendingPrefillShare is the fraction of the shortest latency objective that the
 	// prefill of an engine's pending tokens may take.
 	maxPendingPrefillShare = 0.7
-	// lightPendingShare is the fraction of that up to which an engine takes a request of any
-	// size that it can serve on time. A large prompt does not fit in besides other work, and
-	// some engine without any is not always known.
-	lightPendingShare = 0.25
 	// maxMemoryShare is the fraction of an engine's memory that requests may fill. The
 	// rest lets running requests grow without being preempted.
 	maxMemoryShare = 0.85
@@ -277,7 +273,7 @@
 	// observed.
 	isAvoided := isLate && sel.rank == share.Excess
 	c.hasRoom = float64(running+1) <= float64(slots)*boundShare &&
-		(float64(pending) <= lightPendingShare*maxPending && !isLate || pending == 0 || float64(tokensAhead) <= maxPending) &&
+		(pending == 0 || float64(tokensAhead) <= maxPending) &&
 		(running == 0 || !isAvoided && neededMemory <= maxMemoryShare*boundShare*float64(s.conf.Engine.MemoryTokens))
 	return c
 }
