--- a/internal/core/admit/plain_fleet_test.go
+++ b/internal/core/admit/plain_fleet_test.go
@@ -102,8 +102,7 @@
 			if random.Float64() < 0.01 {
 				work *= 5
 			}
-			var begin func()
-			begin = func() {
+			begin := func() {
 				target.running++
 				after(work, func() {
 					target.running--
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -53,7 +53,7 @@
 			}
 			// Pulls need links.
 			r.TargetsAsOf, r.ConfigVersion = 0, 0
-			from := peer.Peer{Instance: ids.Instance(hubName), Domain: "a"}
+			from := peer.Peer{Instance: hubName, Domain: "a"}
 			n.fleet.Receive(from, &peerv1.Envelope{Body: &peerv1.Envelope_Fleet{Fleet: r}})
 			n.fleet.applyTotal(r)
 			domain, total := n.fleet.sums.aggregate(n.fleet.plan.Load(), n.fleet.ownReport(), func(ids.Instance) bool { return true })
