--- a/internal/core/admit/plain_fleet_test.go
+++ b/internal/core/admit/plain_fleet_test.go
@@ -52,145 +52,195 @@
 // plainResult counts requests, and arrivals at targets that these rejected.
 type plainResult struct{ requests, onTime, late, refused, arrivals, rejected int }
 
+// plainTarget is a target of the model.
 type plainTarget struct {
 	running int
 	queue   []func()
 }
 
-func (f plainFleet) run(t *testing.T, seed uint64) plainResult {
-	t.Helper()
-	random := rand.New(rand.NewPCG(seed, 2))
-	var res plainResult
-	var events plainEvents
-	var now time.Duration
-	after := func(d time.Duration, run func()) { heap.Push(&events, plainEvent{now + d, run}) }
-	at := func() time.Time { return start.Add(now) }
-	var targets []routing.Target
-	for i := range f.domains {
-		targets = append(targets, routing.Target{ID: ids.Target(fmt.Sprintf("p%d", i)), Service: "app", Domain: ids.Domain(fmt.Sprint(i)), Slots: f.slots})
+// plainRequest is one attempt of a request at a router.
+type plainRequest struct {
+	id        admit.ID
+	router    *admit.Controller
+	arrivedAt time.Time
+	exclude   []ids.Target
+}
+
+// plainSimulation is the state of one run of a plainFleet; now is since its start.
+type plainSimulation struct {
+	plainFleet
+	random  *rand.Rand
+	now     time.Duration
+	events  plainEvents
+	targets map[ids.Target]*plainTarget
+	routers []*admit.Controller
+	waiting map[admit.ID]plainRequest
+	lastID  admit.ID
+	result  plainResult
+}
+
+func (f plainFleet) run(seed uint64) plainResult {
+	s := &plainSimulation{
+		plainFleet: f, random: rand.New(rand.NewPCG(seed, 2)),
+		targets: make(map[ids.Target]*plainTarget), waiting: make(map[admit.ID]plainRequest),
 	}
-	state := make(map[ids.Target]*plainTarget)
-	for _, target := range targets {
-		state[target.ID] = new(plainTarget)
+	s.addRouters()
+	for i, r := range s.routers {
+		s.generate(r, f.rateOf(i))
 	}
-	controllers := make([]*admit.Controller, f.routers)
-	for i := range controllers {
-		c := admit.New(admit.Options{Domain: ids.Domain(fmt.Sprint(i % f.domains)), ShareWindow: 4 * time.Second, Seed: uint64(i)})
-		c.SetConfig(&routing.Config{Services: map[string]*routing.Service{"app": {Name: "app"}}})
-		c.SetTargets(targets)
-		controllers[i] = c
+	s.every(plainReportEvery, s.exchangeReports)
+	s.every(10*time.Millisecond, s.pollRouters)
+	for len(s.events) > 0 && s.events[0].at < f.duration+time.Second {
+		e := heap.Pop(&s.events).(plainEvent)
+		s.now = e.at
+		e.run()
 	}
-	lastID := admit.ID(0)
-	waiting := make(map[admit.ID]func(admit.Verdict))
-	var submit func(c *admit.Controller, arrived time.Time, exclude []ids.Target)
-	submit = func(c *admit.Controller, arrived time.Time, exclude []ids.Target) {
-		lastID++
-		id := lastID
-		var handle func(v admit.Verdict)
-		handle = func(v admit.Verdict) {
-			switch {
-			case v.Waiting:
-				waiting[id] = handle
-				return
-			case v.Refused != "":
-				res.refused++
-				return
-			}
-			res.arrivals++
-			target := state[v.Target.ID]
-			work := time.Duration(float64(plainWork) * math.Exp(0.5*random.NormFloat64()-0.125))
-			if random.Float64() < 0.01 {
-				work *= 5
-			}
-			begin := func() {
-				target.running++
-				after(work, func() {
-					target.running--
-					if len(target.queue) > 0 {
-						next := target.queue[0]
-						target.queue = target.queue[1:]
-						next()
-					}
-					c.AttemptEnded(at(), id, admit.End{Result: admit.Served})
-					if at().Sub(arrived) <= plainObjective {
-						res.onTime++
-					} else {
-						res.late++
-					}
-				})
-			}
-			switch {
-			case target.running < f.slots:
-				begin()
-			case len(target.queue) < f.queueLength:
-				target.queue = append(target.queue, begin)
-			default:
-				res.rejected++
-				c.AttemptEnded(at(), id, admit.End{Result: admit.Rejected, NotRun: true})
-				if len(exclude) > 0 {
-					res.refused++
-					return
-				}
-				submit(c, arrived, []ids.Target{v.Target.ID})
-			}
+	return s.result
+}
+
+// rateOf returns the requests per second at a router.
+func (f plainFleet) rateOf(router int) float64 {
+	rate := f.perSecond / float64(f.routers)
+	if router%f.domains == 0 {
+		return rate * f.skew
+	}
+	return rate * (float64(f.domains) - f.skew) / float64(f.domains-1)
+}
+
+func (s *plainSimulation) time() time.Time { return start.Add(s.now) }
+
+func (s *plainSimulation) after(d time.Duration, run func()) {
+	heap.Push(&s.events, plainEvent{s.now + d, run})
+}
+
+func (s *plainSimulation) every(interval time.Duration, run func()) {
+	run()
+	s.after(interval, func() { s.every(interval, run) })
+}
+
+func (s *plainSimulation) addRouters() {
+	var list []routing.Target
+	for i := range s.domains {
+		id := ids.Target(fmt.Sprintf("p%d", i))
+		list = append(list, routing.Target{ID: id, Service: "app", Domain: ids.Domain(fmt.Sprint(i)), Slots: s.slots})
+		s.targets[id] = new(plainTarget)
+	}
+	for i := range s.plainFleet.routers {
+		r := admit.New(admit.Options{Domain: ids.Domain(fmt.Sprint(i % s.domains)), ShareWindow: 4 * time.Second, Seed: uint64(i)})
+		r.SetConfig(&routing.Config{Services: map[string]*routing.Service{"app": {Name: "app"}}})
+		r.SetTargets(list)
+		s.routers = append(s.routers, r)
+	}
+}
+
+// generate schedules the requests at a router.
+func (s *plainSimulation) generate(router *admit.Controller, perSecond float64) {
+	for due := time.Duration(0); due < s.duration; {
+		due += time.Duration(s.random.ExpFloat64() / perSecond * float64(time.Second))
+		s.after(due, func() {
+			s.result.requests++
+			s.submit(plainRequest{router: router, arrivedAt: s.time()})
+		})
+	}
+}
+
+func (s *plainSimulation) submit(r plainRequest) {
+	s.lastID++
+	r.id = s.lastID
+	s.apply(r, r.router.Submit(s.time(), admit.Request{
+		ID: r.id, Service: "app", Workspace: "w", ArrivedAt: r.arrivedAt, Deadline: r.arrivedAt.Add(time.Second),
+		Objective: plainObjective, Exclude: r.exclude,
+	}))
+}
+
+func (s *plainSimulation) apply(r plainRequest, v admit.Verdict) {
+	switch {
+	case v.Waiting:
+		s.waiting[r.id] = r
+	case v.Refused != "":
+		s.result.refused++
+	default:
+		s.result.arrivals++
+		s.arrive(r, v.Target.ID)
+	}
+}
+
+// arrive handles a request at a target: it begins, waits, or is rejected. A router tries a
+// second target.
+func (s *plainSimulation) arrive(r plainRequest, id ids.Target) {
+	target := s.targets[id]
+	switch {
+	case target.running < s.slots:
+		s.begin(r, target)
+	case len(target.queue) < s.queueLength:
+		target.queue = append(target.queue, func() { s.begin(r, target) })
+	default:
+		s.result.rejected++
+		r.router.AttemptEnded(s.time(), r.id, admit.End{Result: admit.Rejected, NotRun: true})
+		if len(r.exclude) > 0 {
+			s.result.refused++
+			return
 		}
-		handle(c.Submit(at(), admit.Request{ID: id, Service: "app", Workspace: "w", ArrivedAt: arrived, Deadline: arrived.Add(time.Second), Objective: plainObjective, Exclude: exclude}))
+		r.exclude = []ids.Target{id}
+		s.submit(r)
+	}
+}
+
+func (s *plainSimulation) begin(r plainRequest, target *plainTarget) {
+	work := time.Duration(float64(plainWork) * math.Exp(0.5*s.random.NormFloat64()-0.125))
+	if s.random.Float64() < 0.01 {
+		work *= 5
 	}
-	for i := range f.routers {
-		rate := f.perSecond / float64(f.routers)
-		if i%f.domains == 0 {
-			rate *= f.skew
+	target.running++
+	s.after(work, func() {
+		target.running--
+		if len(target.queue) > 0 {
+			next := target.queue[0]
+			target.queue = target.queue[1:]
+			next()
+		}
+		r.router.AttemptEnded(s.time(), r.id, admit.End{Result: admit.Served})
+		if s.time().Sub(r.arrivedAt) <= plainObjective {
+			s.result.onTime++
 		} else {
-			rate *= (float64(f.domains) - f.skew) / float64(f.domains-1)
+			s.result.late++
 		}
-		for due := time.Duration(0); due < f.duration; {
-			due += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
-			after(due, func() { res.requests++; submit(controllers[i], at(), nil) })
+	})
+}
+
+// exchangeReports sends the sum of all routers' loads to each of them.
+func (s *plainSimulation) exchangeReports() {
+	running := make(map[ids.Target]int)
+	backlog := admit.Backlog{Service: "app"}
+	for _, r := range s.routers {
+		loads, backlogs, _ := r.LocalReport(s.time())
+		for _, l := range loads {
+			running[l.Target] += l.Running
+		}
+		for _, b := range backlogs {
+			backlog.Requests += b.Requests
 		}
 	}
-	var report, poll func()
-	report = func() {
-		sum := make(map[ids.Target]int)
-		backlog := admit.Backlog{Service: "app"}
-		for _, c := range controllers {
-			loads, backlogs, _ := c.LocalReport(at())
-			for _, l := range loads {
-				sum[l.Target] += l.Running
-			}
-			for _, b := range backlogs {
-				backlog.Requests += b.Requests
+	s.after(plainReportDelay, func() {
+		for _, r := range s.routers {
+			var loads []admit.Load
+			for target, n := range running {
+				loads = append(loads, admit.Load{Target: target, Running: n})
 			}
+			r.ApplyFleetReport(s.time(), loads, []admit.Backlog{backlog}, nil)
 		}
-		after(plainReportDelay, func() {
-			for _, c := range controllers {
-				var loads []admit.Load
-				for target, n := range sum {
-					loads = append(loads, admit.Load{Target: target, Running: n})
-				}
-				c.ApplyFleetReport(at(), loads, []admit.Backlog{backlog}, nil)
-			}
-		})
-		after(plainReportEvery, report)
-	}
-	report()
-	poll = func() {
-		for _, c := range controllers {
-			for _, v := range c.Poll(at()) {
-				if handle := waiting[v.ID]; handle != nil {
-					delete(waiting, v.ID)
-					handle(v)
-				}
+	})
+}
+
+func (s *plainSimulation) pollRouters() {
+	for _, r := range s.routers {
+		for _, v := range r.Poll(s.time()) {
+			if waiting, ok := s.waiting[v.ID]; ok {
+				delete(s.waiting, v.ID)
+				s.apply(waiting, v)
 			}
 		}
-		after(10*time.Millisecond, poll)
-	}
-	poll()
-	for len(events) > 0 && events[0].at < f.duration+time.Second {
-		e := heap.Pop(&events).(plainEvent)
-		now = e.at
-		e.run()
 	}
-	return res
 }
 
 // Guards against routers that all send to the plain target which the last report showed as
@@ -204,7 +254,7 @@
 			t.Run(fmt.Sprintf("%d routers, load %.1f", routers, load), func(t *testing.T) {
 				t.Parallel()
 				f := plainFleet{routers: routers, domains: 5, slots: 6, queueLength: 24, perSecond: load * capacityPerSecond, skew: 1.25, duration: 8 * time.Second}
-				r := f.run(t, 1)
+				r := f.run(1)
 				got, want := float64(r.onTime)/float64(r.requests), 0.85*min(1, 1/load)
 				if got < want {
 					t.Errorf("%.3f of the requests on time (%+v), want at least %.3f", got, r, want)
