--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -157,7 +157,8 @@
 
 // The ranks.
 const (
-	// Guaranteed means within the max-min share of the configured capacity.
+	// Guaranteed means within the max-min share of the configured capacity, or of about what
+	// saturated engines start if that is less.
 	Guaranteed Rank = iota
 	// Behind means within half of the max-min share of what the engines actually start,
 	// which may be more than the configured capacity.
@@ -239,8 +240,8 @@
 }
 
 // updateLevels computes the levels, the largest L for which sum(min(requested, L)) does
-// not exceed a capacity: the configured one for guaranteed, and what was actually
-// started for fair.
+// not exceed a capacity: the configured one for guaranteed, unless saturated engines start
+// less, and what was actually started for fair.
 func (w *Window) updateLevels(now time.Time, capacity float64) {
 	if !w.levelsAt.IsZero() && now.Sub(w.levelsAt) < levelsInterval {
 		return
--- a/internal/node/freshness.go
+++ b/internal/node/freshness.go
@@ -14,8 +14,8 @@
 const (
 	// A watch of the store may miss changes while it waits. If no router has read
 	// the full state for refreshAgeShare of the time within which a change of the
-	// configuration or of the targets must be in force, routers therefore read it again in the order of their rank, each
-	// refreshRankShare of that time after the one before.
+	// configuration or of the targets must be in force, routers therefore read it again
+	// in the order of their rank, each refreshRankShare of that time after the one before.
 	refreshAgeShare  = 0.35
 	refreshRankShare = 0.1
 	// minChangeDelay is the shortest such time that refreshes are made for.
