admit: a fleet that becomes small considers all engines again

Cause: once sums from hubs had come, a router kept to few engines and to the throttle, also after the fleet had shrunk to a full mesh. Test: TestAllEnginesAreConsideredOnceReportsComeFromEachPeer failed before.

--- a/internal/core/admit/doc.go
+++ b/internal/core/admit/doc.go
@@ -10,4 +10,7 @@
 // instead. There, workspaces within their fair share go first, then more urgent
 // requests, then the request that is due first. A request that cannot start in time is
 // refused at once; its Retry-After is the time in which the queue is expected to empty.
+//
+// In a large fleet each router's view of the load is old. There a router considers few
+// engines (see subset) and spreads requests over plain targets at random (see throttle).
 package admit
--- a/internal/core/admit/report.go
+++ b/internal/core/admit/report.go
@@ -25,6 +25,7 @@
 	}
 	for _, s := range ac.services {
 		delete(s.peerBacklogs, peer)
+		s.isViewOld = peer == fleetPeer
 	}
 	for _, b := range backlogs {
 		if s := ac.services[b.Service]; s != nil {
@@ -73,7 +74,6 @@
 	}
 	ac.ApplyPeerReport(now, fleetPeer, loads, backlogs, usage)
 	for _, s := range ac.services {
-		s.isViewOld = true
 		if !s.isEngine() {
 			s.adaptThrottle(now)
 		}
--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -21,7 +21,7 @@
 	subset  subset
 	// throttle applies to plain targets while isViewOld is set.
 	throttle throttle
-	// isViewOld is set once the load of the fleet comes from the sums of hubs.
+	// isViewOld is set while the load of the fleet comes from the sums of hubs.
 	isViewOld bool
 	latency   *latencyModel
 	// lastResortTime is how long a leaving target is used if there is no other.
--- a/internal/core/admit/subset_test.go
+++ b/internal/core/admit/subset_test.go
@@ -1,6 +1,7 @@
 package admit_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -43,3 +44,17 @@
 		t.Errorf("100 requests one after the other went to %d of 40 engines, want at most 8", len(used))
 	}
 }
+
+// Guards against a fleet that has become small and goes on as a large one.
+func TestAllEnginesAreConsideredOnceReportsComeFromEachPeer(t *testing.T) {
+	h := newHarness(t, 40, 0)
+	h.ApplyFleetReport(start, nil, nil, nil)
+	var loads []admit.Load
+	for i := range 39 {
+		loads = append(loads, admit.Load{Target: ids.Target(fmt.Sprintf("e%d", i)), Running: 4})
+	}
+	h.ApplyPeerReport(start, "peer", loads, nil, nil)
+	if v := h.submit(start, "a", "llm", admit.Part{Key: 1, Tokens: 100}); v.Target.ID != "e39" {
+		t.Errorf("sent to %s, want e39, the only idle engine of 40", v.Target.ID)
+	}
+}
