platform, admit, targetlimit: routers read and log the limits that targets name

No router read Server-Limit, so its logs could not tell apart whether a router knows of a limit, keeps it for itself, or goes past it. Each router now logs when a target names a limit (target names a limit), once a second each limit in force with its own and the fleet's requests (target limit), and its end; the gauge target_limits counts them.

--- a/internal/core/admit/attempt.go
+++ b/internal/core/admit/attempt.go
@@ -19,6 +19,7 @@
 	t.pendingTokens += c.inputs.UncachedTokens
 	t.memoryTokens += r.PromptTokens + r.OutputTokens
 	t.health.recordSent(r.ID)
+	s.limits.RecordSent(now, t.run)
 	if s.isEngine() {
 		ac.window.RecordStarted(now, r.Workspace, r.weightedTokens())
 		t.cache.recordPrompt(now, now.Add(c.inputs.PredictedLatency), r.Parts)
--- a/internal/core/admit/controller.go
+++ b/internal/core/admit/controller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/umberhill/umberhill/internal/core/share"
+	"github.com/umberhill/umberhill/internal/core/targetlimit"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/routing"
 )
@@ -105,6 +106,9 @@
 				current.stated = stated
 			}
 			ac.targets[t.ID] = current
+			if t.StartTimeMS == 0 {
+				ac.service(t.Service).limits.Forget(current.run)
+			}
 		}
 		current.Target = t
 		s := ac.service(t.Service)
@@ -158,7 +162,7 @@
 	if s == nil {
 		s = &service{
 			name: name, peerBacklogs: make(map[ids.Instance]peerBacklog), recentRefusals: make(map[refusalKind]refusal),
-			random: ac.random, throttle: throttle{share: 1},
+			random: ac.random, throttle: throttle{share: 1}, limits: targetlimit.New(ac.random),
 			lastResortTime: time.Duration(lastResortShare * float64(ac.opts.DrainTimeout)),
 		}
 		ac.services[name] = s
--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/umberhill/umberhill/internal/core/targetlimit"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/routing"
 )
@@ -40,6 +41,7 @@
 	sourcesBuf []*target
 
 	queue        queue
+	limits       *targetlimit.Limiter
 	peerBacklogs map[ids.Instance]peerBacklog
 }
 
--- a/internal/core/admit/statement.go
+++ b/internal/core/admit/statement.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/umberhill/umberhill/internal/core/targetlimit"
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
@@ -17,6 +18,14 @@
 	// RetryAfter is how long the target wants no requests from this router, 0 if it does
 	// not say so.
 	RetryAfter time.Duration
+	// Limit is what the response says of the rate that the target takes.
+	Limit targetlimit.Statement
+}
+
+// IsEmpty reports whether the response says nothing of the target. One that names no limit
+// may end an earlier one.
+func (st Statement) IsEmpty() bool {
+	return !st.Leaving && st.RetryAfter == 0 && st.Limit.PerSecond == 0 && !st.Limit.Malformed
 }
 
 // run identifies a run of a target wherever it listens.
@@ -37,12 +46,15 @@
 // returns what was new in it, with the time for which the target gets no requests.
 func (ac *Controller) RecordStatement(now time.Time, id ID, st Statement) Statement {
 	a := ac.attempts[id]
-	if a == nil || st == (Statement{}) {
+	if a == nil {
 		return Statement{}
 	}
+	news := Statement{Limit: ac.recordLimit(now, a, st.Limit)}
+	if !st.Leaving && st.RetryAfter == 0 {
+		return news
+	}
 	stated := ac.statementsOf(now, a.target)
 	stated.lastAt = now
-	var news Statement
 	if st.Leaving && stated.leavingSince.IsZero() {
 		stated.leavingSince = now
 		news.Leaving = true
--- a/internal/core/admit/target.go
+++ b/internal/core/admit/target.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/umberhill/umberhill/internal/core/rendezvous"
+	"github.com/umberhill/umberhill/internal/core/targetlimit"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/routing"
 )
@@ -40,6 +41,7 @@
 type target struct {
 	routing.Target
 	hash uint64
+	run  targetlimit.Run
 
 	// running, pendingTokens and memoryTokens are the load from this router.
 	running, pendingTokens, memoryTokens int
@@ -55,6 +57,8 @@
 	health health
 	// stated is what this run has said of itself.
 	stated *statements
+	// hasMalformedLimit is set once the target has named a limit that is not valid.
+	hasMalformedLimit bool
 
 	// lastSlowness is the smoothed ratio of observed to expected latency as of slownessAt.
 	lastSlowness float64
@@ -70,6 +74,7 @@
 	return &target{
 		Target:       t,
 		hash:         hashString(string(t.ID)),
+		run:          targetlimit.NewRun(t.ID, t.StartTimeMS),
 		peers:        make(map[ids.Instance]peerLoad),
 		lastSlowness: 1,
 		stated:       new(statements),
--- a/internal/edge/headers.go
+++ b/internal/edge/headers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/umberhill/umberhill/internal/core/admit"
+	"github.com/umberhill/umberhill/internal/core/targetlimit"
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
@@ -72,6 +73,8 @@
 	// RetryAfter is how long the target wants no requests from this router, 0 if it does
 	// not say so.
 	RetryAfter time.Duration
+	// Limit is what the response says of the rate that the target takes.
+	Limit targetlimit.Statement
 	// Signed is set if the response carries the target's signature.
 	Signed bool
 }
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/umberhill/umberhill/internal/core/admit"
@@ -27,6 +28,9 @@
 // Scheduler serializes access to the admission controller and delivers its verdicts
 // to the requests in the queue. It is safe for concurrent use.
 type Scheduler struct {
+	// hasLimits is set while a target has a limit.
+	hasLimits atomic.Bool
+
 	mu        sync.Mutex
 	admission *admit.Controller
 	lastID    admit.ID
@@ -72,6 +76,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	change(now)
+	s.hasLimits.Store(s.admission.HasLimits())
 	for _, health := range s.admission.TakeHealthChanges() {
 		s.onHealthChange(health)
 	}
@@ -192,6 +197,19 @@
 	return news
 }
 
+// HasLimits reports whether a target has a limit, which a response that names none may end.
+func (s *Scheduler) HasLimits() bool { return s.hasLimits.Load() }
+
+// Limits returns the state of the targets' limits.
+func (s *Scheduler) Limits() []admit.LimitStatus {
+	if !s.HasLimits() {
+		return nil
+	}
+	var all []admit.LimitStatus
+	s.update(func(now time.Time) { all = s.admission.Limits(now) })
+	return all
+}
+
 // SetConfig replaces the configuration.
 func (s *Scheduler) SetConfig(c *routing.Config) {
 	s.update(func(time.Time) { s.admission.SetConfig(c) })
--- a/internal/edge/statement.go
+++ b/internal/edge/statement.go
@@ -20,12 +20,12 @@
 // with the head of every response, also of one that is then rejected as invalid.
 func (a *attempt) reportStatement(status int, m ResponseMeta) {
 	a.turnedAway = m.RetryAfter > 0
-	st := admit.Statement{Leaving: m.Leaving, RetryAfter: m.RetryAfter}
-	if st == (admit.Statement{}) {
+	st := admit.Statement{Leaving: m.Leaving, RetryAfter: m.RetryAfter, Limit: m.Limit}
+	if st.IsEmpty() && !a.server.opts.Scheduler.HasLimits() {
 		return
 	}
 	news := a.server.opts.Scheduler.RecordStatement(a.verdict.ID, st)
-	if news != (admit.Statement{}) {
+	if !news.IsEmpty() {
 		a.server.opts.Log.Statement(StatementRecord{Statement: news, Target: a.verdict.Target, Request: a.meta.ID, Status: status})
 	}
 }
--- a/internal/node/load_log.go
+++ b/internal/node/load_log.go
@@ -4,11 +4,13 @@
 	"cmp"
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/umberhill/umberhill/internal/core/admit"
 	"github.com/umberhill/umberhill/internal/edge"
 	"github.com/umberhill/umberhill/internal/ids"
 )
@@ -26,12 +28,14 @@
 	ticker := time.NewTicker(loadLogInterval)
 	defer ticker.Stop()
 	accepted := 0
+	var limits []admit.LimitStatus
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		limits = n.logLimits(limits)
 		before := accepted
 		var open int
 		accepted, open = n.callerConns.Counts()
@@ -49,6 +53,35 @@
 	}
 }
 
+// logLimits logs the limits of targets in force and which of the last ones have ended, and
+// returns those in force.
+func (n *Node) logLimits(last []admit.LimitStatus) []admit.LimitStatus {
+	limits := n.scheduler.Limits()
+	inForce := make(map[ids.Target]bool, len(limits))
+	for _, l := range limits {
+		inForce[l.Target] = true
+		n.logger.WithFields(limitFields(l)).Info("target limit")
+	}
+	for _, l := range last {
+		if !inForce[l.Target] {
+			n.logger.WithFields(logrus.Fields{"target": l.Target, "service": l.Service}).Info("target limit ended")
+		}
+	}
+	n.scope.Gauge("target_limits").Update(float64(len(limits)))
+	return limits
+}
+
+func limitFields(l admit.LimitStatus) logrus.Fields {
+	return logrus.Fields{
+		"target": l.Target, "service": l.Service, "per_second": l.PerSecond,
+		"own_sent_per_second": rounded(l.OwnSent), "own_permits_per_second": rounded(l.OwnPerSecond),
+		"fleet_sent_per_second": rounded(l.FleetSent), "demand_share": rounded(l.Share), "visible_share": rounded(l.Visible),
+	}
+}
+
+// rounded returns x with three decimals.
+func rounded(x float64) float64 { return math.Round(x*1000) / 1000 }
+
 // largestWorkspaces returns the workspaces that requested most, maxLoadLines at most.
 func largestWorkspaces(loads map[ids.Workspace]*edge.WorkspaceLoad) []ids.Workspace {
 	all := slices.SortedFunc(maps.Keys(loads), func(a, b ids.Workspace) int {
--- a/internal/node/request_log.go
+++ b/internal/node/request_log.go
@@ -135,6 +135,12 @@
 	if s.RetryAfter > 0 {
 		entry.WithField("for_ms", s.RetryAfter.Milliseconds()).Info("target wants no requests")
 	}
+	if s.Limit.PerSecond > 0 {
+		entry.WithField("per_second", s.Limit.PerSecond).Info("target names a limit")
+	}
+	if s.Limit.Malformed {
+		entry.Warn("target names a limit that is not a positive decimal number")
+	}
 }
 
 func decisionFields(d edge.Decision) logrus.Fields {
