admit, node: the fleet keeps the limits that targets name

Cause: what a target says of itself is heard by one router in a response, and was used by none. A limit is the fleet's: of 8 to 300 routers each hears of it at another time, and an even part of it is one request in up to 85 s.

Routers now tell each other in their load reports what they have heard of limits (age, rate), what they send to limited targets, and the demand for such services; hubs sum that up. Each router gets permits at random, at its share of the demand of the limit, corrected by what the fleet has sent. A request is sent to a limited target only with a permit: first attempts, retries, resumed streams and failovers all pass the same choice. Requests wait for permits while the fleet's backlog allows that they start in time, and are refused otherwise as "limited". Limits end at the first response without one (one second after the last naming), and the rate then doubles each second.

--- a/internal/core/admit/choose.go
+++ b/internal/core/admit/choose.go
@@ -148,7 +148,8 @@
 	for _, t := range s.targets {
 		if (!t.isLeaving() || s.isLastResort(sel.now, t)) && t.mayTake(sel.now, sel.req) {
 			c := s.evaluate(sel, t)
-			c.hasRoom = c.hasRoom && t.stated.turnAway.hasRoom()
+			c.inputs.Limited = !t.limits.HasPermit(sel.now, t.run)
+			c.hasRoom = c.hasRoom && t.hasPermit(sel.now)
 			visit(c)
 		}
 	}
--- a/internal/core/admit/controller.go
+++ b/internal/core/admit/controller.go
@@ -60,6 +60,8 @@
 	services map[string]*service
 	targets  map[ids.Target]*target
 	attempts map[ID]*attempt
+	// routers are the other routers on the fleet's list.
+	routers []ids.Instance
 	// statements holds those of the runs that have made any.
 	statements map[run]*statements
 	// healthChanges are the changes of target health since the last TakeHealthChanges.
@@ -112,6 +114,7 @@
 		}
 		current.Target = t
 		s := ac.service(t.Service)
+		current.limits = s.limits
 		s.targets = append(s.targets, current)
 	}
 	for id := range ac.targets {
@@ -165,6 +168,7 @@
 			random: ac.random, throttle: throttle{share: 1}, limits: targetlimit.New(ac.random),
 			lastResortTime: time.Duration(lastResortShare * float64(ac.opts.DrainTimeout)),
 		}
+		s.limits.SetRouters(ac.routers)
 		ac.services[name] = s
 	}
 	return s
@@ -177,16 +181,20 @@
 		return Verdict{ID: r.ID, Refused: NoTarget, RetryAfter: ac.jitteredRetryAfter(noTargetRetryAfter)}
 	}
 	s.recordObjective(now, r.Objective)
+	s.limits.RecordRequest(now)
 	if s.isEngine() {
 		ac.window.RecordRequested(now, r.Workspace, r.weightedTokens())
 	}
 	rank := ac.rank(now, s, &r)
 	if !s.isEngine() {
 		s.throttle.recordArrival()
-		return ac.decide(now, s, &r, rank)
+		v := ac.decide(now, s, &r, rank)
+		s.limits.SetWaiting(s.queue.len())
+		return v
 	}
 	standing := ac.window.Standing(now, r.Workspace)
 	v := ac.decide(now, s, &r, rank)
+	s.limits.SetWaiting(s.queue.len())
 	v.Inputs.recordBasis(&r, standing)
 	return v
 }
@@ -228,7 +236,7 @@
 	if c.hasRoom && !s.queue.hasAhead(rank, r.Priority) {
 		return ac.send(now, s, r, c)
 	}
-	if !s.isEngine() && s.isViewOld {
+	if !s.isEngine() && s.isViewOld && !c.inputs.Limited {
 		// The queue would not become shorter: the share of requests that are sent is for new
 		// ones as much as for those that wait.
 		return ac.refuse(now, r, c.inputs)
--- a/internal/core/admit/queueing.go
+++ b/internal/core/admit/queueing.go
@@ -28,6 +28,7 @@
 func (ac *Controller) Cancel(id ID) bool {
 	for _, s := range ac.services {
 		if s.queue.remove(id) {
+			s.limits.SetWaiting(s.queue.len())
 			return true
 		}
 	}
@@ -61,6 +62,7 @@
 	}
 	clear(waiting[len(kept):])
 	s.queue.waiting = kept
+	s.limits.SetWaiting(len(kept))
 	return out
 }
 
--- a/internal/core/admit/refusal.go
+++ b/internal/core/admit/refusal.go
@@ -62,6 +62,7 @@
 	v, refused := ac.refuseRepeated(now, s, &r, rank, ttl)
 	if refused {
 		ac.window.RecordRequested(now, r.Workspace, r.weightedTokens())
+		s.limits.RecordRequest(now)
 	}
 	return v, refused
 }
@@ -80,6 +81,9 @@
 func (ac *Controller) refuse(now time.Time, r *Request, in Inputs) Verdict {
 	v := Verdict{ID: r.ID, Refused: Saturated, Inputs: in}
 	retryAfter := in.QueueWait
+	if in.Limited {
+		v.Refused = Limited
+	}
 	if in.Rank == share.Excess {
 		v.Refused = OverShare
 		retryAfter = ac.window.TimeUntilFair(now, r.Workspace)
--- a/internal/core/admit/request.go
+++ b/internal/core/admit/request.go
@@ -79,6 +79,8 @@
 	TurnedAway Reason = "turned_away"
 	// Saturated means that the response could not start in time.
 	Saturated Reason = "saturated"
+	// Limited means that the targets take fewer requests than arrive.
+	Limited Reason = "limited"
 	// OverShare means that the targets are busy and the workspace has used its fair
 	// share.
 	OverShare Reason = "over_share"
@@ -122,6 +124,8 @@
 	ChargedTokens int
 	// QueueWait is the expected time in the queue.
 	QueueWait time.Duration
+	// Limited is set if no target takes a request now because of their limits.
+	Limited bool
 }
 
 // Result is how an attempt at a target ended.
--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -104,20 +104,30 @@
 // routers together, have been sent.
 func (s *service) expectedQueueWait(now time.Time) time.Duration {
 	requests, tokens := s.fleetBacklog(now)
-	slots, available := 0, 0
+	perSecond, available := 0.0, 0
 	for _, t := range s.targets {
 		if !t.isLeaving() && t.health.isAvailable(now) && !t.stated.turnAway.isActive(now) {
-			slots += max(1, t.Slots)
+			perSecond += s.acceptedPerSecond(now, t)
 			available++
 		}
 	}
 	if available == 0 {
 		return 0
 	}
-	wait := s.latency.meanDuration() * time.Duration(requests) / time.Duration(slots)
+	wait := time.Duration(float64(requests) / perSecond * float64(time.Second))
 	if s.isEngine() {
 		prefill := time.Duration(float64(tokens) * s.latency.msPerToken * float64(time.Millisecond) / float64(available))
 		wait = max(wait, prefill)
 	}
 	return wait
 }
+
+// acceptedPerSecond returns the requests per second that a target can serve, at its limit
+// at most.
+func (s *service) acceptedPerSecond(now time.Time, t *target) float64 {
+	perSecond := float64(max(1, t.Slots)) / max(s.latency.meanDuration(), time.Millisecond).Seconds()
+	if limit, limited := s.limits.PerSecond(now, t.run); limited {
+		return min(perSecond, limit)
+	}
+	return perSecond
+}
--- a/internal/core/admit/target.go
+++ b/internal/core/admit/target.go
@@ -42,6 +42,8 @@
 	routing.Target
 	hash uint64
 	run  targetlimit.Run
+	// limits are those of the target's service.
+	limits *targetlimit.Limiter
 
 	// running, pendingTokens and memoryTokens are the load from this router.
 	running, pendingTokens, memoryTokens int
@@ -155,13 +157,18 @@
 	t.slownessAt = now
 }
 
-// isUsable reports whether the request may be sent to the target.
+// isUsable reports whether the request may be sent to the target now.
 func (t *target) isUsable(now time.Time, r *Request) bool {
-	return !t.isLeaving() && t.mayTake(now, r) && t.stated.turnAway.hasRoom()
+	return !t.isLeaving() && t.mayTake(now, r) && t.hasPermit(now)
 }
 
-// mayTake is like isUsable for a target that leaves, or that takes few requests after it
-// turned some away.
+// hasPermit reports whether the target takes a request now, as far as its limit and the
+// requests are concerned that it has turned away.
+func (t *target) hasPermit(now time.Time) bool {
+	return t.stated.turnAway.hasRoom() && t.limits.HasPermit(now, t.run)
+}
+
+// mayTake is like isUsable for a target that leaves, or that takes no request now.
 func (t *target) mayTake(now time.Time, r *Request) bool {
 	return r.accepts(t.Target) && t.health.isAvailable(now) && !t.stated.turnAway.isActive(now) && !slices.Contains(r.Exclude, t.ID)
 }
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -230,6 +230,36 @@
 	s.update(func(now time.Time) { s.admission.ApplyFleetReport(now, loads, backlogs, use) })
 }
 
+// ApplyPeerLimits applies a peer's state of limits.
+func (s *Scheduler) ApplyPeerLimits(peer ids.Instance, r admit.LimitReport) {
+	s.update(func(now time.Time) { s.admission.ApplyPeerLimits(now, peer, r) })
+}
+
+// ApplyFleetLimits applies the state of limits of all routers, including this one.
+func (s *Scheduler) ApplyFleetLimits(r admit.LimitReport) {
+	s.update(func(now time.Time) { s.admission.ApplyFleetLimits(now, r) })
+}
+
+// LocalLimits returns this router's state of limits for reports.
+func (s *Scheduler) LocalLimits() admit.LimitReport {
+	if !s.HasLimits() {
+		return admit.LimitReport{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.admission.LocalLimits(time.Now())
+}
+
+// SetRouters replaces the fleet's list of routers, this one left out.
+func (s *Scheduler) SetRouters(others []ids.Instance) {
+	s.update(func(time.Time) { s.admission.SetRouters(others) })
+}
+
+// RecordLinkEnd records that the link to a router has ended.
+func (s *Scheduler) RecordLinkEnd(peer ids.Instance) {
+	s.update(func(now time.Time) { s.admission.RecordLinkEnd(now, peer) })
+}
+
 // LocalReport returns this router's state for reports to peers.
 func (s *Scheduler) LocalReport() ([]admit.Load, []admit.Backlog, map[ids.Workspace]share.Usage) {
 	s.mu.Lock()
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -122,6 +124,7 @@
 		seeds = append(seeds, settings.Seed{Instance: string(name), Address: r.Address, Domain: string(r.Domain)})
 	}
 	f.mesh.SetPeers(seeds)
+	f.node.scheduler.SetRouters(slices.DeleteFunc(slices.Collect(maps.Keys(byName)), func(name ids.Instance) bool { return name == s.Instance }))
 	f.hasRouterList.Store(true)
 }
 
@@ -183,7 +186,7 @@
 }
 
 func isEmpty(r *fleetv1.Report) bool {
-	return len(r.GetStreamIds()) == 0 && len(r.GetTargets()) == 0 && len(r.GetBacklogs()) == 0 && len(r.GetWorkspaces()) == 0
+	return len(r.GetStreamIds()) == 0 && len(r.GetDemands()) == 0 && len(r.GetTargets()) == 0 && len(r.GetBacklogs()) == 0 && len(r.GetWorkspaces()) == 0
 }
 
 func (f *fleet) ownReport() *fleetv1.Report {
@@ -191,6 +194,7 @@
 	r := new(fleetv1.Report)
 	f.setRevisions(r)
 	f.node.streamOrigins.addTo(r)
+	encodeLimits(r, f.node.scheduler.LocalLimits())
 	for _, l := range loads {
 		r.Targets = append(r.Targets, &fleetv1.TargetLoad{
 			Target:  string(l.Target),
@@ -266,5 +270,11 @@
 			f.node.quarantine.PeerJoined(p.Instance)
 		}
 	}
+	for name := range before {
+		if !f.livePeers[name] {
+			f.node.scheduler.RecordLinkEnd(name)
+			f.sums.recordLinkEnd(name)
+		}
+	}
 	f.node.logger.WithField("peers", names).Info("live routers changed")
 }
--- a/internal/node/report_sums.go
+++ b/internal/node/report_sums.go
@@ -30,6 +30,9 @@
 	// ownKeys and otherKeys are the keys of cached prompt parts that have not yet
 	// been forwarded, from this hub's own domain and from the other domains.
 	ownKeys, otherKeys hub.CachedKeys
+	// ownDemand and otherDemand are the demand of the routers in this hub's own domain and
+	// of the other domains, by service.
+	ownDemand, otherDemand demandByService
 }
 
 func newReportSums() reportSums {
@@ -38,6 +41,7 @@
 		domains:   make(map[ids.Domain]map[ids.Instance]receivedReport),
 		ownKeys:   make(hub.CachedKeys),
 		otherKeys: make(hub.CachedKeys),
+		ownDemand: make(demandByService), otherDemand: make(demandByService),
 	}
 }
 
@@ -49,6 +53,7 @@
 	case r.GetScope() == fleetv1.Scope_SCOPE_ROUTER && plan.FullMesh:
 		d := decodeReport(r)
 		f.node.scheduler.ApplyPeerReport(from.Instance, d.loads, d.backlogs, d.usage)
+		f.node.scheduler.ApplyPeerLimits(from.Instance, decodeLimits(r))
 	case r.GetScope() == fleetv1.Scope_SCOPE_ROUTER && plan.Hub && from.Domain == f.node.settings.Domain:
 		f.sums.addRouter(from.Instance, r)
 	case r.GetScope() == fleetv1.Scope_SCOPE_DOMAIN && plan.Hub && plan.IsHub(from.Domain, from.Instance):
@@ -82,13 +87,16 @@
 func (f *fleet) applyTotal(r *fleetv1.Report) {
 	d := decodeReport(r)
 	f.node.scheduler.ApplyFleetReport(d.loads, d.backlogs, d.usage)
+	f.node.scheduler.ApplyFleetLimits(decodeLimits(r))
 }
 
 func (s *reportSums) addRouter(from ids.Instance, r *fleetv1.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.routers[from] = receivedReport{at: time.Now(), report: r}
+	now := time.Now()
+	s.routers[from] = receivedReport{at: now, report: r}
 	s.ownKeys.Collect(r)
+	s.ownDemand.record(now, from, r)
 }
 
 func (s *reportSums) addDomain(domain ids.Domain, from ids.Instance, r *fleetv1.Report) {
@@ -99,6 +107,14 @@
 	}
 	s.domains[domain][from] = receivedReport{at: time.Now(), report: r}
 	s.otherKeys.Collect(r)
+	s.otherDemand.record(time.Now(), ids.Instance(domain), r)
+}
+
+// recordLinkEnd records that the link to a router has ended.
+func (s *reportSums) recordLinkEnd(name ids.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ownDemand.recordLinkEnd(time.Now(), name)
 }
 
 // sendSums sends the sum of this hub's domain to the hubs of the other domains, and
@@ -123,22 +139,29 @@
 	now := time.Now()
 	s.ownKeys.Collect(own)
 	reports := []*fleetv1.Report{own}
+	limits := newLimitSums(now, own)
 	for name, received := range s.routers {
 		if now.Sub(received.at) > reportTTL {
 			delete(s.routers, name)
 			continue
 		}
 		reports = append(reports, received.report)
+		limits.add(received)
 	}
 	domain = hub.Sum(reports)
+	limits.addDemand(s.ownDemand)
+	limits.encode(domain)
 	reports = []*fleetv1.Report{domain}
 	for name, byHub := range s.domains {
 		received, ok := byHub[plan.PreferredHub(name, isLive)]
 		if ok && now.Sub(received.at) <= reportTTL {
 			reports = append(reports, received.report)
+			limits.add(received)
 		}
 	}
 	total = hub.Sum(reports)
+	limits.addDemand(s.otherDemand)
+	limits.encode(total)
 	s.ownKeys.AddTo(domain)
 	s.ownKeys.AddTo(total)
 	s.otherKeys.AddTo(total)
