--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -26,6 +26,7 @@
 // job is a request at an engine.
 type job struct {
 	req                   *request
+	engine                int
 	remainingPromptTokens int
 	outputTokens          int
 	// lastEventAt is the time of the last event; longestGap is the longest pause between two
--- /dev/null
+++ b/internal/replay/limit_test.go
@@ -0,0 +1,60 @@
+package replay_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/umberhill/umberhill/internal/replay"
+)
+
+// limitedFlood is a load in which all engines name a limit, of about half of what they get,
+// while one workspace floods.
+func limitedFlood(routers, engines int) replay.Pattern {
+	p := patterns()["flood"]
+	p.Routers, p.Engines, p.Workspaces, p.Duration = routers, engines, 8, 24*time.Second
+	p.Kinds = p.Kinds[1:] // small requests, so that shares are exact enough
+	p.ReportsAreSummed = routers > 12
+	if p.ReportsAreSummed {
+		p.ReportDelay = 150 * time.Millisecond
+	}
+	scale := float64(engines) / 8
+	p.LoadFactor = func(time.Duration) float64 { return scale }
+	p.TokensPerSecond *= scale
+	p.FloodFactor = func(at time.Duration) float64 {
+		if at >= 10*time.Second && at < 18*time.Second {
+			return 6
+		}
+		return 1
+	}
+	p.Limit = func(_ int, at time.Duration) float64 {
+		if at >= 4*time.Second && at < 20*time.Second {
+			return limitedPerSecond
+		}
+		return 0
+	}
+	return p
+}
+
+// limitedPerSecond is the limit of an engine that gets about 16 requests a second.
+const limitedPerSecond = 8
+
+// Guards against limits under which one workspace's flood takes what the others are due, or
+// under which engines get more than they accept.
+func TestWorkspacesKeepTheirSharesWhileAllEnginesAreLimited(t *testing.T) {
+	t.Parallel()
+	for _, size := range []struct{ routers, engines int }{{8, 8}, {80, 24}} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprintf("%d routers, seed %d", size.routers, seed), func(t *testing.T) {
+				t.Parallel()
+				r := replay.Simulate(limitedFlood(size.routers, size.engines), replay.Admit, seed)
+				if r.MostOverLimit > 0 {
+					t.Errorf("an engine got %.0f requests more than its limit allows", r.MostOverLimit)
+				}
+				if r.WorstShare < 0.5 {
+					t.Errorf("a workspace received %.2f of what it was due, want at least 0.5", r.WorstShare)
+				}
+			})
+		}
+	}
+}
--- a/internal/replay/pattern.go
+++ b/internal/replay/pattern.go
@@ -51,6 +51,9 @@
 	TurnsAway func(engine int, at time.Duration) bool
 	// RetryAfter is the time that engines state when they turn requests away, 0 for none.
 	RetryAfter time.Duration
+	// Limit returns the requests per second that an engine names as its limit in responses
+	// at a time since the start, 0 for none; nil stands for none.
+	Limit func(engine int, at time.Duration) float64
 	// RoutersReached returns the number of routers to which a workspace's callers are
 	// connected; nil stands for all.
 	RoutersReached func(workspace int) int
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -3,9 +3,11 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/umberhill/umberhill/internal/core/admit"
 	"github.com/umberhill/umberhill/internal/core/share"
+	"github.com/umberhill/umberhill/internal/core/targetlimit"
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
@@ -14,19 +16,22 @@
 	loads    []admit.Load
 	backlogs []admit.Backlog
 	usage    map[ids.Workspace]share.Usage
+	limits   admit.LimitReport
 }
 
-func newReport(loads []admit.Load, backlogs []admit.Backlog, usage map[ids.Workspace]share.Usage) report {
-	return report{loads, backlogs, usage}
+func newReport(now time.Time, controller *admit.Controller) report {
+	loads, backlogs, usage := controller.LocalReport(now)
+	return report{loads, backlogs, usage, controller.LocalLimits(now)}
 }
 
 func (r report) clone() report {
-	return report{slices.Clone(r.loads), slices.Clone(r.backlogs), maps.Clone(r.usage)}
+	limits := admit.LimitReport{Limits: slices.Clone(r.limits.Limits), Demands: r.limits.Demands}
+	return report{slices.Clone(r.loads), slices.Clone(r.backlogs), maps.Clone(r.usage), limits}
 }
 
 // sumReports returns the sum of reports. All engines are of one service.
 func sumReports(reports []report) report {
-	total := report{usage: make(map[ids.Workspace]share.Usage)}
+	total := report{usage: make(map[ids.Workspace]share.Usage), limits: sumLimits(reports)}
 	index := make(map[ids.Target]int)
 	var backlog admit.Backlog
 	for _, r := range reports {
@@ -58,3 +63,16 @@
 	}
 	return total
 }
+
+// sumLimits returns the sum of the reports' limits and demands.
+func sumLimits(reports []report) admit.LimitReport {
+	sum := admit.LimitReport{Demands: make(map[string]targetlimit.Demand)}
+	for _, r := range reports {
+		sum.Limits = append(sum.Limits, r.limits.Limits...)
+		for service, d := range r.limits.Demands {
+			sum.Demands[service] = targetlimit.Demand{Visible: sum.Demands[service].Visible + d.Visible}
+		}
+	}
+	sum.Limits = targetlimit.Sum(sum.Limits)
+	return sum
+}
--- a/internal/replay/simulation.go
+++ b/internal/replay/simulation.go
@@ -57,6 +57,10 @@
 	// Utilisation is the mean time in which an engine ran steps, divided by the pattern's
 	// duration. It can exceed 1, since steps after the end of the pattern count too.
 	Utilisation float64
+	// MostOverLimit is the most requests beyond what its limit allows that an engine got in
+	// limitWindow, from limitLearnTime after it first named the limit, and 0 if none got
+	// more. It allows limitFactor times the limit and limitExtra requests.
+	MostOverLimit float64
 	// BusiestEngine is the number of requests that the engine with most of them got, divided
 	// by the mean.
 	BusiestEngine float64
@@ -108,7 +112,9 @@
 	fairness       fairness
 	// turnedAwayAt is when an engine last turned an attempt of a router away.
 	turnedAwayAt map[[2]int]time.Duration
-	result       Result
+	// limits hold the requests that each engine got and its limit.
+	limits []engineLimit
+	result Result
 }
 
 // Simulate runs a pattern with a policy. Equal arguments give equal results.
@@ -122,6 +128,7 @@
 		s.engineIndex[t.ID] = i
 	}
 	for range p.Engines {
+		s.limits = append(s.limits, engineLimit{})
 		s.engines = append(s.engines, &engine{spec: p.Spec, cache: partCache{limitTokens: p.Spec.MemoryTokens}})
 	}
 	for i := range p.Routers {
@@ -219,7 +226,7 @@
 		s.failAttempt(r, admit.End{Result: admit.Rejected, NotRun: true})
 		return
 	}
-	j := &job{req: r, lastEventAt: s.now}
+	j := &job{req: r, engine: i, lastEventAt: s.now}
 	id := r.ID
 	s.schedule(eventTimeout, func() { s.abandonIfStalled(i, j, id) })
 	if v.FetchFrom.ID == "" {
@@ -242,6 +249,7 @@
 		return
 	}
 	s.engines[i].arrivals++
+	s.limits[i].arrivedAt = append(s.limits[i].arrivedAt, s.now)
 	s.engines[i].waiting = append(s.engines[i].waiting, j)
 	s.startStep(i)
 }
@@ -332,6 +340,7 @@
 func (s *simulation) addToken(j *job) {
 	if !j.hasStarted {
 		j.hasStarted = true
+		s.nameLimit(j)
 		s.routers[j.req.router].answerStarted(s.virtualTime(), j.req.ID)
 		s.fairness.recordBegun(s.now, j.req)
 		j.longestGap = 0
@@ -382,7 +391,7 @@
 		if !ok {
 			return
 		}
-		reports = append(reports, newReport(from.controller.LocalReport(s.virtualTime())))
+		reports = append(reports, newReport(s.virtualTime(), from.controller))
 	}
 	s.schedule(s.pattern.ReportDelay, func() {
 		if s.pattern.ReportsAreSummed {
@@ -393,6 +402,7 @@
 			for k, receiver := range s.routers {
 				if k != i {
 					receiver.(admitDispatcher).controller.ApplyPeerReport(s.virtualTime(), ids.Instance(rune('A'+i)), r.loads, r.backlogs, r.usage)
+					receiver.(admitDispatcher).controller.ApplyPeerLimits(s.virtualTime(), ids.Instance(rune('A'+i)), r.limits)
 				}
 			}
 		}
@@ -403,6 +413,7 @@
 	for _, receiver := range s.routers {
 		r := total.clone()
 		receiver.(admitDispatcher).controller.ApplyFleetReport(s.virtualTime(), r.loads, r.backlogs, r.usage)
+		receiver.(admitDispatcher).controller.ApplyFleetLimits(s.virtualTime(), r.limits)
 	}
 }
 
@@ -416,6 +427,9 @@
 		}
 	}
 	r.WorstShare = s.fairness.worstShare()
+	for i := range s.limits {
+		r.MostOverLimit = max(r.MostOverLimit, s.limits[i].mostOver())
+	}
 	prefilled, repeated, busy := 0, 0, time.Duration(0)
 	arrivals, most := 0, 0
 	for _, e := range s.engines {
