node, platform: a router that starts anew does not take the listed version for the only one

Cause: which versions a service had was known only to routers that had listed them. A router that starts after the old version's entries are gone lists one version, took it for the only one, and asked nobody.

A router that has run for less than the time for which callers resume now asks its peers for the stream and for the versions of its service; if no peer remembers, it reads the record of releases in the store, once and only at such a resumption. If nothing tells, the resumption is refused with 503. A first start (bootstrap) remembers, since nothing ran before.

--- a/internal/core/streams/streams.go
+++ b/internal/core/streams/streams.go
@@ -8,6 +8,7 @@
 package streams
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -50,7 +51,9 @@
 // Table holds the origins of the recent streams of this router and of those whose notes it
 // receives.
 type Table struct {
-	origins map[ID]timedNote
+	// remembersSince is the time from which on the table knows which versions were listed.
+	remembersSince time.Time
+	origins        map[ID]timedNote
 	// order holds the notes in the order in which they were added, from first on.
 	order []timedNote
 	first int
@@ -69,9 +72,9 @@
 	unsent []timedNote
 }
 
-// New returns an empty table.
-func New() *Table {
-	return &Table{origins: make(map[ID]timedNote), services: make(map[string]*service)}
+// New returns an empty table that remembers the listed versions from a time on.
+func New(remembersSince time.Time) *Table {
+	return &Table{remembersSince: remembersSince, origins: make(map[ID]timedNote), services: make(map[string]*service)}
 }
 
 func (t *Table) service(name string) *service {
@@ -115,6 +118,21 @@
 	return versions > 1
 }
 
+// RemembersListed reports whether the table knows all versions that were listed within TTL.
+func (t *Table) RemembersListed(now time.Time) bool { return now.Sub(t.remembersSince) >= TTL }
+
+// Mixed returns the services of which streams may have begun at different versions.
+func (t *Table) Mixed(now time.Time) []string {
+	var mixed []string
+	for name := range t.services {
+		if t.IsMixed(now, name) {
+			mixed = append(mixed, name)
+		}
+	}
+	slices.Sort(mixed)
+	return mixed
+}
+
 // RecordOwn records that this router sends a stream to a target. Its note is sent at once
 // if isSplit is set, which means that the route has several services, otherwise once the
 // service is mixed.
--- a/internal/core/streams/streams_test.go
+++ b/internal/core/streams/streams_test.go
@@ -25,7 +25,7 @@
 // Guards against an origin that is forgotten while callers may resume the stream, and
 // against one that is kept for good.
 func TestOriginIsKnownForTTL(t *testing.T) {
-	table, n := streams.New(), note("a", "v1")
+	table, n := streams.New(start), note("a", "v1")
 	table.Record(start, n)
 	for _, c := range []struct {
 		after time.Duration
@@ -40,7 +40,7 @@
 // Guards against a table that grows without bound, and against a later note of a stream that
 // is forgotten with the first one.
 func TestStreamsAreBoundedAndTheLatestNoteCounts(t *testing.T) {
-	table := streams.New()
+	table := streams.New(start)
 	table.Record(start, note("again", "v1"))
 	const added = 40000
 	for i := range added {
@@ -65,7 +65,7 @@
 // Guards against notes that peers never receive: those of streams that began before a second
 // version was listed.
 func TestNotesAreSentOnceTheServiceIsMixed(t *testing.T) {
-	table := streams.New()
+	table := streams.New(start)
 	table.SetListed(start, listed("v1"))
 	table.RecordOwn(start, note("a", "v1"), false)
 	if got := table.TakeNotes(start); len(got) > 0 || table.IsMixed(start, "llm") {
@@ -83,7 +83,7 @@
 
 // Guards against notes that are held back although the route has several services.
 func TestNotesOfSplitRoutesAreSentAtOnce(t *testing.T) {
-	table := streams.New()
+	table := streams.New(start)
 	table.SetListed(start, listed("v1"))
 	table.RecordOwn(start, note("a", "v1"), true)
 	if got := table.TakeNotes(start); len(got) != 1 {
@@ -94,7 +94,7 @@
 // Guards against a service that counts as of one version while streams of another one may
 // still be resumed, and against one that stays mixed for good.
 func TestServiceIsMixedForTTLAfterAVersionHasLeft(t *testing.T) {
-	table := streams.New()
+	table := streams.New(start)
 	table.SetListed(start, listed("v1"))
 	table.SetListed(start.Add(time.Second), listed("v2"))
 	left := start.Add(time.Second)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,9 @@
 	// MaxFDs is the number of file descriptors that the process may have open, 0 for
 	// no limit.
 	MaxFDs int
+	// FirstStart is set if the whole system starts for the first time, so that nothing has
+	// run before.
+	FirstStart bool
 	// Capacity is the process's share of processors.
 	Capacity float64
 	// ConfigDelay bounds the time from a change of the configuration until the router
@@ -106,6 +109,7 @@
 
 	quarantine    *quarantine.Controller
 	streamOrigins *streamOrigins
+	releaseRecord ReleaseRecord
 	loadShedder   edge.LoadShedder
 	directory     *Directory
 	// targetsAsOf is the store revision at which the targets last changed.
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -50,6 +50,8 @@
 	switch method {
 	case methodStream, methodOwnStream:
 		return f.node.streamOrigins.serve(ctx, from, method, body)
+	case methodVersions:
+		return f.node.streamOrigins.serveVersions(string(body))
 	case methodConfig:
 		if c := f.node.Config(); c != nil {
 			return c.Raw, nil
--- a/internal/node/stream_origins.go
+++ b/internal/node/stream_origins.go
@@ -23,6 +23,9 @@
 	// asking other routers.
 	methodStream    = "stream"
 	methodOwnStream = "own-stream"
+	// methodVersions is the method of calls that return whether streams of a service may have
+	// begun at several software versions, as far as the peer remembers.
+	methodVersions = "service-versions"
 	// askTimeout bounds the wait for peers that are asked for the origin of a stream. A
 	// follower's hub asks other hubs within it.
 	askTimeout = 150 * time.Millisecond
@@ -42,7 +45,11 @@
 }
 
 func newStreamOrigins(n *Node) *streamOrigins {
-	return &streamOrigins{node: n, asks: make(chan struct{}, maxAsks), table: streams.New()}
+	remembersSince := n.createdAt
+	if n.settings.FirstStart {
+		remembersSince = remembersSince.Add(-streams.TTL)
+	}
+	return &streamOrigins{node: n, asks: make(chan struct{}, maxAsks), table: streams.New(remembersSince)}
 }
 
 // Record implements edge.StreamOrigins.
@@ -58,16 +65,20 @@
 	o.mu.Lock()
 	origin, known := o.table.Origin(now, id)
 	ambiguous := isSplit || o.table.IsMixed(now, service)
+	remembers := o.table.RemembersListed(now)
 	o.mu.Unlock()
 	switch {
 	case known:
 		return origin, edge.OriginKnown
-	case !ambiguous:
+	case !ambiguous && remembers:
 		return streams.Origin{}, edge.OriginAny
 	}
 	if origin, known = o.ask(ctx, id); known {
 		return origin, edge.OriginKnown
 	}
+	if !ambiguous && o.hadOneVersion(ctx, service) {
+		return streams.Origin{}, edge.OriginAny
+	}
 	return streams.Origin{}, edge.OriginUnknown
 }
 
