--- a/internal/core/targetlimit/fleet_test.go
+++ b/internal/core/targetlimit/fleet_test.go
@@ -61,7 +61,9 @@
 	// isDown is set while the router does not run, isCut while no reports pass between it
 	// and routers that are not cut.
 	isDown, isCut bool
-	weight        float64
+	// isFrozen is set while the router neither acts nor receives anything.
+	isFrozen bool
+	weight   float64
 	// reports and demand are the hubs' last sum.
 	reports []Report
 	demand  Demand
@@ -130,7 +132,7 @@
 		}
 	}
 	for _, r := range s.routers {
-		if r.isDown {
+		if r.isDown || r.isFrozen {
 			continue
 		}
 		expected := s.demand * float64(s.targets) * r.weight / sum * step.Seconds()
@@ -185,7 +187,7 @@
 	n := 0
 	for n < len(s.pending) && s.pending[n].at <= s.now {
 		p := s.pending[n]
-		if p.limiter == p.router.Limiter && !p.router.isDown {
+		if p.limiter == p.router.Limiter && !p.router.isDown && !p.router.isFrozen {
 			p.router.RecordStatement(s.time(), start.Add(p.sentAt), run(p.target), p.st)
 		}
 		n++
@@ -212,12 +214,12 @@
 
 func (s *simulation) reportToEach() {
 	for _, r := range s.routers {
-		if r.isDown {
+		if r.isDown || r.isFrozen {
 			continue
 		}
 		reports := r.LocalReport(s.time())
 		for _, o := range s.routers {
-			if o != r && !o.isDown && o.isCut == r.isCut {
+			if o != r && !o.isDown && !o.isFrozen && o.isCut == r.isCut {
 				o.ApplyPeerReport(s.time(), r.name, slices.Clone(reports), Demand{Visible: r.OwnDemand(s.time())})
 			}
 		}
@@ -231,7 +233,7 @@
 	hub := s.hubs[isCut]
 	isPartitioned := slices.ContainsFunc(s.routers, func(r *modelRouter) bool { return r.isCut })
 	for _, r := range s.routers {
-		if r.isDown || r.isCut != isCut && isPartitioned {
+		if r.isDown || r.isFrozen || r.isCut != isCut && isPartitioned {
 			continue
 		}
 		hub.Record(s.time(), r.name, Demand{Visible: r.OwnDemand(s.time())})
@@ -374,10 +376,17 @@
 func TestRestartsAndPartitionsKeepTheLimit(t *testing.T) {
 	t.Parallel()
 	const at, healed, end = 7 * time.Second, 12 * time.Second, 18 * time.Second
-	changes := map[string]func(s *simulation, r *modelRouter){
-		"half of the routers start anew":      func(s *simulation, r *modelRouter) { s.restart(r) },
-		"half of the routers stop":            func(s *simulation, r *modelRouter) { s.stop(r) },
-		"half of the routers are partitioned": func(_ *simulation, r *modelRouter) { r.isCut = true },
+	type change struct {
+		apply func(s *simulation, r *modelRouter)
+		// usedFrom is when the limit has to be used again. The part of a router that is
+		// silent is left to it.
+		usedFrom time.Duration
+	}
+	changes := map[string]change{
+		"half of the routers start anew":      {func(s *simulation, r *modelRouter) { s.restart(r) }, at + 2*time.Second},
+		"half of the routers stop":            {func(s *simulation, r *modelRouter) { s.stop(r) }, at + 2*time.Second},
+		"half of the routers are partitioned": {func(_ *simulation, r *modelRouter) { r.isCut = true }, at + 2*time.Second},
+		"half of the routers freeze":          {func(_ *simulation, r *modelRouter) { r.isFrozen = true }, healed + time.Second},
 	}
 	for name, change := range changes {
 		for _, size := range fleetSizes[1:] {
@@ -389,9 +398,9 @@
 						for i, r := range s.routers {
 							switch {
 							case s.now == at && i%2 == 0:
-								change(s, r)
+								change.apply(s, r)
 							case s.now == healed:
-								r.isCut = false
+								r.isCut, r.isFrozen = false, false
 							}
 						}
 					}
@@ -399,7 +408,7 @@
 					if most, want := s.mostInWindow(0, end), allowed(perSecond); most > want {
 						t.Errorf("a target got %d requests in %v, want at most %d", most, limitWindow, want)
 					}
-					if sent := s.sentPerSecond(at+2*time.Second, end); sent < 0.85*perSecond {
+					if sent := s.sentPerSecond(change.usedFrom, end); sent < 0.85*perSecond {
 						t.Errorf("targets got %.2f requests a second while others waited, want at least 0.85 of %v", sent, perSecond)
 					}
 				})
