admit, node: routers tell each other what targets say of themselves

Callers whose requests were turned away so lost an attempt, and requests that reached a target which was about to exit could be cut.

Routers report what they heard themselves, by run of the target, and hubs sum it up.

--- a/internal/core/admit/statement.go
+++ b/internal/core/admit/statement.go
@@ -40,6 +40,9 @@
 	// leavingSince is when the target first said that it leaves, zero if it has not.
 	leavingSince time.Time
 	turnAway     turnAway
+	// heardLeavingAt and heardTurnAwayUntil are what this router has heard from the target
+	// itself. The rest is known from other routers.
+	heardLeavingAt, heardTurnAwayUntil time.Time
 }
 
 // RecordStatement records what a target said of itself in the response to a request. It
@@ -55,16 +58,29 @@
 	}
 	stated := ac.statementsOf(now, a.target)
 	stated.lastAt = now
-	if st.Leaving && stated.leavingSince.IsZero() {
-		stated.leavingSince = now
-		news.Leaving = true
+	if st.Leaving && stated.heardLeavingAt.IsZero() {
+		stated.heardLeavingAt = now
+		news.Leaving = stated.recordLeaving(now)
 	}
 	if st.RetryAfter > 0 {
+		if until := now.Add(min(st.RetryAfter, maxTurnAway)); until.After(stated.heardTurnAwayUntil) {
+			stated.heardTurnAwayUntil = until
+		}
 		news.RetryAfter = stated.turnAway.extend(now, st.RetryAfter)
 	}
 	return news
 }
 
+// recordLeaving records that the target said at a time that it leaves, and reports whether
+// that is new.
+func (st *statements) recordLeaving(at time.Time) bool {
+	if !st.leavingSince.IsZero() {
+		return false
+	}
+	st.leavingSince = at
+	return true
+}
+
 // statementsOf returns the statements to which a target's new one is added. They hold for
 // the run, even if its entry was removed or replaced since. If the start of the run is
 // unknown, they hold until the entry is removed or its address changes.
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -250,6 +250,20 @@
 	return s.admission.LocalLimits(time.Now())
 }
 
+// ApplyStatements applies what targets have said to other routers.
+func (s *Scheduler) ApplyStatements(reports []admit.StatementReport) {
+	if len(reports) > 0 {
+		s.update(func(now time.Time) { s.admission.ApplyStatements(now, reports) })
+	}
+}
+
+// LocalStatements returns what targets have said to this router.
+func (s *Scheduler) LocalStatements() []admit.StatementReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.admission.LocalStatements(time.Now())
+}
+
 // SetRouters replaces the fleet's list of routers, this one left out.
 func (s *Scheduler) SetRouters(others []ids.Instance) {
 	s.update(func(time.Time) { s.admission.SetRouters(others) })
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -186,7 +186,7 @@
 }
 
 func isEmpty(r *fleetv1.Report) bool {
-	return len(r.GetStreamIds()) == 0 && len(r.GetDemands()) == 0 && len(r.GetTargets()) == 0 && len(r.GetBacklogs()) == 0 && len(r.GetWorkspaces()) == 0
+	return len(r.GetStreamIds()) == 0 && len(r.GetDemands()) == 0 && len(r.GetStatements()) == 0 && len(r.GetTargets()) == 0 && len(r.GetBacklogs()) == 0 && len(r.GetWorkspaces()) == 0
 }
 
 func (f *fleet) ownReport() *fleetv1.Report {
@@ -195,6 +195,7 @@
 	f.setRevisions(r)
 	f.node.streamOrigins.addTo(r)
 	encodeLimits(r, f.node.scheduler.LocalLimits())
+	encodeStatements(r, f.node.scheduler.LocalStatements())
 	for _, l := range loads {
 		r.Targets = append(r.Targets, &fleetv1.TargetLoad{
 			Target:  string(l.Target),
--- a/internal/node/report_sums.go
+++ b/internal/node/report_sums.go
@@ -6,6 +6,7 @@
 
 	fleetv1 "github.com/umberhill/umberhill/api/fleet/v1"
 	peerv1 "github.com/umberhill/umberhill/api/peer/v1"
+	"github.com/umberhill/umberhill/internal/core/admit"
 	"github.com/umberhill/umberhill/internal/core/hub"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/peer"
@@ -54,6 +55,7 @@
 		d := decodeReport(r)
 		f.node.scheduler.ApplyPeerReport(from.Instance, d.loads, d.backlogs, d.usage)
 		f.node.scheduler.ApplyPeerLimits(from.Instance, decodeLimits(r))
+		f.node.scheduler.ApplyStatements(decodeStatements(r, 0))
 	case r.GetScope() == fleetv1.Scope_SCOPE_ROUTER && plan.Hub && from.Domain == f.node.settings.Domain:
 		f.sums.addRouter(from.Instance, r)
 	case r.GetScope() == fleetv1.Scope_SCOPE_DOMAIN && plan.Hub && plan.IsHub(from.Domain, from.Instance):
@@ -88,6 +90,7 @@
 	d := decodeReport(r)
 	f.node.scheduler.ApplyFleetReport(d.loads, d.backlogs, d.usage)
 	f.node.scheduler.ApplyFleetLimits(decodeLimits(r))
+	f.node.scheduler.ApplyStatements(decodeStatements(r, 0))
 }
 
 func (s *reportSums) addRouter(from ids.Instance, r *fleetv1.Report) {
@@ -140,6 +143,7 @@
 	s.ownKeys.Collect(own)
 	reports := []*fleetv1.Report{own}
 	limits := newLimitSums(now, own)
+	statements := decodeStatements(own, 0)
 	for name, received := range s.routers {
 		if now.Sub(received.at) > reportTTL {
 			delete(s.routers, name)
@@ -147,21 +151,25 @@
 		}
 		reports = append(reports, received.report)
 		limits.add(received)
+		statements = append(statements, decodeStatements(received.report, now.Sub(received.at))...)
 	}
 	domain = hub.Sum(reports)
 	limits.addDemand(s.ownDemand)
 	limits.encode(domain)
+	encodeStatements(domain, admit.SumStatements(statements))
 	reports = []*fleetv1.Report{domain}
 	for name, byHub := range s.domains {
 		received, ok := byHub[plan.PreferredHub(name, isLive)]
 		if ok && now.Sub(received.at) <= reportTTL {
 			reports = append(reports, received.report)
 			limits.add(received)
+			statements = append(statements, decodeStatements(received.report, now.Sub(received.at))...)
 		}
 	}
 	total = hub.Sum(reports)
 	limits.addDemand(s.otherDemand)
 	limits.encode(total)
+	encodeStatements(total, admit.SumStatements(statements))
 	s.ownKeys.AddTo(domain)
 	s.ownKeys.AddTo(total)
 	s.otherKeys.AddTo(total)
