admit: requests beyond a share hardly count as demand for limited targets

Routers get permits of limited targets by their demand. All requests counted alike, so a flood at one router, refused there for the most part, drew permits to it while requests within their shares waited at the others.

--- a/internal/core/admit/controller.go
+++ b/internal/core/admit/controller.go
@@ -181,11 +181,11 @@
 		return Verdict{ID: r.ID, Refused: NoTarget, RetryAfter: ac.jitteredRetryAfter(noTargetRetryAfter)}
 	}
 	s.recordObjective(now, r.Objective)
-	s.limits.RecordRequest(now)
 	if s.isEngine() {
 		ac.window.RecordRequested(now, r.Workspace, r.weightedTokens())
 	}
 	rank := ac.rank(now, s, &r)
+	s.limits.RecordRequest(now, demandOf(rank))
 	if !s.isEngine() {
 		s.throttle.recordArrival()
 		v := ac.decide(now, s, &r, rank)
--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/umberhill/umberhill/internal/core/share"
 	"github.com/umberhill/umberhill/internal/core/targetlimit"
 	"github.com/umberhill/umberhill/internal/ids"
 )
@@ -31,6 +32,18 @@
 	return targetlimit.Statement{}
 }
 
+// excessDemand is the demand of a request beyond its workspace's fair share. It is small, so
+// that a flood does not draw the permits of limited targets to the routers that refuse it.
+const excessDemand = 0.1
+
+// demandOf returns the demand of a request of a workspace with the given rank.
+func demandOf(rank share.Rank) float64 {
+	if rank == share.Excess {
+		return excessDemand
+	}
+	return 1
+}
+
 // HasLimits reports whether a target has a limit.
 func (ac *Controller) HasLimits() bool {
 	for _, s := range ac.services {
--- a/internal/core/admit/refusal.go
+++ b/internal/core/admit/refusal.go
@@ -62,7 +62,7 @@
 	v, refused := ac.refuseRepeated(now, s, &r, rank, ttl)
 	if refused {
 		ac.window.RecordRequested(now, r.Workspace, r.weightedTokens())
-		s.limits.RecordRequest(now)
+		s.limits.RecordRequest(now, demandOf(rank))
 	}
 	return v, refused
 }
--- a/internal/core/targetlimit/demand.go
+++ b/internal/core/targetlimit/demand.go
@@ -88,9 +88,10 @@
 	return p != nil && !p.isGone && now.Sub(p.reportedAt) <= reportTTL
 }
 
-// RecordRequest records that a request for the service has arrived.
-func (l *Limiter) RecordRequest(now time.Time) {
-	l.arrived.add(now, 1, demandWindow)
+// RecordRequest records that a request for the service has arrived, with its weight in the
+// demand.
+func (l *Limiter) RecordRequest(now time.Time, weight float64) {
+	l.arrived.add(now, weight, demandWindow)
 }
 
 // SetWaiting sets the number of requests for the service that wait at this router.
--- a/internal/core/targetlimit/fleet_test.go
+++ b/internal/core/targetlimit/fleet_test.go
@@ -137,7 +137,7 @@
 		}
 		expected := s.demand * float64(s.targets) * r.weight / sum * step.Seconds()
 		for range poisson(s.random, expected) {
-			r.RecordRequest(s.time())
+			r.RecordRequest(s.time(), 1)
 			r.waiting = append(r.waiting, s.now)
 		}
 		r.SetWaiting(len(r.waiting))
--- a/internal/replay/limit_test.go
+++ b/internal/replay/limit_test.go
@@ -58,3 +58,34 @@
 		}
 	}
 }
+
+// Guards against permits that a flood draws to the router at which it arrives, although its
+// requests are refused there while those of other workspaces wait at other routers: the
+// flood may cost each of them a tenth of what it gets without it.
+func TestFloodAtOneRouterDoesNotDrawThePermitsOfLimitedEngines(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			p := limitedFlood(8, 8)
+			p.RoutersReached = func(workspace int) int {
+				if workspace == 0 {
+					return 1
+				}
+				return p.Routers
+			}
+			p.FloodFactor = func(time.Duration) float64 { return 1 }
+			calm := replay.Simulate(p, replay.Admit, seed)
+			p.FloodFactor = func(at time.Duration) float64 {
+				if at >= 10*time.Second && at < 18*time.Second {
+					return 20
+				}
+				return 1
+			}
+			flood := replay.Simulate(p, replay.Admit, seed)
+			if ratio := flood.WorstWorkspaceWorth / calm.WorstWorkspaceWorth; ratio < 0.9 {
+				t.Errorf("the worst workspace got %.2f of what it gets without the flood, want at least 0.9", ratio)
+			}
+		})
+	}
+}
