--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -34,7 +34,7 @@
 
 // excessDemand is the demand of a request beyond its workspace's fair share. It is small, so
 // that a flood does not draw the permits of limited targets to the routers that refuse it.
-const excessDemand = 0.1
+const excessDemand = 0.25
 
 // demandOf returns the demand of a request of a workspace with the given rank.
 func demandOf(rank share.Rank) float64 {
