targetlimit: listed routers that never report do not keep their part

A router counts each listed router of which it has not heard as having its own demand, so that it does not take a limit for its own after a start. Entries of routers that have left for good stay in the store, so part of each limit would have stayed unused for good at routers that started since. TestListedRoutersThatNeverReportDoNotKeepTheirPart failed before (0.5 of the fleet visible).

--- a/internal/core/targetlimit/demand.go
+++ b/internal/core/targetlimit/demand.go
@@ -10,9 +10,8 @@
 const (
 	// demandWindow is the time constant with which past requests count as demand.
 	demandWindow = 2 * time.Second
-	// waitingWeight is the demand of a request that waits, arrivedWeight that of a request per second.
-	waitingWeight = 2.0
-	arrivedWeight = 1.0
+	// waitingWeight is the demand of a request that waits, in requests per second.
+	waitingWeight = 2
 	// reportTTL is how long a peer's report counts. After that it is silent.
 	reportTTL = 1500 * time.Millisecond
 	// absentTTL is how long the part of a silent peer is left to it. It may be partitioned
@@ -23,7 +22,7 @@
 	closedAge = time.Second
 )
 
-// Demand is the rates of requests for a service, in requests per second.
+// Demand is the demand for a service: requests per second, and requests that wait.
 type Demand struct {
 	// Visible is that of routers whose reports arrive, Absent that of silent ones.
 	Visible, Absent float64
@@ -102,12 +101,9 @@
 
 // OwnDemand returns this router's demand in requests per second.
 func (l *Limiter) OwnDemand(now time.Time) float64 {
-	return arrivedWeight*perSecond(l.arrived.get(now, demandWindow)) + waitingWeight*float64(l.waiting)
+	return l.arrived.get(now, demandWindow)/demandWindow.Seconds() + waitingWeight*float64(l.waiting)
 }
 
-// perSecond returns the rate that a sum over demandWindow stands for.
-func perSecond(sum float64) float64 { return sum / demandWindow.Seconds() }
-
 // SetRouters replaces the fleet's list of routers, this one left out.
 func (l *Limiter) SetRouters(others []ids.Instance) {
 	l.others = others
@@ -139,13 +135,13 @@
 	}
 	sum := l.routers.Sum(now)
 	sum.Visible += own
-	sum.Absent += own * float64(l.unheard())
+	sum.Absent += own * float64(l.unheard(now))
 	return part{share: own / sum.Visible, visible: sum.Visible / (sum.Visible + sum.Absent)}
 }
 
 // unheard returns the number of listed routers that have not reported since this one
-// started.
-func (l *Limiter) unheard() int {
+// started. Those that are still silent after absentTTL do not run any more.
+func (l *Limiter) unheard(now time.Time) int {
 	if l.routers.byName[fleetPeer] != nil {
 		return 0
 	}
@@ -155,5 +151,11 @@
 			n++
 		}
 	}
+	if l.unheardSince.IsZero() {
+		l.unheardSince = now
+	}
+	if now.Sub(l.unheardSince) > absentTTL {
+		return 0
+	}
 	return n
 }
--- a/internal/core/targetlimit/limiter.go
+++ b/internal/core/targetlimit/limiter.go
@@ -41,6 +41,8 @@
 	routers        *Routers
 	// others are the other routers on the fleet's list.
 	others []ids.Instance
+	// unheardSince is when routers were first missed that are listed and have not reported.
+	unheardSince time.Time
 	// part is this router's part of the fleet as of partAsOf.
 	part     part
 	partAsOf time.Time
--- a/internal/core/targetlimit/statement_test.go
+++ b/internal/core/targetlimit/statement_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/umberhill/umberhill/internal/ids"
 )
 
 // heard is a response that a router receives at a time since the start, to a request that
@@ -82,3 +84,23 @@
 		}
 	}
 }
+
+// Guards against a limit that stays partly unused for good since the list names routers that
+// are not there any more.
+func TestListedRoutersThatNeverReportDoNotKeepTheirPart(t *testing.T) {
+	t.Parallel()
+	l, target := New(rand.New(rand.NewPCG(1, 1))), NewRun("target", 1)
+	l.SetRouters([]ids.Instance{"a", "b", "c"})
+	l.RecordStatement(start, start, target, Statement{PerSecond: 9})
+	for _, c := range []struct {
+		after time.Duration
+		want  float64
+	}{{time.Second, 0.5}, {absentTTL, 0.5}, {absentTTL + 2*time.Second, 1}} {
+		now := start.Add(c.after)
+		l.RecordRequest(now, 1)
+		l.ApplyPeerReport(now, "a", nil, Demand{Visible: l.OwnDemand(now)})
+		if got := l.Status(now)[0].Visible; got != c.want {
+			t.Errorf("after %v: got %v of the fleet visible, want %v", c.after, got, c.want)
+		}
+	}
+}
