--- a/internal/replay/limit_test.go
+++ b/internal/replay/limit_test.go
@@ -89,3 +89,27 @@
 		})
 	}
 }
+
+// Guards against workspaces that lose what they are due while all engines are limited and a
+// flood of twenty times a workspace's load arrives at an eighth of many routers.
+func TestWorkspacesKeepTheirSharesWhileALimitedFleetIsFloodedAtFewRouters(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(2) {
+		p := limitedFlood(80, 24)
+		p.RoutersReached = func(workspace int) int {
+			if workspace == 0 {
+				return p.Routers / 8
+			}
+			return p.Routers
+		}
+		p.FloodFactor = func(at time.Duration) float64 {
+			if at >= 10*time.Second && at < 18*time.Second {
+				return 20
+			}
+			return 1
+		}
+		if r := replay.Simulate(p, replay.Admit, seed); r.WorstShare < 0.5 {
+			t.Errorf("seed %d: a workspace received %.2f of what it was due, want at least 0.5", seed, r.WorstShare)
+		}
+	}
+}
