roster: followers that lost the store drop removed targets in time

Cause: a follower that had lost the store does not learn of its return while its hub lives, and kept entries that a list which was not settled lacked until the next change.

A list of a new revision shows that the store responds to a peer, so the retention time begins then, and counts once a router has read the store again. The new test failed before.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -26,6 +26,9 @@
 	// removalMargin is an upper bound on the time until the removal of a target is
 	// received and applied: a watch and a check of the list, with a safety margin.
 	removalMargin = 500 * time.Millisecond
+	// confirmTime is how long after an entry was missing a peer has to have read the store,
+	// so that its target has had time to register again.
+	confirmTime = 500 * time.Millisecond
 	// tombstoneTTL is how long the tombstone of a removed entry is kept, so that
 	// updates with an older revision cannot add the entry again. It is far above any delay of a read.
 	tombstoneTTL = time.Minute
@@ -77,6 +80,8 @@
 	// storeUpSince is when the store last recovered, zero if it was never
 	// unavailable.
 	storeUpSince time.Time
+	// lastReadAt is when any router last read the store.
+	lastReadAt time.Time
 	// eraSince is when the store was first seen to have returned from an older copy, zero
 	// if it never has.
 	eraSince time.Time
@@ -88,6 +93,9 @@
 	// missingSince is when that was first seen.
 	missing      bool
 	missingSince time.Time
+	// missingAtPeerSince is when a peer that reaches the store first reported the entry as
+	// missing, zero if none has.
+	missingAtPeerSince time.Time
 }
 
 type tombstone struct {
@@ -133,7 +141,21 @@
 // on it are removed, even if this router cannot reach the store itself.
 func (r *Roster) Merge(now time.Time, list []Entry, asOf uint64, settled bool) {
 	r.observeEra(now, asOf)
+	// A revision that no router had before shows that the store responds to one.
+	isFromStore := asOf > r.asOf
 	r.replace(now, list, asOf, !settled)
+	if isFromStore {
+		r.markMissingAtPeer(now)
+	}
+}
+
+// markMissingAtPeer records that the store lacks the missing entries.
+func (r *Roster) markMissingAtPeer(now time.Time) {
+	for _, e := range r.entries {
+		if e.missing && e.missingAtPeerSince.IsZero() {
+			e.missingAtPeerSince = now
+		}
+	}
 }
 
 // IsSettled reports whether targets that are not on the list have been removed:
@@ -232,6 +254,9 @@
 	}
 }
 
+// RecordRead records when any router last read the store.
+func (r *Roster) RecordRead(at time.Time) { r.lastReadAt = at }
+
 // isSettling reports whether entries of live targets may be missing in the store,
 // because it is unavailable or recovered less than SettleTime ago.
 func (r *Roster) isSettling(now time.Time) bool {
@@ -239,14 +264,11 @@
 }
 
 // DropMissing deletes the entries that have been missing for the retention time
-// since the store recovered, and reports whether it deleted any.
+// since the store recovered, here or at a peer, and reports whether it deleted any.
 func (r *Roster) DropMissing(now time.Time) bool {
-	if r.storeDown {
-		return false
-	}
 	dropped := false
 	for id, e := range r.entries {
-		if e.missing && now.Sub(later(e.missingSince, r.storeUpSince)) >= r.missingRetention {
+		if e.missing && now.Sub(r.retainedSince(now, e)) >= r.missingRetention {
 			r.deleteEntry(now, id, e.Revision)
 			dropped = true
 		}
@@ -254,6 +276,19 @@
 	return dropped
 }
 
+// retainedSince returns the begin of the retention time of a missing entry, now if it has
+// not begun. Without the store it begins when a peer that reaches it misses the entry, and
+// counts once a router has read the store after that.
+func (r *Roster) retainedSince(now time.Time, e *state) time.Time {
+	switch {
+	case !r.storeDown:
+		return later(e.missingSince, r.storeUpSince)
+	case e.missingAtPeerSince.IsZero() || r.lastReadAt.Sub(e.missingAtPeerSince) < confirmTime:
+		return now
+	}
+	return e.missingAtPeerSince
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -213,3 +213,33 @@
 		t.Errorf("later run listed without a version: got version %q, want it unknown", got)
 	}
 }
+
+// Guards against a removed target that a router keeps until the next change, since it lost
+// the store before and gets the list from peers since.
+func TestEntryThatPeersReportMissingIsDroppedWithinTheDrainTimeoutWithoutTheStore(t *testing.T) {
+	r := newRosterWithOneTarget()
+	r.MarkStoreDown()
+	r.Merge(start.Add(10*time.Second), nil, 6, false)
+	if len(r.Targets()) != 1 {
+		t.Error("an entry that a list which is not settled lacks was dropped at once, want it kept")
+	}
+	r.RecordRead(start.Add(11 * time.Second))
+	if r.DropMissing(start.Add(10*time.Second + drainTimeout)); len(r.Targets()) != 0 {
+		t.Errorf("the removed target is still used %v after a peer has read the store without it", drainTimeout)
+	}
+}
+
+// Guards against targets that are dropped during an outage, on a list from before it.
+func TestEntryIsKeptDuringAnOutageOnAListOfThatTime(t *testing.T) {
+	r := newRosterWithOneTarget()
+	r.MarkStoreDown()
+	r.Merge(start, nil, 5, false)
+	if r.DropMissing(start.Add(time.Minute)); len(r.Targets()) != 1 {
+		t.Error("a target was dropped although no list shows that the store responds again")
+	}
+	r.Merge(start.Add(time.Minute), nil, 6, false)
+	r.RecordRead(start.Add(time.Minute))
+	if r.DropMissing(start.Add(2 * time.Minute)); len(r.Targets()) != 1 {
+		t.Error("a target was dropped although nobody has read the store since its entry expired")
+	}
+}
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -49,6 +49,7 @@
 		case change := <-d.changes:
 			changed = change(time.Now())
 		case now := <-ticker.C:
+			d.roster.RecordRead(now.Add(-d.node.freshness.age(now)))
 			changed = d.roster.DropMissing(now)
 		}
 		if changed {
