--- a/internal/core/targetlimit/fleet_test.go
+++ b/internal/core/targetlimit/fleet_test.go
@@ -46,7 +46,7 @@
 	routers []*modelRouter
 	// hubs hold the demand of the routers that a hub on either side of a partition hears,
 	// or has heard.
-	hubs map[bool]*Routers
+	hubs map[bool]*Tracker
 	// arrivals holds when requests reached each target.
 	arrivals [][]time.Duration
 	// firstNamed holds when each target first named its limit, 0 if it has not.
@@ -79,7 +79,7 @@
 }
 
 func (f fleet) run(seed uint64) *simulation {
-	s := &simulation{fleet: f, random: rand.New(rand.NewPCG(seed, 5)), arrivals: make([][]time.Duration, f.targets), firstNamed: make([]time.Duration, f.targets), hubs: map[bool]*Routers{false: NewRouters(), true: NewRouters()}}
+	s := &simulation{fleet: f, random: rand.New(rand.NewPCG(seed, 5)), arrivals: make([][]time.Duration, f.targets), firstNamed: make([]time.Duration, f.targets), hubs: map[bool]*Tracker{false: NewTracker(), true: NewTracker()}}
 	for i := range f.routers {
 		r := &modelRouter{name: ids.Instance(fmt.Sprintf("r%d", i)), weight: 0.5 + s.random.Float64()}
 		s.routers = append(s.routers, r)
--- a/internal/core/targetlimit/limiter.go
+++ b/internal/core/targetlimit/limiter.go
@@ -38,7 +38,7 @@
 	waiting int
 	// reportedDemand is this router's demand as of the last report.
 	reportedDemand float64
-	routers        *Routers
+	tracker        *Tracker
 	// others are the other routers on the fleet's list.
 	others []ids.Instance
 	// unheardSince is when routers were first missed that are listed and have not reported.
@@ -62,7 +62,7 @@
 
 // New returns a limiter without limits.
 func New(random *rand.Rand) *Limiter {
-	return &Limiter{random: random, limits: make(map[Run]*limit), routers: NewRouters()}
+	return &Limiter{random: random, limits: make(map[Run]*limit), tracker: NewTracker()}
 }
 
 // IsActive reports whether any target has a limit.
@@ -141,7 +141,7 @@
 func (l *Limiter) fleetSent(now time.Time, lim *limit) float64 {
 	sent := lim.sent.get(now, sentWindow)
 	for name, s := range lim.peersSent {
-		if !l.routers.isVisible(now, name) {
+		if !l.tracker.isVisible(now, name) {
 			delete(lim.peersSent, name)
 			continue
 		}
--- a/internal/core/targetlimit/report.go
+++ b/internal/core/targetlimit/report.go
@@ -52,7 +52,7 @@
 
 // ApplyPeerReport replaces what is known of a peer.
 func (l *Limiter) ApplyPeerReport(now time.Time, name ids.Instance, reports []Report, demand Demand) {
-	delete(l.routers.byName, fleetPeer)
+	delete(l.tracker.byName, fleetPeer)
 	l.apply(now, name, reports, demand)
 }
 
@@ -65,16 +65,16 @@
 		}
 	}
 	demand.Visible = max(0, demand.Visible-l.reportedDemand)
-	for name := range l.routers.byName {
+	for name := range l.tracker.byName {
 		if name != fleetPeer {
-			delete(l.routers.byName, name)
+			delete(l.tracker.byName, name)
 		}
 	}
 	l.apply(now, fleetPeer, reports, demand)
 }
 
 func (l *Limiter) apply(now time.Time, name ids.Instance, reports []Report, demand Demand) {
-	l.routers.Record(now, name, demand)
+	l.tracker.Record(now, name, demand)
 	for _, lim := range l.limits {
 		delete(lim.peersSent, name)
 	}
--- a/internal/node/limit_reports.go
+++ b/internal/node/limit_reports.go
@@ -57,14 +57,14 @@
 }
 
 // demandByService is the demand of routers for each service.
-type demandByService map[string]*targetlimit.Routers
+type demandByService map[string]*targetlimit.Tracker
 
 // record replaces the demand of a router, or of a failure domain.
 func (d demandByService) record(now time.Time, from ids.Instance, r *fleetv1.Report) {
 	demands := decodeLimits(&fleetv1.Report{Demands: r.GetDemands()}).Demands
 	for service := range demands {
 		if d[service] == nil {
-			d[service] = targetlimit.NewRouters()
+			d[service] = targetlimit.NewTracker()
 		}
 	}
 	for service, routers := range d {
