review: stand-ins and scripts for the cases of an independent review

Change: a module without dependencies, outside the default build, with stand-ins for the platform's store, the workers and the clients, and scripts that build it and play a case. Result: no test run or build of the project uses it.

--- /dev/null
+++ b/review/standin/worker.go
@@ -0,0 +1,238 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// received is a request that has reached a worker.
+type received struct {
+	at          time.Time
+	id, tenant  string
+	expects     string
+	body        string
+	worker      string
+	ran         bool
+	lastEventID string
+}
+
+// worker is a stand-in for a back end: a plain service, or a model worker whose responses are
+// event streams.
+type worker struct {
+	site    *site
+	service string
+	zone    string
+	address string
+	slots   int
+	// work is the time that a request takes; a stream has events of equal distance in it.
+	work   time.Duration
+	events int
+	// run is called with each request before it runs, nil for none. If it returns false, the
+	// worker ends there: it has crashed.
+	run func(w *worker, r received) bool
+	// coldStart is how long the worker is cold once it has become so.
+	coldStart time.Duration
+
+	mu       sync.Mutex
+	boot     int
+	name     string
+	id       string
+	born     time.Time
+	coldTill time.Time
+	busy     int
+	listener net.Listener
+	conns    map[net.Conn]bool
+	seq      int
+	stop     context.CancelFunc
+}
+
+// start starts a boot of the worker, which has a new id.
+func (w *worker) start() {
+	w.mu.Lock()
+	w.boot++
+	w.id = fmt.Sprintf("i-%s-%d", w.name, w.boot)
+	w.seq, w.busy = 1, 0
+	w.born, w.coldTill = time.Now(), time.Time{}
+	l, err := net.Listen("tcp", w.address)
+	if err != nil {
+		panic(err)
+	}
+	w.listener, w.conns = l, make(map[net.Conn]bool)
+	ctx, cancel := context.WithCancel(context.Background())
+	w.stop = cancel
+	id, boot := w.id, w.boot
+	w.mu.Unlock()
+	w.site.record("worker %s boot %d starts as %s at %s", w.name, boot, id, w.address)
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serve(rw, r, boot) }),
+		ConnState: func(c net.Conn, s http.ConnState) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.boot != boot {
+				return
+			}
+			switch s {
+			case http.StateNew:
+				w.conns[c] = true
+			case http.StateClosed:
+				delete(w.conns, c)
+			}
+		},
+	}
+	go func() { _ = server.Serve(l) }()
+	go w.beat(ctx, id)
+}
+
+// beat checks in at the store until ctx ends. A check-in that changes nothing does not change the
+// entry.
+func (w *worker) beat(ctx context.Context, id string) {
+	ticker := time.NewTicker(w.site.heartbeat)
+	defer ticker.Stop()
+	for {
+		w.checkIn(id)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (w *worker) checkIn(id string) {
+	w.mu.Lock()
+	if w.id != id {
+		w.mu.Unlock()
+		return
+	}
+	entry := map[string]any{
+		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": w.slots, "state": "ready",
+		"coldLeftMs": max(0, time.Until(w.coldTill).Milliseconds()), "seq": w.seq, "born": w.born.UnixMilli(),
+	}
+	w.mu.Unlock()
+	w.site.store.put("servers", id, entry)
+}
+
+// becomeCold makes the worker cold for coldStart, which it says at once in its entry and its health
+// responses.
+func (w *worker) becomeCold() {
+	w.mu.Lock()
+	w.coldTill = time.Now().Add(w.coldStart)
+	w.seq++
+	id := w.id
+	w.mu.Unlock()
+	w.site.record("worker %s (%s) is cold for %s", w.name, id, w.coldStart)
+	w.checkIn(id)
+}
+
+// leave removes the worker's entry without a state of draining before. The worker goes on serving.
+func (w *worker) leave() {
+	w.mu.Lock()
+	w.stop()
+	id := w.id
+	w.mu.Unlock()
+	w.site.store.remove("servers", id)
+	w.site.record("the entry of worker %s (%s) is removed", w.name, id)
+}
+
+// crash ends the worker's process: its connections are reset, and new ones refused. Its entry is
+// removed after three check-in intervals of silence.
+func (w *worker) crash() {
+	w.mu.Lock()
+	w.stop()
+	l, conns, id, boot := w.listener, w.conns, w.id, w.boot
+	w.conns = make(map[net.Conn]bool)
+	w.mu.Unlock()
+	_ = l.Close()
+	for c := range conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	w.site.record("worker %s boot %d (%s) crashes", w.name, boot, id)
+	time.AfterFunc(3*w.site.heartbeat, func() { w.site.store.remove("servers", id) })
+}
+
+func (w *worker) serve(rw http.ResponseWriter, r *http.Request, boot int) {
+	body, _ := io.ReadAll(r.Body)
+	w.mu.Lock()
+	id := w.id
+	if w.boot != boot {
+		w.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	coldLeft := max(0, time.Until(w.coldTill).Milliseconds())
+	w.mu.Unlock()
+	rw.Header().Set("Umberhill-Instance-Id", id)
+	if r.Method == http.MethodGet && r.URL.Path == "/health" {
+		rw.Header().Set("Umberhill-Cold-Ms", strconv.FormatInt(coldLeft, 10))
+		rw.WriteHeader(http.StatusOK)
+		return
+	}
+	if r.Method == http.MethodGet && r.URL.Path == "/report" {
+		answer(rw, map[string]any{"stage": "unified", "busy": false, "seq": 0, "waiting": 0, "running": w.busy, "kvUsed": 0, "kvTotal": 600000, "handles": 0, "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}})
+		return
+	}
+	got := received{
+		at: time.Now(), id: r.Header.Get("Umberhill-Request-Id"), tenant: r.Header.Get("Umberhill-Tenant"), expects: r.Header.Get("Umberhill-Expect-Instance"),
+		body: string(body), worker: w.name, lastEventID: r.Header.Get("Last-Event-Id"),
+	}
+	rw.Header().Set("Umberhill-Request-Id", got.id)
+	if got.expects != "" && got.expects != id {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.mu.Lock()
+	full := w.busy >= 2*w.slots
+	if !full {
+		w.busy++
+	}
+	w.mu.Unlock()
+	if full || got.id == "" {
+		rw.Header().Set("Umberhill-Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		w.site.arrived(got)
+		return
+	}
+	defer func() {
+		w.mu.Lock()
+		if w.boot == boot {
+			w.busy--
+		}
+		w.mu.Unlock()
+	}()
+	got.ran = true
+	w.site.arrived(got)
+	if w.run != nil && !w.run(w, got) {
+		panic(http.ErrAbortHandler)
+	}
+	rw.Header().Set("Umberhill-Response-Seal", "seal."+got.id+"."+w.name)
+	if w.events == 0 {
+		time.Sleep(w.work)
+		_, _ = io.WriteString(rw, "done "+got.id+" "+strings.Repeat("x", 700))
+		return
+	}
+	first := 1
+	if n, err := strconv.Atoi(got.lastEventID); err == nil {
+		first = n + 1
+	}
+	rw.Header().Set("Content-Type", "text/event-stream")
+	for i := first; i <= w.events; i++ {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(w.work / time.Duration(w.events)):
+		}
+		if _, err := fmt.Fprintf(rw, "id: %d\ndata: piece %d of %s\n\n", i, i, got.id); err != nil {
+			return
+		}
+		rw.(http.Flusher).Flush()
+	}
+}
