--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -136,15 +136,22 @@
 // read executes a call that changes no object. It returns ErrNotFound, ErrCompacted
 // or a *ReadError.
 func (c *Client) read(ctx context.Context, cl Call, limit int64, decode func(body []byte, era uint64) error) error {
-	resp, _, err := c.do(ctx, cl, limit)
+	resp, connected, err := c.do(ctx, cl, limit)
+	isCut := err != nil && connected && cl.Wait > 0 && !isTimeout(err)
 	if err == nil {
 		err = c.readResult(cl, resp, decode)
 	}
-	c.count(cl.Op, err)
-	if err == nil || errors.Is(err, ErrNotFound) || errors.Is(err, ErrCompacted) {
-		return err
+	if err != nil && !errors.Is(err, ErrNotFound) && !errors.Is(err, ErrCompacted) {
+		err = &ReadError{Step: cl.step(), URL: c.url(), Status: resp.status, RetryAfter: resp.retryAfter, IsCut: isCut, Err: err}
 	}
-	return &ReadError{Step: cl.step(), URL: c.url(), Status: resp.status, RetryAfter: resp.retryAfter, Err: err}
+	c.count(cl.Op, err)
+	return err
+}
+
+// isTimeout reports whether a call failed because nothing arrived in time.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
 func (c *Client) readResult(cl Call, resp response, decode func(body []byte, era uint64) error) error {
@@ -240,9 +247,12 @@
 	var notApplied *NotAppliedError
 	var unconfirmed *UnconfirmedError
 	var conflict *ConflictError
+	var read *ReadError
 	switch {
 	case err == nil:
 		return "ok"
+	case errors.As(err, &read) && read.IsCut:
+		return "cut"
 	case errors.Is(err, ErrNotFound):
 		return "not_found"
 	case errors.Is(err, ErrCompacted):
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -82,6 +82,9 @@
 	// RetryAfter is the delay after which the service accepts a retry, or 0 if it
 	// did not specify one.
 	RetryAfter time.Duration
+	// IsCut is set if the connection ended before a response, in a call that waits for
+	// changes and within its time limit.
+	IsCut bool
 	// Err is the cause.
 	Err error
 }
