--- a/internal/api/objects.go
+++ b/internal/api/objects.go
@@ -18,6 +18,8 @@
 	KindDrain Kind = "drains"
 	// KindClaims is the kind of a bucket of once-only claims.
 	KindClaims Kind = "claims"
+	// KindQuarantine is the kind of the record of crashes, which routers write.
+	KindQuarantine Kind = "quarantines"
 )
 
 // ConfigKinds are the kinds that routers watch and put in force.
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -93,11 +93,20 @@
 		Self:        ids.Instance(d.settings.Instance),
 		Incarnation: d.incarnation,
 		Broadcast:   d.broadcastQuarantine,
+		Send:        d.sendQuarantine,
 		IsIsolated:  d.isIsolated,
 		Duration:    seconds(d.settings.Quarantine.Seconds),
 		Logger:      d.logger,
 		Scope:       d.scope,
 	})
+	d.crashRecord = quarantine.NewRecorder(quarantine.RecorderOptions{
+		Controller: d.quarantine,
+		Store:      d.platform,
+		Kind:       api.KindQuarantine,
+		WriterRank: d.recordWriterRank,
+		Logger:     d.logger,
+		Scope:      d.scope,
+	})
 	d.relay = relay.New(relay.Options{
 		DialTimeout:         milliseconds(d.settings.Targets.DialMS),
 		EngineStallTimeout:  milliseconds(d.settings.Targets.StallMS),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,9 +63,11 @@
 	dispatcher *dispatch.Dispatcher
 	ledger     *ledger.Ledger
 	quarantine *quarantine.Controller
-	burn       *burn.Recorder
-	poller     *loadpoll.Poller
-	relay      *relay.Client
+	// crashRecord keeps the crashes that must outlast a restart of all routers.
+	crashRecord *quarantine.Recorder
+	burn        *burn.Recorder
+	poller      *loadpoll.Poller
+	relay       *relay.Client
 
 	directory      *directory.Directory
 	recentRequests *explain.RecentRequests
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -14,6 +14,7 @@
 		{Name: "engine load", Run: d.poller.Run},
 		{Name: "samples", Run: d.sample},
 		{Name: "quarantine", Run: d.quarantine.Run},
+		duty.Loop("record of crashes", d.crashRecord.Run),
 	}
 	for _, source := range d.tls.sources {
 		duties = append(duties, duty.Duty{Name: "certificates", Run: source.Run, Optional: true})
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -10,6 +10,7 @@
 	peerv1 "github.com/umberhill/umberhill/api/peer/v1"
 	quarantinev1 "github.com/umberhill/umberhill/api/quarantine/v1"
 	schedv1 "github.com/umberhill/umberhill/api/sched/v1"
+	"github.com/umberhill/umberhill/internal/core/member"
 	"github.com/umberhill/umberhill/internal/core/sched"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/peer"
@@ -53,6 +54,11 @@
 		}
 	}
 	d.dispatcher.Enqueue(sched.SetRouters{Routers: routers})
+	names := make([]ids.Instance, 0, len(live))
+	for _, p := range live {
+		names = append(names, p.Instance)
+	}
+	d.quarantine.PeersChanged(names)
 }
 
 // Serve implements peer.Handler. It answers a call of another router with JSON
@@ -86,13 +92,29 @@
 	d.mesh.Send(to, &peerv1.Envelope{Body: &peerv1.Envelope_Config{Config: msg}})
 }
 
+// recordWriterRank returns this router's place among the writers of the record of crashes.
+func (d *Daemon) recordWriterRank() (rank int, isWriter bool) {
+	var candidates []ids.Instance
+	for _, p := range d.mesh.Live() {
+		if !p.Draining {
+			candidates = append(candidates, p.Instance)
+		}
+	}
+	return member.RecordWriterRank(ids.Instance(d.settings.Instance), candidates)
+}
+
 // broadcastQuarantine sends a quarantine message to all live routers.
 func (d *Daemon) broadcastQuarantine(msg *quarantinev1.Message) {
 	for _, p := range d.mesh.Live() {
-		d.mesh.Send(p.Instance, &peerv1.Envelope{Body: &peerv1.Envelope_Quarantine{Quarantine: msg}})
+		d.sendQuarantine(p.Instance, msg)
 	}
 }
 
+// sendQuarantine sends a quarantine message to one router.
+func (d *Daemon) sendQuarantine(to ids.Instance, msg *quarantinev1.Message) {
+	d.mesh.Send(to, &peerv1.Envelope{Body: &peerv1.Envelope_Quarantine{Quarantine: msg}})
+}
+
 // liveIncarnation returns the incarnation in which an instance is live, and
 // false if it isn't live.
 func (d *Daemon) liveIncarnation(instance ids.Instance) (ids.Incarnation, bool) {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -293,10 +293,10 @@
 		names = append(names, p.Instance)
 		f.livePeers[p.Instance] = true
 		if !before[p.Instance] {
-			f.node.quarantine.PeerJoined(p.Instance)
 			f.node.evacuations.recordPeerJoined()
 		}
 	}
+	f.node.quarantine.PeersChanged(names)
 	for name := range before {
 		if !f.livePeers[name] {
 			f.node.scheduler.RecordLinkEnd(name)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -268,6 +268,9 @@
 // Directory returns the controller of the list of targets.
 func (n *Node) Directory() *Directory { return n.directory }
 
+// Quarantine returns the controller that refuses requests which crash targets.
+func (n *Node) Quarantine() *quarantine.Controller { return n.quarantine }
+
 // Evacuations returns the controller of the set of evacuated failure domains.
 func (n *Node) Evacuations() *Evacuations { return n.evacuations }
 
--- a/internal/node/releases.go
+++ b/internal/node/releases.go
@@ -8,6 +8,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/umberhill/umberhill/internal/core/member"
+	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/peer"
 )
 
@@ -19,10 +21,6 @@
 	HasSeveralVersions(ctx context.Context, service string) (bool, error)
 }
 
-// releaseWriters is the number of routers that keep the record of releases. With two, one
-// may fail.
-const releaseWriters = 2
-
 // recordTimeout bounds a read of the record of releases.
 const recordTimeout = 300 * time.Millisecond
 
@@ -39,24 +37,24 @@
 	return o.table.Mixed(now), o.table.RemembersListed(now)
 }
 
-// ReleaseWriterRank returns this router's place among those that keep the record of
-// releases, from 0, and false if it is none of them. The first hubs or routers by name are.
-func (n *Node) ReleaseWriterRank() (rank int, isWriter bool) {
-	self := n.settings.Instance
+// RecordWriterRank returns this router's place among those that keep the records of releases
+// and of crashes, from 0, and false if it is none of them. The first hubs or routers by name
+// are, once they have read the list of routers.
+func (n *Node) RecordWriterRank() (rank int, isWriter bool) {
 	if n.fleet == nil {
 		return 0, true
 	}
 	plan := n.fleet.plan.Load()
-	if plan.IsFollower() {
+	if plan.IsFollower() || !n.fleet.hasRouterList.Load() {
 		return 0, false
 	}
+	var candidates []ids.Instance
 	for _, p := range n.fleet.mesh.Live() {
-		isCandidate := plan.FullMesh || plan.IsHub(p.Domain, p.Instance)
-		if isCandidate && !p.Draining && p.Instance < self {
-			rank++
+		if !p.Draining && (plan.FullMesh || plan.IsHub(p.Domain, p.Instance)) {
+			candidates = append(candidates, p.Instance)
 		}
 	}
-	return rank, rank < releaseWriters
+	return member.RecordWriterRank(n.settings.Instance, candidates)
 }
 
 // Answers to a call of methodVersions.
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -135,6 +135,9 @@
 	deathCounter   uint64
 	lastFullSyncAt time.Time // time of the last full sync sent
 	lastDigestAt   time.Time // time of the last digest sent
+
+	// livePeers are those of the last PeersChanged, which alone uses it.
+	livePeers map[ids.Instance]bool
 }
 
 // death is the latest death of a target that this router observed.
--- a/internal/quarantine/controller_test.go
+++ b/internal/quarantine/controller_test.go
@@ -300,3 +300,23 @@
 		}
 	}
 }
+
+// Guards against a router that lets a suspect run freely after its restart, until the next
+// digest, although the others know it.
+func TestRestartedRouterIsToldOfSuspectsWhenItsLinkOpens(t *testing.T) {
+	f := newFleet(t, 2)
+	if !f.run(0, 1, "t1", Crashed) {
+		t.Fatal("a clean request was refused")
+	}
+	f.routers[1] = newFleet(t, 2).routers[1]
+	f.routers[0].PeersChanged([]ids.Instance{f.routers[1].opts.Self})
+	if f.routers[1].Admit(1).Run {
+		t.Error("a suspect runs freely at the restarted router, want it to be refused until its trial")
+	}
+	told := false
+	f.routers[0].opts.Send = func(ids.Instance, *quarantinev1.Message) { told = true }
+	f.routers[0].PeersChanged([]ids.Instance{f.routers[1].opts.Self})
+	if told {
+		t.Error("a router that was linked before was told again")
+	}
+}
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -41,12 +41,13 @@
 	}
 }
 
-// applyCrash records another router's report. It adds the crashes that it clears, since an
-// answer has just begun here on the part, to a message.
-func (c *Controller) applyCrash(m *quarantinev1.Crash, now time.Time, cleared *quarantinev1.Message) {
+// applyCrash records another router's report, and reports whether it changed the table. It
+// adds the crashes that it clears, since an answer has just begun here on the part, to a
+// message.
+func (c *Controller) applyCrash(m *quarantinev1.Crash, now time.Time, cleared *quarantinev1.Message) (changed bool) {
 	if len(m.GetCrashId()) > maxIDBytes || len(m.GetTarget()) > maxIDBytes {
 		c.scope.Counter("bad_messages").Inc(1)
-		return
+		return false
 	}
 	crash := quarantine.Crash{
 		Fingerprint: m.GetFingerprint(),
@@ -59,16 +60,17 @@
 	}
 	wasBlocked := c.table.IsPartBlocked(crash.Fingerprint, now, c.spread)
 	if !c.table.Add(crash, now) {
-		return
+		return false
 	}
 	if !quarantine.IsPart(crash.Fingerprint) {
 		c.logIfQuarantined(crash.Fingerprint, now)
-		return
+		return true
 	}
 	if c.sound.IsSound(crash.Fingerprint, now) {
 		c.clearPart(crash.Fingerprint, cleared)
 	}
 	c.logIfBlocked(crash.Fingerprint, wasBlocked)
+	return true
 }
 
 // crashesOfQuarantined returns a message with the crashes of the requests that are
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -111,32 +110,3 @@
 }
 
 func partName(part uint64) string { return fmt.Sprintf("%016x", part) }
-
-// PeerJoined sends a router to which a link has just been opened the crashes of what is
-// refused. The router may have restarted, and would let such requests crash targets until the
-// next digest.
-func (c *Controller) PeerJoined(peer ids.Instance) {
-	c.mu.Lock()
-	now := c.opts.Now()
-	msg := &quarantinev1.Message{}
-	for _, fp := range c.table.Fingerprints() {
-		if !c.isRefused(fp, now) || len(msg.Crashes) >= maxSyncCrashes {
-			continue
-		}
-		for _, crash := range c.table.CrashesOf(fp) {
-			msg.Crashes = append(msg.Crashes, encodeCrash(crash))
-		}
-	}
-	c.mu.Unlock()
-	if len(msg.Crashes) > 0 {
-		c.opts.Send(peer, msg)
-	}
-}
-
-// isRefused reports whether requests with the fingerprint, or with the part, are refused.
-func (c *Controller) isRefused(fp uint64, now time.Time) bool {
-	if quarantine.IsPart(fp) {
-		return c.table.IsPartBlocked(fp, now, c.spread)
-	}
-	return c.opts.DeathThreshold > 0 && c.table.CountDeaths(fp, now) >= c.opts.DeathThreshold
-}
--- a/test/once/crash_test.go
+++ b/test/once/crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/umberhill/umberhill/internal/api"
 	"github.com/umberhill/umberhill/internal/bench"
 	"github.com/umberhill/umberhill/internal/faultlink"
 	"github.com/umberhill/umberhill/internal/harness"
@@ -90,6 +92,41 @@
 		}, eventualTimeout).Should(BeNumerically(">=", 1)) // the metric is updated at intervals
 	})
 
+	// Guards against a request that crashes targets anew after a restart of all routers, since
+	// its crashes were in their memory only.
+	It("crashes no further target after all routers have been killed and started again", func(ctx context.Context) {
+		poison := harness.CompletionRequest{Model: model, Prompt: "poison after a restart " + engine.CrashMarker, MaxTokens: 4}
+		isQuarantined := func() bool {
+			_, resp := complete(ctx, 0, poison)
+			return resp.Refusal != nil && resp.Refusal.Code == outcome.CodeQuarantined
+		}
+		recorded := func() (n int) {
+			list, err := fleet.Platform.List(ctx, api.KindQuarantine)
+			Expect(err).NotTo(HaveOccurred())
+			for _, o := range list.Objects {
+				n += strings.Count(string(o.Value), `"fingerprint"`)
+			}
+			return n
+		}
+		recordedBefore := recorded() // by other specs
+		Eventually(isQuarantined, eventualTimeout).Should(BeTrue())
+		Eventually(recorded, eventualTimeout).Should(BeNumerically(">=", recordedBefore+2))
+		before := crashes.Load()
+		for _, r := range fleet.Routers {
+			Expect(r.Kill()).To(Succeed())
+		}
+		for _, r := range fleet.Routers {
+			Expect(r.Restart(ctx)).To(Succeed())
+		}
+		time.Sleep(pastTimeouts)
+		for i := range 2 * len(fleet.Routers) {
+			_, resp := complete(ctx, i, poison)
+			Expect(resp.Refusal).NotTo(BeNil())
+			Expect(resp.Refusal.Code).To(Equal(outcome.CodeQuarantined))
+		}
+		Expect(crashes.Load()).To(Equal(before))
+	})
+
 	It("crashes at most one more target for a partitioned router, which refuses it once the links are restored", func(ctx context.Context) {
 		last := len(fleet.Routers) - 1
 		partitioned := fleet.Routers[last]
