--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	fleetv1 "github.com/umberhill/umberhill/api/fleet/v1"
@@ -103,6 +104,11 @@
 func (d *Directory) merge(list *fleetv1.TargetList) {
 	entries := make([]roster.Entry, 0, len(list.GetTargets()))
 	for _, e := range list.GetTargets() {
+		if slots := e.GetSlots(); slots < 1 || slots > routing.MaxSlots {
+			// A router of an earlier release takes such entries of the store for targets.
+			d.node.logger.WithFields(logrus.Fields{"target": e.GetId(), "slots": slots}).Warn("target entry of a peer is invalid; ignoring it")
+			continue
+		}
 		entries = append(entries, roster.Entry{ColdLeft: time.Duration(e.GetColdMs()) * time.Millisecond, Revision: revision.Join(e.GetEra(), e.GetRevision()), Seq: e.GetSeq(), Target: routing.Target{
 			ID:          ids.Target(e.GetId()),
 			Address:     e.GetAddress(),
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -198,18 +198,36 @@
 
 // Page implements Wire.
 func (defaultWire) Page(_ Call, body []byte) (Page, error) {
-	var out struct {
-		Revision uint64   `json:"revision"`
-		Objects  []Object `json:"objects"`
+	var in struct {
+		Revision uint64 `json:"revision"`
 	}
-	err := json.Unmarshal(body, &out)
-	return Page{Objects: out.Objects, Revision: out.Revision}, errors.Wrap(err, "bad answer")
+	var out Page
+	err := DecodeObjects(body, "objects", []string{"value"}, &in, func(element []byte, value json.RawMessage) error {
+		var o Object
+		err := json.Unmarshal(element, &o)
+		o.Value = value
+		out.Objects = append(out.Objects, o)
+		return err
+	})
+	out.Revision = in.Revision
+	return out, errors.Wrap(err, "bad answer")
 }
 
 // Events implements Wire.
 func (defaultWire) Events(_ Call, body []byte) (WatchResult, error) {
+	var in struct {
+		Revision uint64 `json:"revision"`
+	}
 	var out WatchResult
-	return out, errors.Wrap(json.Unmarshal(body, &out), "bad answer")
+	err := DecodeObjects(body, "events", []string{"object", "value"}, &in, func(element []byte, value json.RawMessage) error {
+		var e Event
+		err := json.Unmarshal(element, &e)
+		e.Object.Value = value
+		out.Events = append(out.Events, e)
+		return err
+	})
+	out.Revision = in.Revision
+	return out, errors.Wrap(err, "bad answer")
 }
 
 // DeletionRevision implements Wire.
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -7,6 +7,10 @@
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
+// MaxSlots bounds Target.Slots, as api.Target bounds its concurrency. An entry with more is
+// not that of a target.
+const MaxSlots = 100_000
+
 // Target is one run of a back end. A restart begins a new run.
 type Target struct {
 	ID ids.Target
