--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -121,12 +121,11 @@
 	}
 	defer a.stopAbort()
 	a.limitSilence(ctx, a.firstEventTimeout())
-	if a.resp == nil {
-		if err := a.receive(); err != nil {
-			return outcomeUnknown, err
-		}
+	meta, err := a.receiveOwn()
+	if err != nil {
+		return outcomeUnknown, err
 	}
-	return a.handleResponse(a.resp)
+	return a.handleResponse(a.resp, meta)
 }
 
 // send sends the request to the target. Its outcome is outcomeSent if that succeeded.
@@ -241,20 +240,13 @@
 	return r.URL.RequestURI()
 }
 
-// handleResponse checks the status and header of a response and relays the response
-// to the caller if they are valid.
-func (a *attempt) handleResponse(resp *http.Response) (attemptOutcome, error) {
-	respMeta := a.server.opts.Headers.DecodeResponse(resp)
-	a.reportStatement(resp.StatusCode, respMeta)
-	if respMeta.ID != "" && respMeta.ID != a.meta.ID {
-		return a.invalidResponse("response carries the id of another request")
-	}
+// handleResponse checks the status and header of the response to this request and relays
+// the response to the caller if they are valid.
+func (a *attempt) handleResponse(resp *http.Response, respMeta ResponseMeta) (attemptOutcome, error) {
 	success := resp.StatusCode/100 == 2
 	switch {
 	case respMeta.NotRun && !success:
 		return a.rejectedByTarget(resp, respMeta)
-	case respMeta.ID == "" && a.meta.ID != "":
-		return a.invalidResponse("response without a request id")
 	case success && !respMeta.Signed:
 		return a.invalidResponse("success response without the target's signature")
 	case success && isEventStream(resp):
@@ -270,9 +262,14 @@
 }
 
 func (a *attempt) invalidResponse(message string) (attemptOutcome, error) {
+	return outcomeUnknown, a.rejectResponse(message)
+}
+
+// rejectResponse closes the connection and returns the error of an invalid response.
+func (a *attempt) rejectResponse(message string) error {
 	a.conn.Close()
 	a.end.Result = admit.Failed
-	return outcomeUnknown, errors.Mark(errors.New(message), upstream.ErrMalformedResponse)
+	return errors.Mark(errors.New(message), upstream.ErrMalformedResponse)
 }
 
 // rejectedByTarget ends an attempt that the target states it did not run.
--- a/internal/edge/failover.go
+++ b/internal/edge/failover.go
@@ -79,16 +79,15 @@
 		return outcomeSent, nil
 	}
 	a.conn.SetReadLimits(upstream.ReadLimits{Deadline: a.deadline})
-	if err := a.receive(); err != nil {
+	meta, err := a.receiveOwn()
+	if err != nil {
 		a.stopAbort()
 		return outcomeUnknown, err
 	}
-	meta := a.server.opts.Headers.DecodeResponse(a.resp)
 	success := a.resp.StatusCode/100 == 2
-	if success && meta.ID == a.meta.ID && meta.Signed && isEventStream(a.resp) {
+	if success && meta.Signed && isEventStream(a.resp) {
 		return outcomeSent, nil
 	}
-	a.reportStatement(a.resp.StatusCode, meta)
 	a.stopAbort()
 	a.conn.Close()
 	if success || !meta.NotRun {
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -118,5 +118,7 @@
 	// Silence is how long the target had sent nothing when the router ended the attempt
 	// for that reason, 0 if the attempt ended otherwise.
 	Silence time.Duration
-	Error   string
+	// ExtraResponses counts the responses of other requests that were skipped.
+	ExtraResponses int
+	Error          string
 }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -290,6 +290,8 @@
 	served, refused, failed, retried, resumed, canceled tally.Counter
 	// refusedEarly counts the refused requests that net/http did not parse.
 	refusedEarly tally.Counter
+	// responsesExtra counts the responses of other requests that were skipped.
+	responsesExtra tally.Counter
 	// responsesFull counts the responses for which the budget had no room.
 	responsesFull tally.Counter
 	// bodiesYielded and responsesYielded count the transfers that were ended to make room for
@@ -314,6 +316,8 @@
 		canceled:      scope.Counter("requests_left"),
 		responsesFull: scope.Counter("responses_full"),
 
+		responsesExtra: scope.Counter("responses_extra"),
+
 		bodiesYielded:    scope.Counter("bodies_yielded"),
 		responsesYielded: scope.Counter("responses_yielded"),
 		streamsStalled:   scope.Counter("streams_stalled"),
--- a/internal/node/request_log.go
+++ b/internal/node/request_log.go
@@ -246,6 +246,8 @@
 	ChargedTokens int    `json:"charged_tokens,omitempty"`
 	NotRun        bool   `json:"not_run,omitempty"`
 	SilenceMS     int64  `json:"silence_ms,omitempty"`
+
+	ExtraResponses int `json:"extra_responses,omitempty"`
 }
 
 func loggedAttempts(entries []edge.AttemptRecord) []loggedAttempt {
@@ -262,6 +264,8 @@
 			ChargedTokens: a.Inputs.ChargedTokens,
 			NotRun:        a.NotRun,
 			SilenceMS:     a.Silence.Milliseconds(),
+
+			ExtraResponses: a.ExtraResponses,
 		})
 	}
 	return out
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -77,6 +77,8 @@
 	reusableUntil time.Time
 	// mustClose is set if the connection must not carry another request.
 	mustClose bool
+	// sent is the number of requests sent.
+	sent int
 	// bytesSent is set once a byte of the request may have been sent.
 	bytesSent atomic.Bool
 	// requests counts the requests written in the background, and responding is set once a
@@ -162,6 +164,13 @@
 // HasSentBytes reports whether a byte of the last request may have been sent.
 func (c *Conn) HasSentBytes() bool { return c.bytesSent.Load() }
 
+// IsReused reports whether the connection has carried requests before the last one, whose
+// responses may still arrive.
+func (c *Conn) IsReused() bool { return c.sent > 1 }
+
+// DisableReuse makes the connection end with the current response.
+func (c *Conn) DisableReuse() { c.mustClose = true }
+
 // SetReadLimits sets the limits for future reads. A silence begins anew.
 func (c *Conn) SetReadLimits(l ReadLimits) {
 	c.limits = l
@@ -186,6 +195,7 @@
 // Send writes a request. A request with a body larger than MaxInlineBodyBytes may
 // still be in transmission when Send returns.
 func (c *Conn) Send(r *Request) error {
+	c.sent++
 	c.bytesSent.Store(false)
 	c.writeDone = nil
 	c.lastReadAt = time.Now()
