An old list of targets does not tell at which version a stream began (ORDER)

Cause: what a router remembers of the versions of the last 30 s was counted from its start, as if its list had been current ever since.

Change: core/streams knows as of when the list is complete, from reads of the store and from reports of peers that have listed nothing newer. While the list is old, and for 30 s after, the router asks its peers, reads the list and the record of releases again, one read for all callers that wait, and refuses what it cannot tell. A router without a peer address ended in the log of evenness; fixed too.

--- a/internal/core/streams/streams.go
+++ b/internal/core/streams/streams.go
@@ -3,7 +3,9 @@
 // resumes it at another router. It is a deterministic state machine without I/O or clock.
 //
 // Invariants: an origin is forgotten, never guessed, when its time has passed or the table is
-// full. Of two notes on a stream the one that arrives last counts: a stream without events
+// full. That all streams of a service began at one version is claimed only if the list of
+// versions has been current throughout TTL: while it is not, streams may begin at versions
+// that were never listed here. Of two notes on a stream the one that arrives last counts: a stream without events
 // may start again at another version.
 package streams
 
@@ -53,7 +55,11 @@
 type Table struct {
 	// remembersSince is the time from which on the table knows which versions were listed.
 	remembersSince time.Time
-	origins        map[ID]timedNote
+	// listedAt is the latest time as of which the list is known to be complete, zero if none.
+	// A list that is older than maxListAge is not current.
+	listedAt   time.Time
+	maxListAge time.Duration
+	origins    map[ID]timedNote
 	// order holds the notes in the order in which they were added, from first on.
 	order []timedNote
 	first int
@@ -72,9 +78,10 @@
 	unsent []timedNote
 }
 
-// New returns an empty table that remembers the listed versions from a time on.
-func New(remembersSince time.Time) *Table {
-	return &Table{remembersSince: remembersSince, origins: make(map[ID]timedNote), services: make(map[string]*service)}
+// New returns an empty table that remembers the listed versions from a time on. A list older
+// than maxListAge is not current.
+func New(remembersSince time.Time, maxListAge time.Duration) *Table {
+	return &Table{remembersSince: remembersSince, maxListAge: maxListAge, origins: make(map[ID]timedNote), services: make(map[string]*service)}
 }
 
 func (t *Table) service(name string) *service {
@@ -118,8 +125,29 @@
 	return versions > 1
 }
 
+// RecordComplete records that the list of versions is complete as of a time. If it has not
+// been current until then, versions may have come and gone in between.
+func (t *Table) RecordComplete(now, at time.Time) {
+	if !t.listedAt.IsZero() && now.Sub(t.listedAt) > t.maxListAge {
+		t.remembersSince = now
+	}
+	if at.After(t.listedAt) {
+		t.listedAt = at
+	}
+}
+
+// IsCurrent reports whether the list of versions is recent.
+func (t *Table) IsCurrent(now time.Time) bool {
+	return !t.listedAt.IsZero() && now.Sub(t.listedAt) <= t.maxListAge
+}
+
+// RemembersSince returns the time from which on the table knows which versions were listed.
+func (t *Table) RemembersSince() time.Time { return t.remembersSince }
+
 // RemembersListed reports whether the table knows all versions that were listed within TTL.
-func (t *Table) RemembersListed(now time.Time) bool { return now.Sub(t.remembersSince) >= TTL }
+func (t *Table) RemembersListed(now time.Time) bool {
+	return t.IsCurrent(now) && now.Sub(t.remembersSince) >= TTL
+}
 
 // Mixed returns the services of which streams may have begun at different versions.
 func (t *Table) Mixed(now time.Time) []string {
--- a/internal/core/streams/streams_test.go
+++ b/internal/core/streams/streams_test.go
@@ -10,6 +10,8 @@
 
 var start = time.Unix(1000, 0)
 
+const maxListAge = 2 * time.Second
+
 func note(request, version string) streams.Note {
 	return streams.Note{Stream: streams.NewID(request), Origin: streams.Origin{Service: "llm", Version: version}}
 }
@@ -25,7 +27,7 @@
 // Guards against an origin that is forgotten while callers may resume the stream, and
 // against one that is kept for good.
 func TestOriginIsKnownForTTL(t *testing.T) {
-	table, n := streams.New(start), note("a", "v1")
+	table, n := streams.New(start, maxListAge), note("a", "v1")
 	table.Record(start, n)
 	for _, c := range []struct {
 		after time.Duration
@@ -40,7 +42,7 @@
 // Guards against a table that grows without bound, and against a later note of a stream that
 // is forgotten with the first one.
 func TestStreamsAreBoundedAndTheLatestNoteCounts(t *testing.T) {
-	table := streams.New(start)
+	table := streams.New(start, maxListAge)
 	table.Record(start, note("again", "v1"))
 	const added = 40000
 	for i := range added {
@@ -65,7 +67,7 @@
 // Guards against notes that peers never receive: those of streams that began before a second
 // version was listed.
 func TestNotesAreSentOnceTheServiceIsMixed(t *testing.T) {
-	table := streams.New(start)
+	table := streams.New(start, maxListAge)
 	table.SetListed(start, listed("v1"))
 	table.RecordOwn(start, note("a", "v1"), false)
 	if got := table.TakeNotes(start); len(got) > 0 || table.IsMixed(start, "llm") {
@@ -83,7 +85,7 @@
 
 // Guards against notes that are held back although the route has several services.
 func TestNotesOfSplitRoutesAreSentAtOnce(t *testing.T) {
-	table := streams.New(start)
+	table := streams.New(start, maxListAge)
 	table.SetListed(start, listed("v1"))
 	table.RecordOwn(start, note("a", "v1"), true)
 	if got := table.TakeNotes(start); len(got) != 1 {
@@ -94,7 +96,7 @@
 // Guards against a service that counts as of one version while streams of another one may
 // still be resumed, and against one that stays mixed for good.
 func TestServiceIsMixedForTTLAfterAVersionHasLeft(t *testing.T) {
-	table := streams.New(start)
+	table := streams.New(start, maxListAge)
 	table.SetListed(start, listed("v1"))
 	table.SetListed(start.Add(time.Second), listed("v2"))
 	left := start.Add(time.Second)
@@ -111,3 +113,37 @@
 		t.Error("two versions listed for an hour: got mixed false, want true")
 	}
 }
+
+// Guards against a router that takes the versions it has listed for all there were, although
+// its list was old for a while (ORDER).
+func TestListThatWasOldDoesNotTellAllVersions(t *testing.T) {
+	seconds := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	table := streams.New(start.Add(-streams.TTL), maxListAge)
+	for _, c := range []struct {
+		now, completeAt            float64 // completeAt < 0: nothing is heard
+		wantCurrent, wantRemembers bool
+	}{
+		{0, -1, false, false},
+		{0.1, 0, true, true},
+		{1, 0.9, true, true},
+		{1.5, 0.2, true, true}, // an older report that arrives late
+		{2.9, -1, true, true},
+		{3, -1, false, false},
+		{9, -1, false, false},
+		{9.1, 9, true, false},
+		{20, 19.9, true, false},
+		{38, 38, true, false},
+		{39.2, 39.1, true, true},
+	} {
+		if c.completeAt >= 0 {
+			for at := 9.5; at < c.now && c.now > 10; at++ {
+				table.RecordComplete(seconds(at), seconds(at))
+			}
+			table.RecordComplete(seconds(c.now), seconds(c.completeAt))
+		}
+		now := seconds(c.now)
+		if table.IsCurrent(now) != c.wantCurrent || table.RemembersListed(now) != c.wantRemembers {
+			t.Errorf("at %v s: got current %t, remembers %t, want %t, %t", c.now, table.IsCurrent(now), table.RemembersListed(now), c.wantCurrent, c.wantRemembers)
+		}
+	}
+}
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -89,6 +89,21 @@
 	})
 }
 
+// recordComplete records that the list, with all changes queued so far, is complete as of a
+// time. It returns once these are in force.
+func (d *Directory) recordComplete(at time.Time) {
+	done := make(chan struct{})
+	d.enqueue(func(time.Time) bool {
+		d.node.streamOrigins.recordComplete(at)
+		close(done)
+		return false
+	})
+	select {
+	case <-done:
+	case <-d.done:
+	}
+}
+
 // MarkStoreDown records that the store does not respond.
 func (d *Directory) MarkStoreDown() {
 	d.enqueue(func(time.Time) bool { d.roster.MarkStoreDown(); return false })
--- a/internal/node/evenness_log.go
+++ b/internal/node/evenness_log.go
@@ -12,8 +12,7 @@
 // the routers of a full mesh do, since the others know no more than their hub.
 func (n *Node) reportEvenness(tick int) {
 	all := n.scheduler.TakeEvenness()
-	plan := n.fleet.plan.Load()
-	if plan == nil || plan.IsFollower() {
+	if n.isFollower() {
 		return
 	}
 	for _, e := range all {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -279,9 +279,15 @@
 	f.node.evacuations.receive(from.Instance, report)
 	f.node.evacuations.observeFreshness(time.Now(), from.Instance, report)
 	f.handleReport(from, report)
-	f.requestPull(pullRequest{peer: from.Instance, method: methodTargets, revision: revision.Join(report.GetStoreEra(), report.GetTargetsAsOf())})
+	targetsAsOf := revision.Join(report.GetStoreEra(), report.GetTargetsAsOf())
+	f.requestPull(pullRequest{peer: from.Instance, method: methodTargets, revision: targetsAsOf})
 	f.requestPull(pullRequest{peer: from.Instance, method: methodConfig, revision: report.GetConfigVersion()})
-	f.node.freshness.observe(time.Now(), time.Duration(report.GetRefreshedAgeMs())*time.Millisecond)
+	now, age := time.Now(), time.Duration(report.GetRefreshedAgeMs())*time.Millisecond
+	f.node.freshness.observe(now, age)
+	if targetsAsOf <= f.revisionOf(methodTargets) {
+		// This router lacks nothing of what the peer has listed.
+		f.node.streamOrigins.recordComplete(now.Add(-age))
+	}
 }
 
 // PeersChanged implements peer.Handler.
--- a/internal/node/freshness.go
+++ b/internal/node/freshness.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/umberhill/umberhill/internal/core/rendezvous"
 	"github.com/umberhill/umberhill/internal/ids"
@@ -95,12 +96,37 @@
 		if now.Before(next) || !isDue(&n.freshness) {
 			continue
 		}
-		if err := n.refresher(ctx); err != nil {
+		if err := n.readAgain(ctx); err != nil {
 			// The watches of the store log the outage.
 			next = time.Now().Add(refreshRetryDelay)
-			continue
 		}
-		n.freshness.observe(now, 0)
+	}
+}
+
+// readAgain reads the store again.
+func (n *Node) readAgain(ctx context.Context) error {
+	start := time.Now()
+	if err := n.refresher(ctx); err != nil {
+		return err
+	}
+	n.freshness.observe(start, 0)
+	n.directory.recordComplete(start)
+	return nil
+}
+
+// refreshNow reads the store again and returns once the list is in force, or ctx is done.
+// Concurrent calls share one read.
+func (n *Node) refreshNow(ctx context.Context) error {
+	if n.refresher == nil {
+		return errors.New("no store to read")
+	}
+	// The read goes on for other callers, within the time limit of its calls.
+	result := n.refreshes.DoChan("", func() (any, error) { return nil, n.readAgain(context.WithoutCancel(ctx)) })
+	select {
+	case r := <-result:
+		return r.Err
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/umberhill/umberhill/internal/connlimit"
 	"github.com/umberhill/umberhill/internal/core/admit"
@@ -131,6 +132,8 @@
 
 	freshness freshness
 	refresher Refresher
+	// refreshes are the reads of the store that requests wait for.
+	refreshes singleflight.Group
 
 	draining atomic.Bool
 	// duties run for the duration of Run.
--- a/internal/node/releases.go
+++ b/internal/node/releases.go
@@ -16,9 +16,9 @@
 // ReleaseRecord tells which services have had several software versions at a time, also
 // before all routers started.
 type ReleaseRecord interface {
-	// HasSeveralVersions reports whether the record has the service. It may call the
-	// platform until ctx ends.
-	HasSeveralVersions(ctx context.Context, service string) (bool, error)
+	// HasSeveralVersions reports whether the record has the service, as of a read that began
+	// after a time. It may call the platform until ctx ends.
+	HasSeveralVersions(ctx context.Context, service string, after time.Time) (bool, error)
 }
 
 // recordTimeout bounds a read of the record of releases.
@@ -81,7 +81,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	several, err := record.HasSeveralVersions(ctx, service)
+	o.mu.Lock()
+	since := o.table.RemembersSince()
+	o.mu.Unlock()
+	several, err := record.HasSeveralVersions(ctx, service, since)
 	if err != nil {
 		o.node.logger.WithError(err).WithField("step", "read the record of releases").Warn("cannot tell at which version a stream began; it is not resumed")
 		return false
--- a/internal/node/stream_origins.go
+++ b/internal/node/stream_origins.go
@@ -29,6 +29,9 @@
 	// askTimeout bounds the wait for peers that are asked for the origin of a stream. A
 	// follower's hub asks other hubs within it.
 	askTimeout = 150 * time.Millisecond
+	// listAgeSlack is how much older the list may be than the age at which the last router
+	// reads it again: the time of that read, and of the reports that tell of it.
+	listAgeSlack = 500 * time.Millisecond
 	// maxAsks bounds the streams whose origins are asked for at the same time.
 	maxAsks = 64
 )
@@ -49,7 +52,21 @@
 	if n.settings.FirstStart {
 		remembersSince = remembersSince.Add(-streams.TTL)
 	}
-	return &streamOrigins{node: n, asks: make(chan struct{}, maxAsks), table: streams.New(remembersSince)}
+	maxListAge := n.refreshAgeOf(maxRefreshRank) + listAgeSlack
+	return &streamOrigins{node: n, asks: make(chan struct{}, maxAsks), table: streams.New(remembersSince, maxListAge)}
+}
+
+// recordComplete records that the list of targets in force is complete as of a time.
+func (o *streamOrigins) recordComplete(at time.Time) {
+	now := time.Now()
+	o.mu.Lock()
+	hadInterruption := o.table.RemembersSince()
+	o.table.RecordComplete(now, at)
+	isInterrupted := o.table.RemembersSince() != hadInterruption
+	o.mu.Unlock()
+	if isInterrupted {
+		o.node.logger.Info("list of targets is current again; streams of unknown origin are asked for")
+	}
 }
 
 // Record implements edge.StreamOrigins.
@@ -64,24 +81,46 @@
 	id, now := streams.NewID(request), time.Now()
 	o.mu.Lock()
 	origin, known := o.table.Origin(now, id)
-	ambiguous := isSplit || o.table.IsMixed(now, service)
+	isOne := !isSplit && !o.table.IsMixed(now, service)
 	remembers := o.table.RemembersListed(now)
 	o.mu.Unlock()
 	switch {
 	case known:
 		return origin, edge.OriginKnown
-	case !ambiguous && remembers:
+	case isOne && remembers:
 		return streams.Origin{}, edge.OriginAny
 	}
 	if origin, known = o.ask(ctx, id); known {
 		return origin, edge.OriginKnown
 	}
-	if !ambiguous && o.hadOneVersion(ctx, service) {
+	if isOne && o.listsOneVersion(ctx, service) && o.hadOneVersion(ctx, service) {
 		return streams.Origin{}, edge.OriginAny
 	}
 	return streams.Origin{}, edge.OriginUnknown
 }
 
+// listsOneVersion reports whether a list that is current has one version of a service. It
+// reads the list again if it is not.
+func (o *streamOrigins) listsOneVersion(ctx context.Context, service string) bool {
+	isCurrent := func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.table.IsCurrent(time.Now())
+	}
+	if !isCurrent() {
+		ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+		defer cancel()
+		if err := o.node.refreshNow(ctx); err != nil {
+			o.node.logger.WithError(err).WithField("step", "read the list of targets").Warn("cannot tell at which version a stream began; it is not resumed")
+			return false
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	return o.table.IsCurrent(now) && !o.table.IsMixed(now, service)
+}
+
 // setTargets records which software versions are listed.
 func (o *streamOrigins) setTargets(all []routing.Target) {
 	listed := make(map[string]map[string]bool)
