--- a/internal/edge/own_response.go
+++ b/internal/edge/own_response.go
@@ -19,15 +19,16 @@
 // errIncompleteExtra is the reason for which the response behind an extra one is not read.
 var errIncompleteExtra = errors.New("extra response has no end on the connection, or a long body")
 
-// receiveOwn receives the head of the response to this request. On a connection that has
+// receiveOwn receives the head of the response to this request, unless that is done. On a connection that has
 // carried other requests, it skips extra responses, which may arrive where the next response
 // is expected. If it fails, it closes the connection.
 func (a *attempt) receiveOwn() (ResponseMeta, error) {
+	if a.resp != nil {
+		return a.server.opts.Headers.DecodeResponse(a.resp), nil
+	}
 	for extra := 0; ; extra++ {
-		if a.resp == nil {
-			if err := a.receive(); err != nil {
-				return ResponseMeta{}, err
-			}
+		if err := a.receive(); err != nil {
+			return ResponseMeta{}, err
 		}
 		meta := a.server.opts.Headers.DecodeResponse(a.resp)
 		a.reportStatement(a.resp.StatusCode, meta)
@@ -47,7 +48,6 @@
 		if err := skipBody(a.resp); err != nil {
 			return ResponseMeta{}, errors.CombineErrors(a.rejectResponse(message), err)
 		}
-		a.resp = nil
 	}
 }
 
--- a/internal/node/stream_origins.go
+++ b/internal/node/stream_origins.go
@@ -60,11 +60,11 @@
 func (o *streamOrigins) recordComplete(at time.Time) {
 	now := time.Now()
 	o.mu.Lock()
-	hadInterruption := o.table.RemembersSince()
+	before := o.table.RemembersSince()
 	o.table.RecordComplete(now, at)
-	isInterrupted := o.table.RemembersSince() != hadInterruption
+	wasInterrupted := o.table.RemembersSince() != before
 	o.mu.Unlock()
-	if isInterrupted {
+	if wasInterrupted {
 		o.node.logger.Info("list of targets is current again; streams of unknown origin are asked for")
 	}
 }
