Evidence of long ago does not interrupt a list of targets

Found by reading the change again. At the first start of a system, peers without a list report a read of long ago. That counted as the first evidence, and the first read that is current then as the end of an interruption: for 30 s resumed streams of unknown origin were asked for, and refused where nobody can tell, although nothing had run before.

Change: evidence older than a list may be has no effect.

--- a/internal/core/streams/streams.go
+++ b/internal/core/streams/streams.go
@@ -5,8 +5,8 @@
 // Invariants: an origin is forgotten, never guessed, when its time has passed or the table is
 // full. That all streams of a service began at one version is claimed only if the list of
 // versions has been current throughout TTL: while it is not, streams may begin at versions
-// that were never listed here. Of two notes on a stream the one that arrives last counts: a stream without events
-// may start again at another version.
+// that were never listed here. Of two notes on a stream the one that arrives last counts: a
+// stream without events may start again at another version.
 package streams
 
 import (
@@ -126,8 +126,12 @@
 }
 
 // RecordComplete records that the list of versions is complete as of a time. If it has not
-// been current until then, versions may have come and gone in between.
+// been current until then, versions may have come and gone in between. A time of long ago
+// does not make the list current and has no effect.
 func (t *Table) RecordComplete(now, at time.Time) {
+	if now.Sub(at) > t.maxListAge {
+		return
+	}
 	if !t.listedAt.IsZero() && now.Sub(t.listedAt) > t.maxListAge {
 		t.remembersSince = now
 	}
--- a/internal/core/streams/streams_test.go
+++ b/internal/core/streams/streams_test.go
@@ -147,3 +147,24 @@
 		}
 	}
 }
+
+// Guards against a first start that counts as an interruption, and a router that is told so
+// with each report, since a peer without a list reports a read of long ago.
+func TestEvidenceOfLongAgoIsNone(t *testing.T) {
+	table := streams.New(start.Add(-streams.TTL), maxListAge)
+	table.RecordComplete(start, start.Add(-time.Hour))
+	now := start.Add(time.Second)
+	table.RecordComplete(now, now)
+	if !table.RemembersListed(now) {
+		t.Error("first evidence that the list is current, after one of long ago: counts as an interruption")
+	}
+	later := now.Add(2 * maxListAge)
+	table.RecordComplete(later, now)
+	if got := table.RemembersSince(); got.After(start) {
+		t.Errorf("old evidence while the list is old: remembers since %v after the start, want the interruption to be recorded at its end", got.Sub(start))
+	}
+	table.RecordComplete(later, later)
+	if table.RemembersListed(later) || !table.IsCurrent(later) {
+		t.Error("end of an interruption: the versions listed count as remembered")
+	}
+}
