Log: the first and last event of each attempt, and the status of its response

What operators saw: a stream that goes on at another target, goes back to event 1 there, or leaves out events at the join has the same "request ended" line in all cases: the number of events and the error of each attempt. Each attempt in "request ended" now also has first_event and last_event, the ids accepted from its target, and status, that of the target's response, without which a continuation of 206 looks like one of 200.

Evidence: TestLogsExplainFailures/stream_cut_and_resumed with the new fields failed before (1 of 1, "first_event" missing in the line of the request) and passes now (1 of 1), with the tests of internal/edge and internal/node.

--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -120,5 +120,10 @@
 	Silence time.Duration
 	// ExtraResponses counts the responses of other requests that were skipped.
 	ExtraResponses int
-	Error          string
+	// Status is the HTTP status of the target's response, 0 for none.
+	Status int
+	// FirstEventID and LastEventID are those of the events with an id that were accepted from
+	// the target, empty for none.
+	FirstEventID, LastEventID string
+	Error                     string
 }
--- a/internal/edge/own_response.go
+++ b/internal/edge/own_response.go
@@ -33,6 +33,7 @@
 		meta := a.server.opts.Headers.DecodeResponse(a.resp)
 		a.reportStatement(a.resp.StatusCode, meta)
 		if a.isOwn(meta) {
+			a.record.Status = a.resp.StatusCode
 			return meta, nil
 		}
 		message := "response carries the id of another request"
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -79,7 +79,7 @@
 			complete, partial := splitEvents(pending, unscanned)
 			eventsBefore := a.stream.events
 			valid, eventErr := a.stream.advance(complete)
-			a.recordEvents(a.stream.events - eventsBefore)
+			a.recordEvents(complete[:valid], a.stream.events-eventsBefore)
 			if unmarkedBytes += n; unmarkedBytes >= minProgressBytes || hasData(complete[:valid]) {
 				a.conn.MarkProgress()
 				unmarkedBytes = 0
@@ -132,15 +132,17 @@
 	a.server.opts.Scheduler.ResponseStarted(a.verdict.ID)
 }
 
-// recordEvents records that n complete events have arrived.
-func (a *attempt) recordEvents(n int) {
+// recordEvents records that complete events have arrived, n of them with an id.
+func (a *attempt) recordEvents(events []byte, n int) {
 	if n == 0 {
 		return
 	}
 	now := time.Now()
 	if a.end.Events == 0 {
 		a.firstEventAt = now
+		a.record.FirstEventID = eventID(events)
 	}
+	a.record.LastEventID = a.stream.lastID
 	a.end.Events += n
 	a.end.Streamed = now.Sub(a.firstEventAt)
 }
@@ -267,7 +269,7 @@
 	return bytes.HasPrefix(events, []byte("data:")) || bytes.Contains(events, []byte("\ndata:"))
 }
 
-// eventID returns the id of an event, empty for none.
+// eventID returns the id of an event, empty for none. Of several events it is the first id.
 func eventID(event []byte) string {
 	for len(event) > 0 {
 		line, rest, _ := bytes.Cut(event, []byte("\n"))
--- a/internal/node/request_log.go
+++ b/internal/node/request_log.go
@@ -247,7 +247,10 @@
 	NotRun        bool   `json:"not_run,omitempty"`
 	SilenceMS     int64  `json:"silence_ms,omitempty"`
 
-	ExtraResponses int `json:"extra_responses,omitempty"`
+	ExtraResponses int    `json:"extra_responses,omitempty"`
+	Status         int    `json:"status,omitempty"`
+	FirstEvent     string `json:"first_event,omitempty"`
+	LastEvent      string `json:"last_event,omitempty"`
 }
 
 func loggedAttempts(entries []edge.AttemptRecord) []loggedAttempt {
@@ -266,6 +269,9 @@
 			SilenceMS:     a.Silence.Milliseconds(),
 
 			ExtraResponses: a.ExtraResponses,
+			Status:         a.Status,
+			FirstEvent:     a.FirstEventID,
+			LastEvent:      a.LastEventID,
 		})
 	}
 	return out
