Bind a stream that its caller resumes to its software version before it waits

What callers saw: the rest of a text from another software version (ORDER). A caller resumes a stream while one version is listed, waits in the router's queue for a place, and is placed at the next version, whose targets have joined meanwhile and have room. The same when its first attempt is rejected, fails, breaks off or is silent, and is repeated or taken over after the release has begun.

Cause: Find answered "any target", a statement on the list of that moment, and the exchange used it after the wait: its origin stayed nil, so that the queue, the retry and the takeover were free of a version.

Change: Find returns the one version that its answer is based on, and the exchange is bound to it. If no version is listed, or was within 30 s, nothing is known and the caller is refused for 0.3 s, as for several. A version that a peer's note names counts as listed, since the peer has listed it. The empty id of a request that names no earlier one is not looked up. "request ended" has origin_version and origin_evidence. A resumption whose service has no target at all is refused with Retry-After, as before: not for its version.

Existing test changed: TestReportsCarryOriginsOfStreams uses the new results of Find, and asks for the evidence as well.

--- a/internal/core/admit/refusal.go
+++ b/internal/core/admit/refusal.go
@@ -115,12 +115,13 @@
 }
 
 // refuseWithoutTarget refuses a request for which no target is usable. One that requires a
-// software version which no target has gets no Retry-After, since a retry would not help.
+// software version which no target has, while others serve, gets no Retry-After, since a retry
+// would not help.
 func (ac *Controller) refuseWithoutTarget(now time.Time, s *service, r *Request) Verdict {
 	if r.Regions != nil && !s.hasRegion(r) {
 		return Verdict{ID: r.ID, Refused: NoRegion, RetryAfter: ac.jitteredRetryAfter(noRegionRetryAfter)}
 	}
-	if r.KeepsVersion && !s.hasVersion(r) {
+	if r.KeepsVersion && !s.hasVersion(r) && s.hasOtherVersion(r) {
 		return Verdict{ID: r.ID, Refused: NoVersion}
 	}
 	if s.isEvacuatedFor(r) {
@@ -139,3 +140,11 @@
 func (s *service) hasVersion(r *Request) bool {
 	return slices.ContainsFunc(s.targets, func(t *target) bool { return !t.Draining && r.accepts(t.Target) })
 }
+
+// hasOtherVersion reports whether a target that is not draining has another software version
+// than the one that the request requires, and is in a region that it may use.
+func (s *service) hasOtherVersion(r *Request) bool {
+	return slices.ContainsFunc(s.targets, func(t *target) bool {
+		return !t.Draining && t.SoftwareVersion != r.SoftwareVersion && r.allowsRegionOf(t.Target)
+	})
+}
--- a/internal/core/admit/version_test.go
+++ b/internal/core/admit/version_test.go
@@ -81,3 +81,13 @@
 	}
 	t.Errorf("queued stream of v2, which has left: got no verdict %q", admit.NoVersion)
 }
+
+// Guards against a resumed stream that is refused for good, without Retry-After, although its
+// service has no target at all for the moment.
+func TestStreamOfAServiceWithoutTargetsMayBeResumedLater(t *testing.T) {
+	h := newVersionedHarness(t, "v1")
+	h.setVersions()
+	if v := h.resume(start, "v1"); v.Refused != admit.NoTarget || v.RetryAfter <= 0 {
+		t.Errorf("no target listed: got reason %q, Retry-After %v, want %q with a Retry-After", v.Refused, v.RetryAfter, admit.NoTarget)
+	}
+}
--- a/internal/core/streams/streams.go
+++ b/internal/core/streams/streams.go
@@ -5,11 +5,13 @@
 // Invariants: an origin is forgotten, never guessed, when its time has passed or the table is
 // full. That all streams of a service began at one version is claimed only if the list of
 // versions has been current throughout TTL: while it is not, streams may begin at versions
-// that were never listed here. Of two notes on a stream the one that arrives last counts: a
+// that were never listed here. The caller makes sure that the list is newer than the streams
+// in question. Of two notes on a stream the one that arrives last counts: a
 // stream without events may start again at another version.
 package streams
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -106,25 +108,29 @@
 	}
 }
 
-// IsMixed reports whether streams of the service may have begun at different versions: more
-// than one is listed, or was within TTL.
-func (t *Table) IsMixed(now time.Time, name string) bool {
+// Versions returns the software versions at which streams of the service may have begun: those
+// that are listed, or were within TTL.
+func (t *Table) Versions(now time.Time, name string) []string {
 	s := t.services[name]
 	if s == nil {
-		return false
+		return nil
 	}
-	versions := len(s.listed)
+	versions := slices.Collect(maps.Keys(s.listed))
 	for version, at := range s.lastListed {
 		switch {
 		case now.Sub(at) > TTL:
 			delete(s.lastListed, version)
 		case !s.listed[version]:
-			versions++
+			versions = append(versions, version)
 		}
 	}
-	return versions > 1
+	slices.Sort(versions)
+	return versions
 }
 
+// IsMixed reports whether streams of the service may have begun at different versions.
+func (t *Table) IsMixed(now time.Time, name string) bool { return len(t.Versions(now, name)) > 1 }
+
 // RecordComplete records that the list of versions is complete as of a time. If it has not
 // been current until then, versions may have come and gone in between. A time of long ago
 // does not make the list current and has no effect.
@@ -180,8 +186,11 @@
 	}
 }
 
-// Record records a note of a peer.
+// Record records a note of a peer. Its version counts as listed: the peer has listed it.
 func (t *Table) Record(now time.Time, n Note) {
+	if s := t.services[n.Service]; s != nil {
+		s.lastListed[n.Version] = now
+	}
 	t.origins[n.Stream] = timedNote{Note: n, at: now}
 	t.order = append(t.order, timedNote{Note: n, at: now})
 	t.expire(now)
--- a/internal/core/streams/streams_test.go
+++ b/internal/core/streams/streams_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -168,3 +169,21 @@
 		t.Error("end of an interruption: the versions listed count as remembered")
 	}
 }
+
+// Guards against a table that takes the one listed version for the only one although a peer's
+// note names another, whose targets were never listed here (ORDER).
+func TestVersionOfANoteCountsAsListed(t *testing.T) {
+	table := streams.New(start, maxListAge)
+	table.SetListed(start, listed("v1"))
+	table.Record(start, note("a", "v2"))
+	table.Record(start, streams.Note{Stream: 1, Origin: streams.Origin{Service: "unheard", Version: "v3"}})
+	if got := table.Versions(start.Add(streams.TTL), "llm"); !slices.Equal(got, []string{"v1", "v2"}) {
+		t.Errorf("v1 listed, note of v2: got versions %v, want both", got)
+	}
+	if got := table.Versions(start.Add(streams.TTL+1), "llm"); !slices.Equal(got, []string{"v1"}) {
+		t.Errorf("after TTL: got versions %v, want the listed one", got)
+	}
+	if got := table.Versions(start, "unheard"); len(got) > 0 {
+		t.Errorf("service that lists no target: got versions %v, want none", got)
+	}
+}
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -89,6 +89,10 @@
 	Attempts []AttemptRecord
 	// ResumedID and LastEventID are those of the caller's header.
 	ResumedID, LastEventID string
+	// OriginVersion is the software version at which the resumed stream began, as
+	// OriginEvidence tells; empty if unknown.
+	OriginVersion  string
+	OriginEvidence Evidence
 	// TimeToFirstByte is the time from the arrival to the first byte of the
 	// response.
 	TimeToFirstByte time.Duration
--- a/internal/edge/origin.go
+++ b/internal/edge/origin.go
@@ -14,18 +14,18 @@
 // neither this router nor a peer knows. Another router may.
 const unknownOriginRetryAfter = 300 * time.Millisecond
 
-// OriginState is what is known of where a stream began.
-type OriginState int
+// Evidence is what tells where a stream began.
+type Evidence string
 
-// The states of an origin.
+// The kinds of evidence.
 const (
-	// OriginKnown means that the origin is known.
-	OriginKnown OriginState = iota
-	// OriginAny means that the stream can go on at each target of its service, since all of
-	// them have the same software version.
-	OriginAny
-	// OriginUnknown means that the stream may have begun at one of several origins.
-	OriginUnknown
+	// EvidenceNote is a note of the stream at this router.
+	EvidenceNote Evidence = "note"
+	// EvidencePeerNote is a note of the stream at another router.
+	EvidencePeerNote Evidence = "peer_note"
+	// EvidenceList is the list of targets, which shows that the service has had one software
+	// version only.
+	EvidenceList Evidence = "list"
 )
 
 // StreamOrigins knows at which service and software version recent streams began, also
@@ -37,9 +37,11 @@
 	// Publish sends the origins that other routers have not received yet. It does not wait
 	// for them.
 	Publish()
-	// Find returns the origin of the stream that a caller's request began at a service. It
-	// may ask other routers until ctx ends.
-	Find(ctx context.Context, request, service string, isSplit bool) (streams.Origin, OriginState)
+	// Find returns the origin of a stream at a service that is resumed, and what tells it, or
+	// false if the stream may have begun at one of several origins. request is the caller's
+	// request that began the stream, empty if unknown. Find may ask other routers and read the
+	// list of targets until ctx ends.
+	Find(ctx context.Context, request, service string, isSplit bool) (streams.Origin, Evidence, bool)
 }
 
 // isResumedByCaller reports whether the request resumes a stream of an earlier request.
@@ -59,18 +61,18 @@
 	if origins == nil || !e.isResumedByCaller() {
 		return nil
 	}
-	origin, state := origins.Find(e.r.Context(), e.streamRequest(), e.service, len(e.route.Split) > 1)
-	switch state {
-	case OriginKnown:
-		if !slices.ContainsFunc(e.route.Split, func(s routing.WeightedService) bool { return s.Service == origin.Service }) {
-			return &refusal{status: http.StatusServiceUnavailable, reason: "stream_service_removed"}
-		}
-		e.service = origin.Service
-		e.origin = &origin
-	case OriginUnknown:
+	origin, evidence, known := origins.Find(e.r.Context(), e.streamRequest(), e.service, len(e.route.Split) > 1)
+	if !known {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "unknown_stream", retryAfter: unknownOriginRetryAfter}
-	case OriginAny:
 	}
+	e.record.OriginVersion, e.record.OriginEvidence = origin.Version, evidence
+	if !slices.ContainsFunc(e.route.Split, func(s routing.WeightedService) bool { return s.Service == origin.Service }) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "stream_service_removed"}
+	}
+	e.service = origin.Service
+	// The stream is bound to this version from now on: another one may be listed while the
+	// request waits, or before it is sent again.
+	e.origin = &origin
 	return nil
 }
 
--- a/internal/node/request_log.go
+++ b/internal/node/request_log.go
@@ -218,6 +218,8 @@
 	}
 	addStringField(f, "resumes", e.ResumedID)
 	addStringField(f, "last_event", e.LastEventID)
+	addStringField(f, "origin_version", e.OriginVersion)
+	addStringField(f, "origin_evidence", string(e.OriginEvidence))
 	if n := len(e.Attempts); n > 0 {
 		addStringField(f, "target_version", e.Attempts[n-1].TargetVersion)
 	}
--- a/internal/node/stream_origins.go
+++ b/internal/node/stream_origins.go
@@ -77,26 +77,66 @@
 }
 
 // Find implements edge.StreamOrigins.
-func (o *streamOrigins) Find(ctx context.Context, request, service string, isSplit bool) (streams.Origin, edge.OriginState) {
-	id, now := streams.NewID(request), time.Now()
+func (o *streamOrigins) Find(ctx context.Context, request, service string, isSplit bool) (streams.Origin, edge.Evidence, bool) {
+	now := time.Now()
+	if request != "" {
+		id := streams.NewID(request)
+		o.mu.Lock()
+		origin, known := o.table.Origin(now, id)
+		o.mu.Unlock()
+		if known {
+			return origin, edge.EvidenceNote, true
+		}
+		if o.mayHaveOtherOrigin(now, service, isSplit) {
+			if origin, known = o.ask(ctx, id); known {
+				return origin, edge.EvidencePeerNote, true
+			}
+		}
+	}
+	if !isSplit {
+		if version, isOne := o.onlyVersion(ctx, service); isOne {
+			return streams.Origin{Service: service, Version: version}, edge.EvidenceList, true
+		}
+	}
+	return streams.Origin{}, "", false
+}
+
+// mayHaveOtherOrigin reports whether a stream of the service may have begun elsewhere than at
+// the one version that is listed, as far as this router remembers.
+func (o *streamOrigins) mayHaveOtherOrigin(now time.Time, service string, isSplit bool) bool {
 	o.mu.Lock()
-	origin, known := o.table.Origin(now, id)
-	isOne := !isSplit && !o.table.IsMixed(now, service)
-	remembers := o.table.RemembersListed(now)
-	o.mu.Unlock()
+	defer o.mu.Unlock()
+	return isSplit || len(o.table.Versions(now, service)) != 1 || !o.table.RemembersListed(now)
+}
+
+// onlyVersion returns the one version at which streams of a service may have begun, or false
+// if there are several, or none is known. It reads the list again if that is not current.
+func (o *streamOrigins) onlyVersion(ctx context.Context, service string) (string, bool) {
+	version, remembers, isOne := o.listedVersion(service)
 	switch {
-	case known:
-		return origin, edge.OriginKnown
-	case isOne && remembers:
-		return streams.Origin{}, edge.OriginAny
+	case !isOne:
+		return "", false
+	case remembers:
+		return version, true
 	}
-	if origin, known = o.ask(ctx, id); known {
-		return origin, edge.OriginKnown
+	if !o.listsOneVersion(ctx, service) || !o.hadOneVersion(ctx, service) {
+		return "", false
 	}
-	if isOne && o.listsOneVersion(ctx, service) && o.hadOneVersion(ctx, service) {
-		return streams.Origin{}, edge.OriginAny
+	version, _, isOne = o.listedVersion(service)
+	return version, isOne
+}
+
+// listedVersion returns the one version of a service that is listed, or was within
+// streams.TTL, and whether this router remembers all of that time.
+func (o *streamOrigins) listedVersion(service string) (version string, remembers, isOne bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	versions := o.table.Versions(now, service)
+	if len(versions) != 1 {
+		return "", false, false
 	}
-	return streams.Origin{}, edge.OriginUnknown
+	return versions[0], o.table.RemembersListed(now), true
 }
 
 // listsOneVersion reports whether a list that is current has one version of a service. It
--- a/internal/node/stream_origins_test.go
+++ b/internal/node/stream_origins_test.go
@@ -34,12 +34,12 @@
 	}
 	receiver.receive(&report)
 	for request, origin := range want {
-		if got, state := receiver.Find(context.Background(), request, "llm", false); state != edge.OriginKnown || got != origin {
-			t.Errorf("stream %s: got origin %+v in state %d, want %+v", request, got, state, origin)
+		if got, evidence, known := receiver.Find(context.Background(), request, "llm", false); !known || evidence != edge.EvidenceNote || got != origin {
+			t.Errorf("stream %s: got origin %+v, known %t by %q, want %+v by a note", request, got, known, evidence, origin)
 		}
 	}
-	if _, state := receiver.Find(context.Background(), "unheard", "llm", false); state != edge.OriginUnknown {
-		t.Errorf("stream of which no router knows: got state %d, want unknown", state)
+	if got, _, known := receiver.Find(context.Background(), "unheard", "llm", false); known {
+		t.Errorf("stream of which no router knows: got origin %+v, want none", got)
 	}
 }
 
