--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -112,8 +112,12 @@
 	}
 }
 
-// isRepeatable reports whether the request may run more than once.
+// isRepeatable reports whether the request may run once more. Once a part of a stream was sent
+// to the caller, only a run that goes on after it may follow.
 func (e *exchange) isRepeatable() bool {
+	if e.stream.started {
+		return e.isResumable()
+	}
 	return e.route.Kind == routing.Idempotent || e.isResumable()
 }
 
