A stream is not resumed after data without an id (ORDER)

Callers of a resumable route got events twice in a stream that ended as complete, if its events had no ids and its target broke off or fell silent: the next request had no Last-Event-Id, or one from before these events, so that the next run repeated them, and events without ids cannot be told from new ones.

The stream now remembers whether data without an id has followed the last id. If so, no further run may follow, after an error as well as at a silence, and the response is cut, which its caller can see.

Found by reading.

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -116,7 +116,7 @@
 // to the caller, only a run that goes on after it may follow.
 func (e *exchange) isRepeatable() bool {
 	if e.stream.started {
-		return e.isResumable()
+		return e.isResumable() && !e.stream.unnumbered
 	}
 	return e.route.Kind == routing.Idempotent || e.isResumable()
 }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -36,6 +36,9 @@
 	started bool
 	lastID  string
 	events  int
+	// unnumbered is set if data without an id follows the event with lastID, so that a target
+	// can't be told where to go on.
+	unnumbered bool
 }
 
 func (a *attempt) firstEventTimeout() time.Duration {
@@ -163,12 +166,15 @@
 func (s *streamState) advance(events []byte) (valid int, err error) {
 	for valid < len(events) {
 		i := bytes.Index(events[valid:], []byte("\n\n"))
-		if id := eventID(events[valid : valid+i+1]); id != "" {
+		event := events[valid : valid+i+1]
+		if id := eventID(event); id != "" {
 			if !canFollow(s.lastID, id) {
 				return valid, errors.Newf("event id %s is not greater than the last id %s", id, s.lastID)
 			}
-			s.lastID = id
+			s.lastID, s.unnumbered = id, false
 			s.events++
+		} else if hasData(event) {
+			s.unnumbered = true
 		}
 		valid += i + 2
 	}
