A request that another target runs is not refused (REFUSED)

Callers of a resumable route got 503, the promise that a request has not run and never will, although a second target had begun to run it. The first target rejected the request, but the rest of that response did not arrive; at the silence the request was sent to a second target, whose attempt is then the successor. The rejection was handled first: with the retry budget used up (target_refused), or with all targets turning requests away, it refused the request and dropped the successor.

handleOutcome asks for a successor after a failed attempt, but did not after a rejected one. It does now, before anything that may refuse: the successor goes on, and its outcome decides.

Found by reading the paths of the successor.

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -221,6 +221,10 @@
 		e.cancel()
 	case outcomeNotSent, outcomeRejected:
 		e.rejectedAttempts++
+		if e.successor != nil {
+			// It may run the request, so that a refusal would be false.
+			return false
+		}
 		// Another attempt would be refused. It must not take from the retry budget.
 		if v, refused := e.server.opts.Scheduler.RefuseTurnedAway(e.admitRequest()); refused {
 			e.logDecision(v, 0)
