--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -112,8 +112,12 @@
 	}
 }
 
-// isRepeatable reports whether the request may run more than once.
+// isRepeatable reports whether the request may run once more. Once a part of a stream was sent
+// to the caller, only a run that goes on after it may follow.
 func (e *exchange) isRepeatable() bool {
+	if e.stream.started {
+		return e.isResumable() && !e.stream.unnumbered
+	}
 	return e.route.Kind == routing.Idempotent || e.isResumable()
 }
 
@@ -217,6 +221,10 @@
 		e.cancel()
 	case outcomeNotSent, outcomeRejected:
 		e.rejectedAttempts++
+		if e.successor != nil {
+			// It may run the request, so that a refusal would be false.
+			return false
+		}
 		// Another attempt would be refused. It must not take from the retry budget.
 		if v, refused := e.server.opts.Scheduler.RefuseTurnedAway(e.admitRequest()); refused {
 			e.logDecision(v, 0)
