A stream goes on only with what follows the caller's last event

Callers saw, with a target that fails within a resumable stream: a 206 (202, 299) with events joined to a 200; a continuation that leaves out events (10 after 7), has no events (200, also 204), or begins with an event without an id or with an error's head as event bytes, and the response ended as complete. A caller that resumed after event 7 got the stream from event 1 if the target began again. A stream without ids, or with an event without an id at its end, was joined with a run that began anew; one that began with 206 or 202 went on at another target.

Cause: three places decided on it with what they had at hand. The head was checked for "any success with an event stream", ids were compared with those that this request had forwarded (none at a caller's resumption), and the end of the last response was the end of the stream.

Change: streamState, without I/O, decides what may follow: checkHead for the response, advance for each event, checkEnd for the end, canContinue for another target. The lower bound is what the caller has, its own Last-Event-Id included. If all ids of the response so far went in steps of one, the first id of a further part must be the next one; a stream that has left out numbers may go on at each greater one. An invalid continuation closes its connection without waiting for the body, and another target may be tried.

Weighed: an empty success after the last event is also what a sound target sends if the one before crashed after its last event. A router can't tell the two. Complete would be a silent loss in one case; cut costs the caller a resumption in the other, in which it gets the empty success as that request's own response. A gap after a caller's resumption is passed on: only one id is known, and services may number by tokens. Waiting for steps of one to be seen several times was not chosen: a wrong alarm costs one resumption.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -244,9 +244,13 @@
 // the response to the caller if they are valid.
 func (a *attempt) handleResponse(resp *http.Response, respMeta ResponseMeta) (attemptOutcome, error) {
 	success := resp.StatusCode/100 == 2
-	switch {
-	case respMeta.NotRun && !success:
+	if respMeta.NotRun && !success {
 		return a.rejectedByTarget(resp, respMeta)
+	}
+	if err := a.stream.checkHead(resp.StatusCode, isEventStream(resp), respMeta.Signed); err != nil {
+		return a.invalidContinuation(err)
+	}
+	switch {
 	case success && !respMeta.Signed:
 		return a.invalidResponse("success response without the target's signature")
 	case success && isEventStream(resp):
@@ -261,6 +265,17 @@
 	return err == nil && kind == eventStreamType
 }
 
+// invalidContinuation ends an attempt whose response does not continue the stream that the
+// caller has. It does not wait for the body.
+func (a *attempt) invalidContinuation(err error) (attemptOutcome, error) {
+	a.conn.Close()
+	a.end.Result = admit.Failed
+	if a.turnedAway {
+		a.end.Result = admit.Rejected
+	}
+	return outcomeUnknown, err
+}
+
 func (a *attempt) invalidResponse(message string) (attemptOutcome, error) {
 	return outcomeUnknown, a.rejectResponse(message)
 }
@@ -325,15 +340,8 @@
 			a.end.Result = admit.Rejected
 		}
 		a.targetError = complete
-		if a.stream.started {
-			return outcomeUnknown, errors.Newf("target answered status %d to a resumed stream", resp.StatusCode)
-		}
 		return outcomeTargetError, errors.Newf("target answered status %d", resp.StatusCode)
 	}
-	if a.stream.started {
-		a.end.Result = admit.Failed
-		return outcomeUnknown, errors.New("target answered a resumed stream with a response that is not an event stream")
-	}
 	a.end.Result = admit.Served
 	a.deliver(complete)
 	return outcomeDelivered, nil
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -234,7 +234,7 @@
 		if e.successor != nil {
 			return false
 		}
-		if e.isRepeatable() && !e.bodyHeld.hasYielded() && e.ranAttempts < max(1, e.route.MaxAttempts) && e.server.budget(e.service).Take() {
+		if e.isRepeatable() && e.stream.canContinue() && !e.bodyHeld.hasYielded() && e.ranAttempts < max(1, e.route.MaxAttempts) && e.server.budget(e.service).Take() {
 			return false
 		}
 		e.fail("target_failed")
--- a/internal/edge/failover.go
+++ b/internal/edge/failover.go
@@ -35,7 +35,7 @@
 	if a.ranAttempts+1 >= max(1, a.route.MaxAttempts) || a.rejectedAttempts >= maxRejectedAttempts {
 		return false
 	}
-	if a.hasQuarantinedPart() {
+	if a.hasQuarantinedPart() || !a.stream.canContinue() {
 		return false
 	}
 	r := a.admitRequest()
@@ -85,7 +85,8 @@
 		return outcomeUnknown, err
 	}
 	success := a.resp.StatusCode/100 == 2
-	if success && meta.Signed && isEventStream(a.resp) {
+	isStream := success && meta.Signed && isEventStream(a.resp)
+	if isStream && a.stream.checkHead(a.resp.StatusCode, true, true) == nil {
 		return outcomeSent, nil
 	}
 	a.stopAbort()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -214,6 +214,9 @@
 	e.regions = current.config.RegionsFor(e.route, e.workspace)
 	e.service = e.route.Pick(rand.Float64())
 	e.deadline = e.arrivedAt.Add(e.timeout())
+	if e.isResumedByCaller() {
+		e.stream.lastID = e.meta.LastEventID
+	}
 	if f := e.findOrigin(); f != nil {
 		return f
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"os"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,13 +30,6 @@
 	maxEventBytes = 1 << 20
 )
 
-// streamState is the part of a stream that was sent to the caller.
-type streamState struct {
-	started bool
-	lastID  string
-	events  int
-}
-
 func (a *attempt) firstEventTimeout() time.Duration {
 	if !a.isResumable() {
 		return 0
@@ -59,6 +51,7 @@
 	var held int64
 	defer func() { a.releaseResponse(held) }()
 	a.isRelayingStream = true
+	a.stream.beginPart()
 	endTransfer, unwatch := a.watchStream()
 	defer unwatch()
 	defer endTransfer()
@@ -107,6 +100,9 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(pending) == 0:
+			if err := a.stream.checkEnd(); err != nil {
+				return a.failStream(err)
+			}
 			return a.completeStream(resp, endTransfer)
 		case errors.Is(err, io.EOF):
 			return a.failStream(errors.New("stream ended within an event"))
@@ -157,35 +153,6 @@
 	return pending[:end], pending[end:]
 }
 
-// advance records complete events and returns the number of bytes that may be sent
-// to the caller. It returns an error at an event whose id is not greater than the
-// last one, since that event would be a duplicate.
-func (s *streamState) advance(events []byte) (valid int, err error) {
-	for valid < len(events) {
-		i := bytes.Index(events[valid:], []byte("\n\n"))
-		if id := eventID(events[valid : valid+i+1]); id != "" {
-			if !canFollow(s.lastID, id) {
-				return valid, errors.Newf("event id %s is not greater than the last id %s", id, s.lastID)
-			}
-			s.lastID = id
-			s.events++
-		}
-		valid += i + 2
-	}
-	return valid, nil
-}
-
-// canFollow reports whether an event with the id may come after the event with the
-// id last. Ids that are not numbers can't be compared and are accepted.
-func canFollow(last, id string) bool {
-	lastNumber, err := strconv.ParseUint(last, 10, 64)
-	if err != nil {
-		return true
-	}
-	number, err := strconv.ParseUint(id, 10, 64)
-	return err != nil || number > lastNumber
-}
-
 // sendEvents sends complete events to the caller.
 func (a *attempt) sendEvents(resp *http.Response, events []byte) error {
 	if len(events) == 0 {
@@ -245,7 +212,7 @@
 	if a.stream.started {
 		return
 	}
-	a.stream.started = true
+	a.stream.started, a.stream.status = true, resp.StatusCode
 	if a.origin == nil {
 		origin := a.streamOrigin()
 		a.origin = &origin
@@ -267,18 +234,6 @@
 	return bytes.HasPrefix(events, []byte("data:")) || bytes.Contains(events, []byte("\ndata:"))
 }
 
-// eventID returns the id of an event, empty for none.
-func eventID(event []byte) string {
-	for len(event) > 0 {
-		line, rest, _ := bytes.Cut(event, []byte("\n"))
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
-		}
-		event = rest
-	}
-	return ""
-}
-
 func (a *attempt) completeStream(resp *http.Response, endTransfer func() (yielded bool)) (attemptOutcome, error) {
 	// net/http writes the end of the response.
 	if err := a.limitStreamWrites(); err != nil {
