A stream of an idempotent route is cut when its target fails, not joined

Callers of a plain idempotent route whose response is an event stream got the rest from another run: requests of such a route may run more than once, so the failure within the stream was followed by a second attempt, whose events were appended. The route isn't resumable, and a second run may differ from the first.

Cause: isRepeatable asked only whether the request may run again, not whether the response had begun.

--- a/internal/edge/continuation.go
+++ b/internal/edge/continuation.go
@@ -34,7 +34,7 @@
 	events int
 }
 
-// canContinue reports whether another target may be asked for the rest of the stream.
+// canContinue reports whether another target can be asked for the rest of the stream.
 func (s *streamState) canContinue() bool {
 	return !s.started || s.status == http.StatusOK && !s.endsUnnumbered
 }
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -112,8 +112,12 @@
 	}
 }
 
-// isRepeatable reports whether the request may run more than once.
+// isRepeatable reports whether the request, or what is left of its stream, may run once more.
+// A second run of an idempotent request may differ from the first, so it is no continuation.
 func (e *exchange) isRepeatable() bool {
+	if e.stream.started {
+		return e.isResumable() && e.stream.canContinue()
+	}
 	return e.route.Kind == routing.Idempotent || e.isResumable()
 }
 
@@ -234,7 +238,7 @@
 		if e.successor != nil {
 			return false
 		}
-		if e.isRepeatable() && e.stream.canContinue() && !e.bodyHeld.hasYielded() && e.ranAttempts < max(1, e.route.MaxAttempts) && e.server.budget(e.service).Take() {
+		if e.isRepeatable() && !e.bodyHeld.hasYielded() && e.ranAttempts < max(1, e.route.MaxAttempts) && e.server.budget(e.service).Take() {
 			return false
 		}
 		e.fail("target_failed")
