--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -112,11 +112,11 @@
 	}
 }
 
-// isRepeatable reports whether the request may run once more. Once a part of a stream was sent
-// to the caller, only a run that goes on after it may follow.
+// isRepeatable reports whether the request, or what is left of its stream, may run once more.
+// A second run of an idempotent request may differ from the first, so it is no continuation.
 func (e *exchange) isRepeatable() bool {
 	if e.stream.started {
-		return e.isResumable() && !e.stream.unnumbered
+		return e.isResumable() && e.stream.canContinue()
 	}
 	return e.route.Kind == routing.Idempotent || e.isResumable()
 }
--- a/internal/edge/failover.go
+++ b/internal/edge/failover.go
@@ -85,7 +85,8 @@
 		return outcomeUnknown, err
 	}
 	success := a.resp.StatusCode/100 == 2
-	if success && meta.Signed && isEventStream(a.resp) {
+	isStream := success && meta.Signed && isEventStream(a.resp)
+	if isStream && a.stream.checkHead(a.resp.StatusCode, true, true) == nil {
 		return outcomeSent, nil
 	}
 	a.stopAbort()
