Take one software version for the only one by a read that is newer than the caller

What callers saw: the rest of a text from another software version (ORDER), at a router that had been cut off from the store and the others for less than 1.8 s, or whose watch lagged while the note of the stream was lost with its router.

Cause: the evidence for "there was only one version" was a list that counted as current, up to 1.8 s old on installations of 8 routers. The stream may have begun, elsewhere, at a target that joined since.

Change: the router that began the stream had read its target in the store before the caller came. So the evidence is a read of the list that begins after that (as a linearizable read), by this router or by peers that it asks ("only-version"), beside what was listed in the 30 s before. Callers share reads: freshCalls hands out the result of a call that began after the caller asked. A router reads at most once in 100 ms, periodic reads included; a follower lets its preferred hub read. Without evidence the caller is refused after 0.4 s.

Cost: while the store serves nobody, unknown streams are refused from the start of the outage, not from 1.8 s on.

--- a/internal/edge/origin.go
+++ b/internal/edge/origin.go
@@ -23,9 +23,11 @@
 	EvidenceNote Evidence = "note"
 	// EvidencePeerNote is a note of the stream at another router.
 	EvidencePeerNote Evidence = "peer_note"
-	// EvidenceList is the list of targets, which shows that the service has had one software
-	// version only.
-	EvidenceList Evidence = "list"
+	// EvidenceRead is a read of the list of targets by this router, which shows that the
+	// service has had one software version only.
+	EvidenceRead Evidence = "read"
+	// EvidencePeerRead is such a read by another router.
+	EvidencePeerRead Evidence = "peer_read"
 )
 
 // StreamOrigins knows at which service and software version recent streams began, also
--- a/internal/node/freshness.go
+++ b/internal/node/freshness.go
@@ -96,7 +96,7 @@
 		if now.Before(next) || !isDue(&n.freshness) {
 			continue
 		}
-		if err := n.readAgain(ctx); err != nil {
+		if err := n.refreshNow(ctx); err != nil {
 			// The watches of the store log the outage.
 			next = time.Now().Add(refreshRetryDelay)
 		}
@@ -115,19 +115,13 @@
 }
 
 // refreshNow reads the store again and returns once the list is in force, or ctx is done.
-// Concurrent calls share one read.
+// Concurrent calls share a read that begins after them.
 func (n *Node) refreshNow(ctx context.Context) error {
 	if n.refresher == nil {
 		return errors.New("no store to read")
 	}
-	// The read goes on for other callers, within the time limit of its calls.
-	result := n.refreshes.DoChan("", func() (any, error) { return nil, n.readAgain(context.WithoutCancel(ctx)) })
-	select {
-	case r := <-result:
-		return r.Err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	_, err := n.refreshes.do(ctx, "", func(ctx context.Context) (any, error) { return nil, n.readAgain(ctx) })
+	return err
 }
 
 // refreshAgeOf returns the age of the last read at which a router of the given rank reads
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,7 +13,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/sync/singleflight"
 
 	"github.com/umberhill/umberhill/internal/connlimit"
 	"github.com/umberhill/umberhill/internal/core/admit"
@@ -132,8 +131,8 @@
 
 	freshness freshness
 	refresher Refresher
-	// refreshes are the reads of the store that requests wait for.
-	refreshes singleflight.Group
+	// refreshes are the reads of the store, which requests may wait for.
+	refreshes *freshCalls
 
 	draining atomic.Bool
 	// duties run for the duration of Run.
@@ -146,7 +145,7 @@
 // New returns a node that is not yet running. Run starts it.
 func New(s Settings, headers edge.HeaderCodec, logger *logrus.Logger) *Node {
 	now := time.Now()
-	n := &Node{settings: s, incarnation: ids.Incarnation(now.UnixNano()), createdAt: now, targets: routing.NewTargets(nil), gracePeriod: s.GracePeriod}
+	n := &Node{settings: s, incarnation: ids.Incarnation(now.UnixNano()), createdAt: now, targets: routing.NewTargets(nil), gracePeriod: s.GracePeriod, refreshes: newFreshCalls(listReadInterval)}
 	n.logger = logger.WithFields(logrus.Fields{"instance": s.Instance, "domain": s.Domain})
 	n.scope, n.metrics, n.metricsCloser = obs.NewScope(nil)
 	if s.MemoryMB > 0 {
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -52,6 +52,8 @@
 		return f.node.streamOrigins.serve(ctx, from, method, body)
 	case methodVersions:
 		return f.node.streamOrigins.serveVersions(string(body))
+	case methodOnlyVersion:
+		return f.node.streamOrigins.serveOnlyVersion(ctx, string(body))
 	case methodConfig:
 		if c := f.node.Config(); c != nil {
 			return c.Raw, nil
--- a/internal/node/releases.go
+++ b/internal/node/releases.go
@@ -21,9 +21,6 @@
 	HasSeveralVersions(ctx context.Context, service string, after time.Time) (bool, error)
 }
 
-// recordTimeout bounds a read of the record of releases.
-const recordTimeout = 300 * time.Millisecond
-
 // SetReleaseRecord sets the record of releases. It must be called before Run.
 func (n *Node) SetReleaseRecord(r ReleaseRecord) { n.releaseRecord = r }
 
@@ -64,32 +61,32 @@
 	answerUnknownVersions = "unknown"
 )
 
-// hadOneVersion reports whether all streams of the service that callers may resume began at
-// the version that is listed: live peers remember so, or the record of releases has no other
-// version.
-func (o *streamOrigins) hadOneVersion(ctx context.Context, service string) bool {
+// checkHadOneVersion returns no error if all streams of the service that callers may resume
+// began at the version that is listed: live peers remember so, or the record of releases has no
+// other version. It returns errNotOneVersion if there were several.
+func (o *streamOrigins) checkHadOneVersion(ctx context.Context, service string) error {
 	answers := o.askVersions(ctx, service)
 	switch {
 	case slices.Contains(answers, answerSeveralVersions):
-		return false
+		return errNotOneVersion
 	case slices.Contains(answers, answerOneVersion):
-		return true
+		return nil
 	}
 	record := o.node.releaseRecord
 	if record == nil {
-		return true
+		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
 	o.mu.Lock()
 	since := o.table.RemembersSince()
 	o.mu.Unlock()
 	several, err := record.HasSeveralVersions(ctx, service, since)
-	if err != nil {
-		o.node.logger.WithError(err).WithField("step", "read the record of releases").Warn("cannot tell at which version a stream began; it is not resumed")
-		return false
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "read the record of releases")
+	case several:
+		return errNotOneVersion
 	}
-	return !several
+	return nil
 }
 
 // askVersions returns the answers of live peers about the versions of a service.
--- a/internal/node/stream_origins.go
+++ b/internal/node/stream_origins.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 
@@ -34,6 +35,9 @@
 	listAgeSlack = 500 * time.Millisecond
 	// maxAsks bounds the streams whose origins are asked for at the same time.
 	maxAsks = 64
+	// unknownLogInterval is the least time between two log lines on streams whose origin cannot
+	// be told, as while the store is down.
+	unknownLogInterval = time.Second
 )
 
 // streamOrigins shares the origins of streams with other routers. It implements
@@ -43,8 +47,13 @@
 	// asks has an element for each origin that is being asked for.
 	asks chan struct{}
 
+	// versionCalls are the calls that let peers read the list of targets, by service.
+	versionCalls *freshCalls
+
 	mu    sync.Mutex
 	table *streams.Table
+	// loggedAt is when it was last logged that an origin cannot be told.
+	loggedAt time.Time
 }
 
 func newStreamOrigins(n *Node) *streamOrigins {
@@ -53,7 +62,7 @@
 		remembersSince = remembersSince.Add(-streams.TTL)
 	}
 	maxListAge := n.refreshAgeOf(maxRefreshRank) + listAgeSlack
-	return &streamOrigins{node: n, asks: make(chan struct{}, maxAsks), table: streams.New(remembersSince, maxListAge)}
+	return &streamOrigins{node: n, asks: make(chan struct{}, maxAsks), versionCalls: newFreshCalls(0), table: streams.New(remembersSince, maxListAge)}
 }
 
 // recordComplete records that the list of targets in force is complete as of a time.
@@ -87,78 +96,39 @@
 		if known {
 			return origin, edge.EvidenceNote, true
 		}
-		if o.mayHaveOtherOrigin(now, service, isSplit) {
-			if origin, known = o.ask(ctx, id); known {
-				return origin, edge.EvidencePeerNote, true
-			}
-		}
-	}
-	if !isSplit {
-		if version, isOne := o.onlyVersion(ctx, service); isOne {
-			return streams.Origin{Service: service, Version: version}, edge.EvidenceList, true
+		if origin, known = o.ask(ctx, id); known {
+			return origin, edge.EvidencePeerNote, true
 		}
 	}
-	return streams.Origin{}, "", false
-}
-
-// mayHaveOtherOrigin reports whether a stream of the service may have begun elsewhere than at
-// the one version that is listed, as far as this router remembers.
-func (o *streamOrigins) mayHaveOtherOrigin(now time.Time, service string, isSplit bool) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return isSplit || len(o.table.Versions(now, service)) != 1 || !o.table.RemembersListed(now)
-}
-
-// onlyVersion returns the one version at which streams of a service may have begun, or false
-// if there are several, or none is known. It reads the list again if that is not current.
-func (o *streamOrigins) onlyVersion(ctx context.Context, service string) (string, bool) {
-	version, remembers, isOne := o.listedVersion(service)
-	switch {
-	case !isOne:
-		return "", false
-	case remembers:
-		return version, true
+	if isSplit {
+		return streams.Origin{}, "", false
 	}
-	if !o.listsOneVersion(ctx, service) || !o.hadOneVersion(ctx, service) {
-		return "", false
+	found := o.onlyVersion(ctx, service)
+	if found.err != nil {
+		o.logUnknown(service, time.Since(now), found.err)
+		return streams.Origin{}, "", false
 	}
-	version, _, isOne = o.listedVersion(service)
-	return version, isOne
+	return streams.Origin{Service: service, Version: found.version}, found.evidence, true
 }
 
-// listedVersion returns the one version of a service that is listed, or was within
-// streams.TTL, and whether this router remembers all of that time.
-func (o *streamOrigins) listedVersion(service string) (version string, remembers, isOne bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := time.Now()
-	versions := o.table.Versions(now, service)
-	if len(versions) != 1 {
-		return "", false, false
+// logUnknown logs, once in unknownLogInterval, why it cannot be told where a stream began. That
+// there were several versions is no failure.
+func (o *streamOrigins) logUnknown(service string, took time.Duration, err error) {
+	if errors.Is(err, errNotOneVersion) {
+		return
 	}
-	return versions[0], o.table.RemembersListed(now), true
-}
-
-// listsOneVersion reports whether a list that is current has one version of a service. It
-// reads the list again if it is not.
-func (o *streamOrigins) listsOneVersion(ctx context.Context, service string) bool {
-	isCurrent := func() bool {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		return o.table.IsCurrent(time.Now())
+	now := time.Now()
+	o.mu.Lock()
+	isDue := now.Sub(o.loggedAt) >= unknownLogInterval
+	if isDue {
+		o.loggedAt = now
 	}
-	if !isCurrent() {
-		ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-		defer cancel()
-		if err := o.node.refreshNow(ctx); err != nil {
-			o.node.logger.WithError(err).WithField("step", "read the list of targets").Warn("cannot tell at which version a stream began; it is not resumed")
-			return false
-		}
+	o.mu.Unlock()
+	if isDue {
+		o.node.logger.WithError(err).WithFields(logrus.Fields{
+			"step": "find the origin of a stream", "service": service, "took_ms": took.Milliseconds(),
+		}).Warn("cannot tell at which version a stream began; it is not resumed")
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := time.Now()
-	return o.table.IsCurrent(now) && !o.table.IsMixed(now, service)
 }
 
 // setTargets records which software versions are listed.
