Note where a stream began with its first event, and heed no notes that differ

A router sends a request to a target of v1.1, which brings no event, then to one of v1.2, where the stream begins. If the second note is lost (the link is cut or its queue full, or the router takes it with a report that it sends after the second note's), and that router ends, another one that the caller comes to knows the first note and resumes the stream at v1.1.

Cause: an origin was noted when an attempt was sent, and of two notes the last to arrive counted.

Change: the origin is recorded and noted with the first event, before it is forwarded, and by no other attempt. A stream is bound from then on, so that all of its notes are alike. The table takes notes that differ, as those of routers of the release before, for none.

--- a/internal/core/streams/streams.go
+++ b/internal/core/streams/streams.go
@@ -6,8 +6,8 @@
 // full. That all streams of a service began at one version is claimed only if the list of
 // versions has been current throughout TTL: while it is not, streams may begin at versions
 // that were never listed here. The caller makes sure that the list is newer than the streams
-// in question. Of two notes on a stream the one that arrives last counts: a
-// stream without events may start again at another version.
+// in question. All notes on a stream name the origin of its first event; if two differ, as
+// those of routers of an earlier release may, the origin is unknown.
 package streams
 
 import (
@@ -50,6 +50,8 @@
 type timedNote struct {
 	Note
 	at time.Time
+	// isDisputed is set if another note on the stream names another origin.
+	isDisputed bool
 }
 
 // Table holds the origins of the recent streams of this router and of those whose notes it
@@ -171,7 +173,7 @@
 	return mixed
 }
 
-// RecordOwn records that this router sends a stream to a target. Its note is sent at once
+// RecordOwn records where a stream of this router began. Its note is sent at once
 // if isSplit is set, which means that the route has several services, otherwise once the
 // service is mixed.
 func (t *Table) RecordOwn(now time.Time, n Note, isSplit bool) {
@@ -191,8 +193,12 @@
 	if s := t.services[n.Service]; s != nil {
 		s.lastListed[n.Version] = now
 	}
-	t.origins[n.Stream] = timedNote{Note: n, at: now}
-	t.order = append(t.order, timedNote{Note: n, at: now})
+	noted := timedNote{Note: n, at: now}
+	if before, known := t.origins[n.Stream]; known && now.Sub(before.at) <= TTL {
+		noted.isDisputed = before.isDisputed || before.Origin != n.Origin
+	}
+	t.origins[n.Stream] = noted
+	t.order = append(t.order, noted)
 	t.expire(now)
 }
 
@@ -218,7 +224,7 @@
 // Origin returns where a stream began, or false if that is unknown.
 func (t *Table) Origin(now time.Time, id ID) (Origin, bool) {
 	n, ok := t.origins[id]
-	if !ok || now.Sub(n.at) > TTL {
+	if !ok || n.isDisputed || now.Sub(n.at) > TTL {
 		return Origin{}, false
 	}
 	return n.Origin, true
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -147,7 +147,6 @@
 	if a.server.responseBytes.limit > 0 {
 		a.responseHeld.setTarget(a.verdict.Target.ID)
 	}
-	a.recordOrigin()
 	a.stopAbort = context.AfterFunc(ctx, conn.Abort)
 	request := a.outgoing()
 	if len(a.body) > upstream.MaxInlineBodyBytes {
--- a/internal/edge/failover.go
+++ b/internal/edge/failover.go
@@ -62,8 +62,6 @@
 	default:
 		a.rejectedAttempts++
 	}
-	// The other target may have another software version.
-	a.recordOrigin()
 	return false
 }
 
--- a/internal/edge/origin.go
+++ b/internal/edge/origin.go
@@ -34,7 +34,8 @@
 // those of other routers. A stream may go on only there. isSplit is set if the route has
 // several services.
 type StreamOrigins interface {
-	// Record records that the stream which a caller's request began is sent to a target.
+	// Record records where the stream began which a caller's request began. It is called once
+	// its first event has arrived.
 	Record(request string, origin streams.Origin, isSplit bool)
 	// Publish sends the origins that other routers have not received yet. It does not wait
 	// for them.
@@ -78,13 +79,23 @@
 	return nil
 }
 
-// recordOrigin records where the stream of an attempt begins or goes on.
-func (a *attempt) recordOrigin() {
+// bindOrigin records where the stream begins, or goes on, when its first event has arrived, and
+// binds it to that. Attempts without events leave no note: the stream may begin elsewhere, and
+// of two notes a peer may get the first one only.
+func (a *attempt) bindOrigin() {
+	if a.origin == nil {
+		origin := a.streamOrigin()
+		a.origin = &origin
+	}
 	origins := a.server.opts.StreamOrigins
-	if origins == nil || !a.isResumable() || a.streamRequest() == "" {
+	if origins == nil || !a.isResumable() {
 		return
 	}
-	origins.Record(a.streamRequest(), a.streamOrigin(), len(a.route.Split) > 1)
+	if request := a.streamRequest(); request != "" {
+		origins.Record(request, *a.origin, len(a.route.Split) > 1)
+	}
+	// Once the caller has an event, it may resume the stream at another router.
+	origins.Publish()
 }
 
 func (a *attempt) streamOrigin() streams.Origin {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -246,14 +246,7 @@
 		return
 	}
 	a.stream.started = true
-	if a.origin == nil {
-		origin := a.streamOrigin()
-		a.origin = &origin
-	}
-	if origins := a.server.opts.StreamOrigins; origins != nil && a.isResumable() {
-		// Once the caller has an event, it may resume the stream at another router.
-		origins.Publish()
-	}
+	a.bindOrigin()
 	a.server.opts.Headers.CopyResponse(a.w.Header(), resp.Header)
 	a.w.Header().Del("Content-Length")
 	a.w.WriteHeader(resp.StatusCode)
