A stopping router sends a request to a target only if it can answer it

Cause: a stop closed the listener and the idle connections, and otherwise served as before until all connections were closed, 400 ms before SIGKILL. What arrives late comes on connections that may not be closed, since a part of a request has been read on them, and from the queue and from retries. None of these places knew when the process ends.

The fix: a plan of the stop (core/stopplan), made at SIGTERM from the grace period. For the first three eighths of the stop, and while new connections are accepted, attempts start as before. Then a request is sent, also from the queue and after a failed attempt, only if its own time ends before the plan's. Otherwise it is refused at once as not run, with Retry-After, while its caller has time to retry; so is a body that is still arriving. 200 ms before connections are closed, requests that are unfinished end: with 502 if a target had them, visibly incomplete if a stream has begun. A silent target is not left for another one any more by then.

The price: an answer of a target that comes in the last 200 ms before connections are closed is not waited for any more.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -84,8 +84,11 @@
 	}
 	// A read deadline can expire slightly before the context does.
 	if outcome.isRetryable() && (ctx.Err() != nil || !time.Now().Before(a.deadline)) {
-		outcome = a.interruptedOutcome()
+		outcome = a.interruptedOutcome(ctx)
 		a.end.Result = admit.Canceled
+		if outcome == outcomeStopped && !a.end.NotRun {
+			a.ranAttempts++
+		}
 	}
 	a.record.Outcome = attemptOutcomeNames[outcome]
 	a.reportOutcome(outcome)
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -47,6 +47,8 @@
 		return &refusal{status: http.StatusRequestTimeout, reason: "body_stalled", detail: err.Error(), closesConn: true}
 	case errors.Is(err, errNoRoom):
 		return &refusal{status: http.StatusServiceUnavailable, reason: "bodies_full", detail: err.Error(), retryAfter: bodiesFullRetryAfter}
+	case errors.Is(err, os.ErrDeadlineExceeded) && !e.mayStart():
+		return newStopRefusal()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &refusal{status: http.StatusRequestTimeout, reason: "body_timeout"}
 	case errors.As(err, &tooLarge):
@@ -62,7 +64,9 @@
 	if err := e.setReadDeadline(e.deadline); err != nil {
 		return err
 	}
-	end := e.bodyHeld.startTransfer(func() { _ = e.setReadDeadline(time.Unix(1, 0)) })
+	endNow := func() { _ = e.setReadDeadline(time.Unix(1, 0)) }
+	defer e.whenTooLate(endNow)()
+	end := e.bodyHeld.startTransfer(endNow)
 	err := e.readIntoMemory(&progressReader{read: body.Read, holding: &e.bodyHeld}, length)
 	yielded := end()
 	switch {
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/umberhill/umberhill/internal/core/admit"
 	"github.com/umberhill/umberhill/internal/core/streams"
 	"github.com/umberhill/umberhill/internal/ids"
@@ -94,12 +96,14 @@
 	outcomeNoMemory
 	// outcomeCallerStalled means that the caller did not read its stream.
 	outcomeCallerStalled
+	// outcomeStopped means that the router stops before the request can end.
+	outcomeStopped
 )
 
 var attemptOutcomeNames = map[attemptOutcome]string{
 	outcomeDelivered: "delivered", outcomeNotSent: "not_sent", outcomeRejected: "rejected", outcomeUnknown: "unknown",
 	outcomeTargetError: "failed", outcomeExpired: "expired", outcomeCanceled: "caller_left",
-	outcomeNoMemory: "no_memory", outcomeCallerStalled: "caller_stalled",
+	outcomeNoMemory: "no_memory", outcomeCallerStalled: "caller_stalled", outcomeStopped: "stopped",
 }
 
 // isRetryable reports whether another target may be tried after the outcome.
@@ -121,12 +125,17 @@
 	return e.route.Kind == routing.Stream && e.route.Resumable
 }
 
-// interruptedOutcome returns the outcome of a request whose context has ended.
-func (e *exchange) interruptedOutcome() attemptOutcome {
-	if e.r.Context().Err() != nil {
+// interruptedOutcome returns the outcome of a request whose context, which has its deadline
+// and ends with the router's requests, has ended.
+func (e *exchange) interruptedOutcome(ctx context.Context) attemptOutcome {
+	switch {
+	case e.r.Context().Err() != nil:
 		return outcomeCanceled
+	case errors.Is(ctx.Err(), context.Canceled):
+		return outcomeStopped
+	default:
+		return outcomeExpired
 	}
-	return outcomeExpired
 }
 
 // serve sends the request to a target, and to further targets as far as retries
@@ -134,6 +143,7 @@
 func (e *exchange) serve() {
 	ctx, cancel := context.WithDeadline(e.r.Context(), e.deadline)
 	defer cancel()
+	defer context.AfterFunc(e.server.stop.end, cancel)()
 	if e.isQuarantined() {
 		e.refuseQuarantined()
 		return
@@ -144,14 +154,20 @@
 		a := e.successor
 		e.successor = nil
 		if a == nil {
+			if !e.mayStart() {
+				e.handleOutcome(outcomeStopped)
+				return
+			}
 			if e.hasQuarantinedPart() {
 				e.refuseQuarantined()
 				return
 			}
 			submitted := time.Now()
+			stopWaiting := e.whenTooLate(cancel)
 			v, decided := e.server.opts.Scheduler.Acquire(ctx, e.admitRequest(), e.logQueued)
+			stopWaiting()
 			if !decided {
-				e.handleOutcome(e.interruptedOutcome())
+				e.handleOutcome(e.interruptedOutcome(ctx))
 				return
 			}
 			e.logDecision(v, time.Since(submitted))
@@ -213,10 +229,16 @@
 	switch outcome {
 	case outcomeExpired:
 		e.expire()
+	case outcomeStopped:
+		e.endForStop()
 	case outcomeCanceled:
 		e.cancel()
 	case outcomeNotSent, outcomeRejected:
 		e.rejectedAttempts++
+		if !e.mayStart() {
+			e.endForStop()
+			return true
+		}
 		// Another attempt would be refused. It must not take from the retry budget.
 		if v, refused := e.server.opts.Scheduler.RefuseTurnedAway(e.admitRequest()); refused {
 			e.logDecision(v, 0)
@@ -234,6 +256,10 @@
 		if e.successor != nil {
 			return false
 		}
+		if !e.mayStart() {
+			e.fail("stopping")
+			return true
+		}
 		if e.isRepeatable() && !e.bodyHeld.hasYielded() && e.ranAttempts < max(1, e.route.MaxAttempts) && e.server.budget(e.service).Take() {
 			return false
 		}
--- a/internal/edge/failover.go
+++ b/internal/edge/failover.go
@@ -35,7 +35,7 @@
 	if a.ranAttempts+1 >= max(1, a.route.MaxAttempts) || a.rejectedAttempts >= maxRejectedAttempts {
 		return false
 	}
-	if a.hasQuarantinedPart() {
+	if a.hasQuarantinedPart() || !a.mayStart() {
 		return false
 	}
 	r := a.admitRequest()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -82,6 +82,7 @@
 	bodyBytes *memoryPool
 	// responseBytes is the memory of targets' responses.
 	responseBytes *memoryPool
+	stop          *stopState
 	// stalledStreams counts the streams whose callers did not read since TakeMemoryStats.
 	stalledStreams atomic.Int64
 	// loads counts the requests for engines by workspace.
@@ -108,7 +109,7 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	s := &Server{opts: o, counts: newCounters(o.Scope), budgets: make(map[string]*retry.Budget), routers: 1, retryRatio: o.RetryRatio, retryExtra: o.RetryExtra}
+	s := &Server{opts: o, counts: newCounters(o.Scope), budgets: make(map[string]*retry.Budget), routers: 1, retryRatio: o.RetryRatio, retryExtra: o.RetryExtra, stop: newStopState()}
 	s.bodyBytes = newMemoryPool(o.MaxTotalBodyBytes, 0, s.counts.bodiesYielded)
 	s.responseBytes = newMemoryPool(o.MaxTotalResponseBytes, maxHeldResponseBytes, s.counts.responsesYielded)
 	return s
@@ -218,6 +219,9 @@
 		return f
 	}
 	e.serviceConfig = current.config.Services[e.service]
+	if !e.mayStart() {
+		return newStopRefusal()
+	}
 	if f := e.refuseEarly(); f != nil {
 		return f
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 
 	"github.com/umberhill/umberhill/internal/connlimit"
 	"github.com/umberhill/umberhill/internal/core/admit"
+	"github.com/umberhill/umberhill/internal/core/stopplan"
 	"github.com/umberhill/umberhill/internal/core/targetlimit"
 	"github.com/umberhill/umberhill/internal/duty"
 	"github.com/umberhill/umberhill/internal/edge"
@@ -400,15 +401,21 @@
 	return err
 }
 
-// stop lets running requests finish, and those that arrive on open connections until
-// then. http.Server.Shutdown would drop a request that it reads after it has begun.
+// stop lets running requests finish, and those that arrive on open connections and can end
+// before the process does. http.Server.Shutdown would drop a request that it reads after it has begun.
 func (n *Node) stop(callers net.Listener) {
-	n.logger.Info("router stopping")
+	begin := time.Now()
 	n.draining.Store(true)
 	n.mu.Lock()
 	grace := n.gracePeriod
 	n.mu.Unlock()
-	deadline := time.After(max(grace-exitReserve, n.settings.StopLead))
+	limit := max(grace-exitReserve, n.settings.StopLead)
+	deadline := time.After(limit)
+	plan := stopplan.New(begin, n.settings.StopLead, limit)
+	n.server.Stop(plan)
+	n.logger.WithFields(logrus.Fields{
+		"last_start_ms": plan.LastStart.Sub(begin).Milliseconds(), "end_ms": plan.End.Sub(begin).Milliseconds(),
+	}).Info("router stopping")
 	time.Sleep(n.settings.StopLead)
 	_ = callers.Close()
 	select {
