A stream that the router cuts is incomplete for callers of HTTP/1.0

What callers saw: at the end of a stop, and when a router was killed, the connections of streams were closed. In HTTP/1.1 the end of the chunks is missing then; in HTTP/1.0 a stream has no other end than that of its connection, so that a cut stream looked complete.

The fix: such a connection is set to end with a reset when its stream begins, which the kernel does for a killed process too, and to end as usual once the stream is complete.

--- a/internal/edge/caller_writes.go
+++ b/internal/edge/caller_writes.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/umberhill/umberhill/internal/sock"
 )
 
@@ -18,6 +20,7 @@
 type watchedConn interface {
 	WatchWrites(*sock.WriteWatch)
 	AbortWrites()
+	SetLinger(seconds int) error
 }
 
 // callerConn returns the caller's connection, nil if it can't be watched.
@@ -33,6 +36,21 @@
 	return watched
 }
 
+// setResetOnClose sets whether the caller's connection ends with a reset. In HTTP/1.0, where a
+// stream has no end of its own, the caller takes any other end for that of the stream, also
+// when the process is killed.
+func (e *exchange) setResetOnClose(reset bool) error {
+	conn := e.callerConn()
+	if conn == nil || e.r.ProtoAtLeast(1, 1) {
+		return nil
+	}
+	lingerSeconds := -1
+	if reset {
+		lingerSeconds = 0
+	}
+	return errors.Wrap(conn.SetLinger(lingerSeconds), "set how the caller's connection ends")
+}
+
 // watchWrites lets writes to the caller go on while the caller reads, and end if others need
 // the memory of the response and it does not. end must be called before the request ends; it
 // reports whether the transfer has yielded.
