--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 GOFUMPT  := $(TOOLS)/gofumpt-$(GOFUMPT_VERSION)
 GOPLS    := $(TOOLS)/gopls-$(GOPLS_VERSION)
 
-.PHONY: all build test fmt fmt-check lint unit gopls proto demo measure soak fuzz fuzz-input clean
+.PHONY: all build test fmt fmt-check lint unit gopls proto demo measure soak soak-streams fuzz fuzz-input clean
 
 all: build
 
@@ -71,6 +71,11 @@
 soak: build
 	@$(BIN)/umberhill-bench soak --seconds $(SECONDS) --seed $(SEED)
 
+# soak-streams checks every event of streams through umberhilld processes while faults overlap. SOAK=options adds
+# options, such as -soak.race.
+soak-streams:
+	$(GO) test -count=1 ./platform -run 'TestStreamSoak$$' -timeout 0 -v -args -soak.seconds=$(SECONDS) -soak.seed=$(SEED) $(SOAK)
+
 # fuzz runs the schedulers through random faults for SECONDS, with a new seed for each run.
 fuzz:
 	$(GO) test -count=1 ./test/fairfuzz -run TestFuzz -timeout 0 -args -fairfuzz.seconds=$(SECONDS) -rapid.seed=$(SEED)
