A removed target is not listed again by an older event (DRAIN)

What a router did: it learned from a peer's list, at a later revision, that a target was gone before its own watch told that the target had ever existed; the event of the creation then arrived and listed the target, although the list was already complete at a revision after the removal. It stayed listed until this router's own watch went on. Peers have the same revision, so nothing is pulled from them; while the store does not respond to this router, that is until its next change elsewhere.

Cause: an event is compared with the entry held and with its tombstone. A router that never held the entry has neither. Now an event of a target that the list lacks counts only from after the list's revision: the list is complete up to there. Lists are not concerned, since an older one is ignored as a whole.

The effect at callers was not measured.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -144,9 +144,12 @@
 func (r *Roster) Apply(now time.Time, changes []Change, asOf uint64) {
 	r.observeEra(now, asOf)
 	for _, c := range changes {
-		if c.Removed {
+		switch {
+		case c.Removed:
 			r.handleRemoval(now, c.ID, c.Revision, r.isSettling(now))
-		} else {
+		case r.entries[c.ID] == nil && c.Revision <= r.asOf:
+			// A later list lacks it, so it was removed since.
+		default:
 			r.upsert(now, c.Entry)
 		}
 	}
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -58,6 +58,19 @@
 	}
 }
 
+// Guards against a removed target that is listed again, if this router learns from a peer's list
+// of the removal before its own watch tells that the target existed.
+func TestEventFromBeforeAListDoesNotAddATargetThatTheListLacks(t *testing.T) {
+	r := newRosterWithOneTarget()
+	r.Merge(start, []roster.Entry{entry(5, false)}, 9, true)
+	joined := entry(7, false)
+	joined.ID = "b"
+	r.Apply(start, []roster.Change{{Entry: joined}}, 7)
+	if got := r.Targets(); len(got) != 1 || got[0].ID != "a" {
+		t.Errorf("targets %v after an event from before the list, want that of the list", got)
+	}
+}
+
 func TestEntryThatExpiredDuringAnOutageIsKeptForTheRetentionTime(t *testing.T) {
 	r := newRosterWithOneTarget()
 	r.MarkStoreDown()
