A stream that is cut does not look complete to a caller of HTTP/1.0

Callers of HTTP/1.0 took each stream that was cut for a complete one: net/http neither chunks nor knows the length of a response to them, so that it ends with its connection, and panic(http.ErrAbortHandler) closes that with a FIN. The same at the end of a router's grace, when the server closes its connections.

Change: while a stream without framing runs, its connection has a linger time of 0, so that each close, also by the kernel at the end of the process, is a reset; the normal close is restored once the stream is complete. An abort closes the TCP connection itself, because TLS would first announce a proper end. Responses that are not streams have a length and stay as they were, as do callers of HTTP/1.1: a FIN loses nothing of what was sent to them.

Weighed: refusing streams to callers of HTTP/1.0; that takes sound streams from them.

Over TLS, not run.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -179,6 +179,7 @@
 		e.serve()
 	}
 	if !e.responseComplete {
+		e.resetIncomplete()
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -163,7 +163,9 @@
 	}
 	a.isWriting.Store(true)
 	defer a.isWriting.Store(false)
-	a.sendHead(resp)
+	if err := a.sendHead(resp); err != nil {
+		return err
+	}
 	if _, err := a.w.Write(events); err != nil {
 		return err
 	}
@@ -208,9 +210,12 @@
 
 // sendHead sends the status and header of the response, once. A resumed stream
 // keeps those of the first target.
-func (a *attempt) sendHead(resp *http.Response) {
+func (a *attempt) sendHead(resp *http.Response) error {
 	if a.stream.started {
-		return
+		return nil
+	}
+	if err := a.markIncomplete(); err != nil {
+		return err
 	}
 	a.stream.started, a.stream.status = true, resp.StatusCode
 	if a.origin == nil {
@@ -227,6 +232,7 @@
 	a.exchange.record.Status = resp.StatusCode
 	a.exchange.record.TimeToFirstByte = time.Since(a.arrivedAt)
 	a.server.counts.firstByteTime.Record(a.exchange.record.TimeToFirstByte)
+	return nil
 }
 
 // hasData reports whether one of the complete events has data.
@@ -239,7 +245,12 @@
 	if err := a.limitStreamWrites(); err != nil {
 		return a.callerWriteFailed(err)
 	}
-	a.sendHead(resp)
+	if err := a.sendHead(resp); err != nil {
+		return a.callerWriteFailed(err)
+	}
+	if err := a.markComplete(); err != nil {
+		return a.callerWriteFailed(err)
+	}
 	// A yield after the release would abort a connection that another request uses.
 	if endTransfer() {
 		a.conn.Close()
