--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -180,6 +180,7 @@
 		e.serve()
 	}
 	if !e.responseComplete {
+		e.resetIncomplete()
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -216,7 +216,7 @@
 	if a.stream.started {
 		return nil
 	}
-	if err := a.setResetOnClose(true); err != nil {
+	if err := a.markIncomplete(); err != nil {
 		return err
 	}
 	a.stream.started, a.stream.status = true, resp.StatusCode
@@ -243,7 +243,7 @@
 	if err := a.sendHead(resp); err != nil {
 		return a.callerWriteFailed(err)
 	}
-	if err := a.setResetOnClose(false); err != nil {
+	if err := a.markComplete(); err != nil {
 		return a.callerWriteFailed(err)
 	}
 	// A yield after the release would abort a connection that another request uses.
