connlimit: track callers' connections above TLS

Cause: the limiter saw the connection below TLS. There a handshake looks like a part of a request, so that each new connection counted as receiving, and a 408 can't be written.

The fix: the limiter's listener does TLS itself and follows what is read above it with the same code as without TLS. That covers a part of a request that came with the one before, too. A record of which only a part has come counts as a part of a request once the handshake is complete. A handshake that is not complete is ended by a drain.

Changed test: TestDrainClosesNewTLSConnection gets its connection from ListenTLS instead of TLS on top of Listen, which the limiter no longer follows; client and check are the same.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"crypto/tls"
 	"io"
 	"net"
 	"os"
@@ -34,14 +35,17 @@
 	writer  sock.Writer
 	// screened is set if the limiter's screen has passed the current request.
 	screened atomic.Bool
+	// secure is the TLS on the connection, nil for none, and handshaken is set once its
+	// handshake is complete.
+	secure     *tls.Conn
+	handshaken atomic.Bool
 
 	mu    sync.Mutex
 	phase phase
 	// since is when the phase began.
 	since time.Time
-	// isTLS is set if TLS runs on the connection, and fullRead is the size of the buffer of
-	// the first read, which net/http reads into while it holds no byte of a request.
-	isTLS    bool
+	// fullRead is the size of the buffer of the first read, which net/http reads into while it
+	// holds no byte of a request.
 	fullRead int
 	// closed is set once a read has ended the connection.
 	closed bool
@@ -58,13 +62,23 @@
 const requestTimeout = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 // Read implements net.Conn.
-func (c *Conn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) { return c.read(p, c.readPlain) }
+
+func (c *Conn) readPlain(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.limiter.linkMeter.Received(n)
+	}
+	return n, err
+}
+
+// read reads bytes of requests with readBytes.
+func (c *Conn) read(p []byte, readBytes func([]byte) (int, error)) (int, error) {
 	c.noteRead(len(p))
 	for {
 		isScreening := c.isScreening(len(p))
-		n, err := c.TCPConn.Read(p)
+		n, err := readBytes(p)
 		if n > 0 {
-			c.limiter.linkMeter.Received(n)
 			c.recordRead()
 			if !isScreening {
 				return n, err
@@ -108,7 +122,7 @@
 	switch {
 	case c.fullRead == 0:
 		c.fullRead = bufferSize
-	case bufferSize < c.fullRead && !c.isTLS:
+	case bufferSize < c.fullRead:
 		revoked = c.startReceiving()
 	}
 	c.mu.Unlock()
@@ -173,8 +187,8 @@
 	c.mu.Unlock()
 	switch {
 	case ended:
-		if event.WithinHead && !c.isTLS {
-			_, _ = io.WriteString(c.TCPConn, requestTimeout)
+		if event.WithinHead {
+			_, _ = io.WriteString(c.appWriter(), requestTimeout)
 		}
 		c.limiter.onClose(event)
 	case again && reason != "":
@@ -212,11 +226,25 @@
 	c.phase, c.since = waiting, now
 }
 
-// setTLS records that TLS runs on the connection.
-func (c *Conn) setTLS() {
+// endHandshake ends the connection, whose handshake did not complete in time or was ended by a
+// request to close it.
+func (c *Conn) endHandshake() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.isTLS = true
+	reason := c.closing
+	c.closed = true
+	event := Close{Reason: reason, Idle: time.Since(c.since)}
+	c.mu.Unlock()
+	if reason != "" {
+		c.limiter.onClose(event)
+	}
+}
+
+// appWriter returns the writer of responses.
+func (c *Conn) appWriter() io.Writer {
+	if c.secure != nil {
+		return c.secure
+	}
+	return c.TCPConn
 }
 
 // setServing records that a request's head has been read, and reports whether that
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -12,7 +12,6 @@
 
 import (
 	"container/list"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -109,6 +108,14 @@
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
+	conn, err := l.accept()
+	if err != nil {
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (l listener) accept() (*Conn, error) {
 	c, err := l.AcceptTCP()
 	if err != nil {
 		return nil, err
@@ -125,18 +132,11 @@
 	return &Conn{TCPConn: c, limiter: l, since: time.Now(), writer: sock.Writer{Conn: c}}
 }
 
-// Track records the state of a connection that was accepted from Listen; it serves as an
-// http.Server's ConnState, also for TLS on top of these connections. If a new connection exceeds the limit, Track closes the one
-// that has been idle longest.
+// Track records the state of a connection that was accepted from Listen or ListenTLS; it serves
+// as an http.Server's ConnState. If a new connection exceeds the limit, Track closes the one that
+// has been idle longest.
 func (l *Limiter) Track(c net.Conn, state http.ConnState) {
-	t, isTLS := c.(*tls.Conn)
-	if isTLS {
-		c = t.NetConn()
-	}
-	if conn, ok := c.(*Conn); ok {
-		if isTLS && state == http.StateNew {
-			conn.setTLS()
-		}
+	if conn := trackedConn(c); conn != nil {
 		l.updateState(conn, state)
 	}
 }
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -250,20 +250,142 @@
 // Guards against a drain that waits for a TLS connection on which no request has begun.
 func TestDrainClosesNewTLSConnection(t *testing.T) {
 	l := New(0, ignoreClose)
-	s := httptest.NewUnstartedServer(http.NotFoundHandler())
-	s.Listener = l.Listen(s.Listener.(*net.TCPListener))
+	openTLSConn(t, l)
+	time.Sleep(50 * time.Millisecond)
+	select {
+	case <-l.Drain():
+	case <-time.After(time.Second):
+		t.Error("not drained after 1 s, want the connection closed")
+	}
+}
+
+// openTLSConn starts a server with TLS whose connections l limits, and opens a connection to it
+// with a complete handshake.
+func openTLSConn(t *testing.T, l *Limiter) (client *tls.Conn, server *httptest.Server) {
+	t.Helper()
+	// The certificate of a test server.
+	certificate := httptest.NewUnstartedServer(nil)
+	certificate.StartTLS()
+	t.Cleanup(certificate.Close)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.URL.Path)
+	}))
+	s.Listener = l.ListenTLS(s.Listener.(*net.TCPListener), &tls.Config{Certificates: certificate.TLS.Certificates})
 	s.Config.ConnState = l.Track
-	s.StartTLS()
+	s.Start()
 	t.Cleanup(s.Close)
 	c, err := tls.Dial("tcp", s.Listener.Addr().String(), &tls.Config{InsecureSkipVerify: true})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
+	return c, s
+}
+
+// Guards against a drain that closes a TLS connection on which a part of a request has arrived,
+// or serves it wrongly.
+func TestTLSConnectionWithArrivingRequestIsNotClosed(t *testing.T) {
+	for name, parts := range map[string][2]string{
+		"new connection":  {"GET /a HTT", "P/1.1\r\nHost: x\r\n\r\n"},
+		"kept connection": {"GET /0 HTTP/1.1\r\nHost: x\r\n\r\n", "GET /a HTTP/1.1\r\nHost: x\r\n\r\n"},
+		"pipelined part":  {"GET /0 HTTP/1.1\r\nHost: x\r\n\r\nGET /a HTT", "P/1.1\r\nHost: x\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := New(0, ignoreClose)
+			c, _ := openTLSConn(t, l)
+			if err := c.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.WriteString(c, parts[0]); err != nil {
+				t.Fatal(err)
+			}
+			response := bufio.NewReader(c)
+			if name == "kept connection" {
+				expectBody(t, response, "/0")
+				if _, err := io.WriteString(c, parts[1][:10]); err != nil {
+					t.Fatal(err)
+				}
+				parts[1] = parts[1][10:]
+			}
+			time.Sleep(50 * time.Millisecond)
+			l.Drain()
+			time.Sleep(50 * time.Millisecond)
+			if _, err := io.WriteString(c, parts[1]); err != nil {
+				t.Fatal(err)
+			}
+			if name == "pipelined part" {
+				expectBody(t, response, "/0")
+			}
+			expectBody(t, response, "/a")
+		})
+	}
+}
+
+// Guards against a head that takes too long over TLS and gets no response.
+func TestSlowHeadOverTLSGetsResponse(t *testing.T) {
+	l := New(0, ignoreClose)
+	c, _ := openTLSConn(t, l)
+	if err := c.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, "GET /a HTT"); err != nil {
+		t.Fatal(err)
+	}
+	// Repeatedly, as a router does: the server may not have read the part yet.
+	expired, isOver := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(expired)
+		for {
+			select {
+			case <-isOver:
+				return
+			case <-time.After(20 * time.Millisecond):
+				l.CloseExpired(time.Now(), Timeouts{Idle: time.Minute, Head: 200 * time.Millisecond})
+			}
+		}
+	}()
+	defer func() { close(isOver); <-expired }()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("got error %v, want status 408", err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusRequestTimeout {
+		t.Errorf("got status %d, want 408", resp.StatusCode)
+	}
+}
+
+// Guards against a drain that waits for a connection whose TLS handshake does not end.
+func TestDrainClosesConnectionInTLSHandshake(t *testing.T) {
+	l := New(0, ignoreClose)
+	_, s := openTLSConn(t, l)
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	// The start of a record of the handshake.
+	if _, err := io.WriteString(c, "\x16\x03\x01"); err != nil {
+		t.Fatal(err)
+	}
 	time.Sleep(50 * time.Millisecond)
 	select {
 	case <-l.Drain():
 	case <-time.After(time.Second):
-		t.Error("not drained after 1 s, want the connection closed")
+		t.Error("not drained after 1 s, want the connections closed")
+	}
+}
+
+// expectBody reads a response and checks its body.
+func expectBody(t *testing.T, response *bufio.Reader, want string) {
+	t.Helper()
+	resp, err := http.ReadResponse(response, nil)
+	if err != nil {
+		t.Fatalf("got error %v, want the response to the request that arrived", err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	if err != nil || string(body) != want {
+		t.Errorf("got body %q and error %v, want %q", body, err, want)
 	}
 }
--- a/internal/connlimit/screen.go
+++ b/internal/connlimit/screen.go
@@ -38,7 +38,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase == waiting && !c.isTLS && bufferSize == c.fullRead
+	return c.phase == waiting && c.secure == nil && bufferSize == c.fullRead
 }
 
 // refuse sends the screen's response, if it refuses the request, and reports whether it did.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -130,9 +130,6 @@
 	if d.listeners.callers, err = listen("callers.address", d.settings.Callers.Address); err != nil {
 		return err
 	}
-	if tcp, ok := d.listeners.callers.(*net.TCPListener); ok {
-		d.listeners.callers = d.callerConns.Listen(tcp)
-	}
 	if d.listeners.admin, err = listen("admin.address", d.settings.Admin.Address); err != nil {
 		d.listeners.close()
 		return err
@@ -167,7 +164,7 @@
 	admin := d.adminServer()
 	d.PeersChanged(nil)
 	duties := duty.Start(d.logger, d.duties())
-	d.serve(callers, d.listeners.callers, d.tls.callers)
+	d.serve(callers, d.trackCallers(d.listeners.callers), nil)
 	d.serve(admin, d.listeners.admin, d.tls.admin)
 	d.logger.WithField("callers", d.listeners.callers.Addr().String()).Info("router started")
 	err := d.await(ctx, callers, duties.Failed())
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -51,6 +51,15 @@
 	}
 }
 
+// trackCallers returns a listener whose connections are tracked, with TLS if the settings say so.
+func (d *Daemon) trackCallers(l net.Listener) net.Listener {
+	tcp := l.(*net.TCPListener) //nolint:forcetypeassert // listen listens for TCP
+	if d.tls.callers != nil {
+		return d.callerConns.ListenTLS(tcp, d.tls.callers)
+	}
+	return d.callerConns.Listen(tcp)
+}
+
 func (d *Daemon) serve(server *http.Server, listener net.Listener, config *tls.Config) {
 	if config != nil {
 		listener = tls.NewListener(listener, config)
--- a/internal/edge/caller_writes.go
+++ b/internal/edge/caller_writes.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"crypto/tls"
 	"net"
 	"time"
 
@@ -29,9 +28,6 @@
 		return nil
 	}
 	conn, _ := e.r.Context().Value(connKey{}).(net.Conn)
-	if t, ok := conn.(*tls.Conn); ok {
-		conn = t.NetConn()
-	}
 	watched, _ := conn.(watchedConn)
 	return watched
 }
