Refuse a resumption that is refused anyway before its origin is looked for

Cause: the lookup of the origin came before the early refusal, which costs nothing; and a resumption that is bound to a version is not refused early at all, since the last refusal of its kind may be of another version.

Evidence: TestRefusedResumptionNeedsNoEvidence failed, 1 of 1, with one lookup for none wanted.

Change: the early refusal comes first, of the request that is still free of a version: if no target of any version has room for its kind, none of its own has. Where a route has several services the origin still comes first, since it names the service.

Result: the test passes, with internal/edge.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -214,13 +215,19 @@
 	e.regions = current.config.RegionsFor(e.route, e.workspace)
 	e.service = e.route.Pick(rand.Float64())
 	e.deadline = e.arrivedAt.Add(e.timeout())
-	if f := e.findOrigin(); f != nil {
-		return f
+	// Evidence of an origin may cost a read of the store, so that it is not looked for if the
+	// request is refused anyway. If the route has several services, the origin names the one.
+	steps := []func() *refusal{e.refuseEarly, e.findOrigin}
+	if len(e.route.Split) > 1 {
+		slices.Reverse(steps)
 	}
-	e.serviceConfig = current.config.Services[e.service]
-	if f := e.refuseEarly(); f != nil {
-		return f
+	for _, step := range steps {
+		e.serviceConfig = current.config.Services[e.service]
+		if f := step(); f != nil {
+			return f
+		}
 	}
+	e.serviceConfig = current.config.Services[e.service]
 	return e.readBody(current.config.Limits.MaxBodyBytes)
 }
 
