--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -219,16 +220,22 @@
 	if e.isResumedByCaller() {
 		e.stream.lastID = e.meta.LastEventID
 	}
-	if f := e.findOrigin(); f != nil {
-		return f
-	}
-	e.serviceConfig = current.config.Services[e.service]
 	if !e.mayStart() {
 		return newStopRefusal()
 	}
-	if f := e.refuseEarly(); f != nil {
-		return f
+	// Evidence of an origin may cost a read of the store, so that it is not looked for if the
+	// request is refused anyway. If the route has several services, the origin names the one.
+	steps := []func() *refusal{e.refuseEarly, e.findOrigin}
+	if len(e.route.Split) > 1 {
+		slices.Reverse(steps)
 	}
+	for _, step := range steps {
+		e.serviceConfig = current.config.Services[e.service]
+		if f := step(); f != nil {
+			return f
+		}
+	}
+	e.serviceConfig = current.config.Services[e.service]
 	return e.readBody(current.config.Limits.MaxBodyBytes)
 }
 
