--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -35,8 +35,10 @@
 	route         *routing.Route
 	service       string
 	serviceConfig *routing.Service
-	workspace     ids.Workspace
-	priority      int
+	// hasSeveralServices is set if the route has several services, or had others a short time ago.
+	hasSeveralServices bool
+	workspace          ids.Workspace
+	priority           int
 	// regions are those whose targets may get the request, nil for all.
 	regions []string
 	body    []byte
--- a/internal/edge/origin.go
+++ b/internal/edge/origin.go
@@ -32,7 +32,7 @@
 
 // StreamOrigins knows at which service and software version recent streams began, also
 // those of other routers. A stream may go on only there. isSplit is set if the route has
-// several services.
+// several services, or had others within streams.TTL.
 type StreamOrigins interface {
 	// Record records where the stream began which a caller's request began. It is called once
 	// its first event has arrived.
@@ -64,7 +64,7 @@
 	if origins == nil || !e.isResumedByCaller() {
 		return nil
 	}
-	origin, evidence, known := origins.Find(e.r.Context(), e.streamRequest(), e.service, len(e.route.Split) > 1)
+	origin, evidence, known := origins.Find(e.r.Context(), e.streamRequest(), e.service, e.hasSeveralServices)
 	if !known {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "unknown_stream", retryAfter: unknownOriginRetryAfter}
 	}
@@ -92,7 +92,7 @@
 		return
 	}
 	if request := a.streamRequest(); request != "" {
-		origins.Record(request, *a.origin, len(a.route.Split) > 1)
+		origins.Record(request, *a.origin, a.hasSeveralServices)
 	}
 	// Once the caller has an event, it may resume the stream at another router.
 	origins.Publish()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/umberhill/umberhill/internal/core/admit"
 	"github.com/umberhill/umberhill/internal/core/retry"
+	"github.com/umberhill/umberhill/internal/core/streams"
 	"github.com/umberhill/umberhill/internal/ids"
 	"github.com/umberhill/umberhill/internal/quarantine"
 	"github.com/umberhill/umberhill/internal/routing"
@@ -102,6 +103,8 @@
 type activeConfig struct {
 	config *routing.Config
 	table  *routing.Table
+	// moves tell which routes had other services while streams that are resumed may have begun.
+	moves *routing.Moves
 }
 
 // New returns a server without a configuration. It refuses requests until
@@ -118,7 +121,11 @@
 
 // SetConfig replaces the configuration for requests that arrive from now on.
 func (s *Server) SetConfig(c *routing.Config) {
-	s.active.Store(&activeConfig{config: c, table: routing.NewTable(c.Routes)})
+	next := &activeConfig{config: c, table: routing.NewTable(c.Routes), moves: routing.NewMoves(streams.TTL)}
+	if current := s.active.Load(); current != nil {
+		next.moves = current.moves.After(time.Now(), current.table, next.table)
+	}
+	s.active.Store(next)
 }
 
 // SetRouters sets the number of routers that share the retry budget.
@@ -215,6 +222,7 @@
 	}
 	e.priority = current.config.Priority(e.route, e.workspace)
 	e.regions = current.config.RegionsFor(e.route, e.workspace)
+	e.hasSeveralServices = len(e.route.Split) > 1 || current.moves.HasMoved(e.arrivedAt, e.route)
 	e.service = e.route.Pick(rand.Float64())
 	e.deadline = e.arrivedAt.Add(e.timeout())
 	if e.isResumedByCaller() {
@@ -226,7 +234,7 @@
 	// Evidence of an origin may cost a read of the store, so that it is not looked for if the
 	// request is refused anyway. If the route has several services, the origin names the one.
 	steps := []func() *refusal{e.refuseEarly, e.findOrigin}
-	if len(e.route.Split) > 1 {
+	if e.hasSeveralServices {
 		slices.Reverse(steps)
 	}
 	for _, step := range steps {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -52,3 +52,14 @@
 	}
 	return nil
 }
+
+// routes yields all routes, in no particular order.
+func (t *Table) routes(yield func(*Route) bool) {
+	for _, prefixes := range t.byHost {
+		for _, r := range prefixes {
+			if !yield(r) {
+				return
+			}
+		}
+	}
+}
