A head that pauses while another target is asked is not cut short (ORDER)

Cause: a target stops within its head, in or before the end of a line. After 1.2 s the request is sent to another target, which is given 250 ms to respond, and the first one goes on meanwhile. The read of the first then failed once, and the next one went on, since bytes had arrived. bufio.Reader.ReadLine returns the part of a line before an error as a whole line and relies on the next read to fail too: the end of that line became an empty line, the end of the head. Without Transfer-Encoding the body was the rest of the bytes, to their end. If nothing had arrived, the second read asked a third target and the second was forgotten.

Change: an error of a read ends the response; all later reads return it. Only AwaitResponse, which reads nothing, may be followed by a read after its deadline.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -70,6 +70,8 @@
 	lastReadAt time.Time
 	// progressAt is when MarkProgress was last called.
 	progressAt time.Time
+	// readErr is the error of the read that ended the response, nil for none.
+	readErr error
 
 	// keepAlive is the idle timeout that the target stated, 0 if it stated none.
 	keepAlive time.Duration
@@ -112,8 +114,18 @@
 // source reads from a connection within its ReadLimits.
 type source struct{ *Conn }
 
-// Read implements io.Reader.
+// Read implements io.Reader. An error is final, since bufio.Reader.ReadLine returns the part of a
+// line before an error as a whole line and relies on the next read to fail again.
 func (s source) Read(p []byte) (int, error) {
+	if s.readErr != nil {
+		return 0, s.readErr
+	}
+	n, err := s.readWithinLimits(p)
+	s.readErr = err
+	return n, err
+}
+
+func (s source) readWithinLimits(p []byte) (int, error) {
 	for {
 		since := time.Now()
 		if s.limits.OnlyMarked {
@@ -181,10 +193,13 @@
 func (c *Conn) MarkProgress() { c.progressAt = time.Now() }
 
 // AwaitResponse waits for the first byte of a response until the deadline. It reads no more
-// of it.
+// of it. The response may still be received after os.ErrDeadlineExceeded.
 func (c *Conn) AwaitResponse(deadline time.Time) error {
 	c.limits = ReadLimits{Deadline: deadline}
 	_, err := c.reader.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.readErr = nil
+	}
 	return err
 }
 
