A response without a length that was reset is not complete, whoever saw the reset

A target's response that ends with its connection counted as complete although the connection was reset, if something other than the read got the kernel's report: the kernel reports a reset once, and a read then finds an end without one. Two get it: the write of a long body in the background, and sock.Peek after a silence, which a suspended router makes with a reset already in the socket. There the end was read next, or, while each read came too late, never.

Change: at the end of a body without framing, a connection in TCP_CLOSE has its write's error asked for; a reset after a proper end is EPIPE there and leaves the response complete. A look at the socket that finds an error ends the read.

TestClosedResponseWithoutALengthIsComplete and TestHeadThatIsCutOffIsNoResponse (6 heads, each byte, closed and reset) held before.

--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -27,3 +27,20 @@
 	})
 	return n, errors.CombineErrors(err, controlErr)
 }
+
+// tcpClose is the state TCP_CLOSE of Linux, in which a connection is after a reset.
+const tcpClose = 7
+
+// IsClosed reports whether a connection is in the state TCP_CLOSE: reset, or closed by both sides.
+func IsClosed(conn syscall.Conn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	isClosed := false
+	controlErr := raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		isClosed = err == nil && info.State == tcpClose
+	})
+	return controlErr == nil && isClosed
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/umberhill/umberhill/internal/linkload"
 	"github.com/umberhill/umberhill/internal/sock"
@@ -127,9 +128,13 @@
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		// The read fails although bytes have arrived if this process was suspended.
-		if unread, err := sock.Peek(s.netConn); err == nil && unread > 0 {
+		// The read fails although bytes or the end have arrived if this process was suspended.
+		switch _, err := sock.Peek(s.netConn); {
+		case err == nil:
 			return s.readUntil(p, s.limits.Deadline)
+		case !errors.Is(err, unix.EAGAIN):
+			// The kernel reports a reset once. The next read would find an end without one.
+			return 0, errors.Wrap(err, "look at the connection")
 		}
 		if !s.limits.OnSilence() {
 			return n, err
@@ -333,11 +338,48 @@
 	}
 	c.setReusability(resp)
 	if resp.Body != http.NoBody {
+		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			resp.Body = unframedBody{resp.Body, c}
+		}
 		resp.Body = markedBody{resp.Body}
 	}
 	return resp, nil
 }
 
+// unframedBody is a body that ends with its connection.
+type unframedBody struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read implements io.Reader.
+func (b unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if resetErr := b.conn.resetError(); resetErr != nil {
+			return n, resetErr
+		}
+	}
+	return n, err
+}
+
+// resetError returns the error of a reset that ended the connection and was reported to the
+// write of the request's body: the kernel reports a reset once, and a read then finds an end
+// without one. A reset after a proper end is another error.
+func (c *Conn) resetError() error {
+	tcp, ok := c.netConn.(*net.TCPConn)
+	if c.writeDone == nil || !ok || !sock.IsClosed(tcp) {
+		return nil
+	}
+	// A write to a connection that was reset ends at once.
+	err := <-c.writeDone
+	c.writeDone <- err
+	if errors.Is(err, unix.ECONNRESET) {
+		return err
+	}
+	return nil
+}
+
 // receiveFinal reads responses up to the final one.
 func (c *Conn) receiveFinal(method string) (*http.Response, error) {
 	fields := 0
