--- a/internal/routing/moves_test.go
+++ b/internal/routing/moves_test.go
@@ -65,3 +65,13 @@
 		t.Error("part of a route that moved 60 s ago: counts as never moved")
 	}
 }
+
+// Guards against a move that is not seen since the route was removed in between.
+func TestRouteThatReturnsWithAnotherServiceCountsAsMoved(t *testing.T) {
+	start := time.Unix(1000, 0)
+	x, none, y := routing.NewTable([]routing.Route{route("/a/", "x")}), routing.NewTable(nil), routing.NewTable([]routing.Route{route("/a/", "y")})
+	m := routing.NewMoves(time.Minute).After(start, x, none).After(start.Add(time.Second), none, y)
+	if !m.HasMoved(start.Add(2*time.Second), y.Find("api.example", "/a/1")) {
+		t.Error("route that went to another service 2 s ago: counts as never moved")
+	}
+}
