A route that returns with another service counts as moved (ORDER)

Callers who resume a stream without naming its request got the rest from another service if a configuration without the route came between the two.

A route that is removed is remembered as moved from then on, since streams began there until its removal.

--- a/internal/routing/moves.go
+++ b/internal/routing/moves.go
@@ -27,8 +27,14 @@
 	next := &Moves{ttl: m.ttl, movedAt: maps.Clone(m.movedAt)}
 	maps.DeleteFunc(next.movedAt, func(_ routeKey, at time.Time) bool { return now.Sub(at) > m.ttl })
 	for old := range before.routes {
+		r := after.Find(old.Host, old.Prefix)
+		if r == nil {
+			// It may return with other services.
+			next.set(old.key(), now)
+			continue
+		}
 		// Its requests go to another route if it was removed.
-		next.record(now, old, after.Find(old.Host, old.Prefix))
+		next.record(now, old, r)
 	}
 	for r := range after.routes {
 		// If it was added, its requests went to another route.
@@ -37,23 +43,25 @@
 	return next
 }
 
-// record records that requests of an old route go to another one from now on. Either is nil
-// for none.
+// record records that requests of an old route, nil for none, go to another one from now on.
 func (m *Moves) record(now time.Time, old, r *Route) {
-	if old == nil || r == nil {
+	if old == nil {
 		return
 	}
 	at, moved := m.movedAt[old.key()]
 	if !old.hasSameServices(r) {
 		at, moved = now, true
 	}
-	if !moved || !at.After(m.movedAt[r.key()]) {
-		return
+	if moved && at.After(m.movedAt[r.key()]) {
+		m.set(r.key(), at)
 	}
+}
+
+func (m *Moves) set(key routeKey, at time.Time) {
 	if m.movedAt == nil {
 		m.movedAt = make(map[routeKey]time.Time)
 	}
-	m.movedAt[r.key()] = at
+	m.movedAt[key] = at
 }
 
 // HasMoved reports whether requests of the route may have gone to other services within the
