A request whose place comes too late in a stop is not sent (LOST)

The process was stopped by SIGSTOP between SIGTERM and the last start of requests, and went on after it. The verdict on the request and the end of its wait came together; the request was sent and its connection closed at once.

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -182,9 +182,17 @@
 				return
 			}
 			waited := time.Since(submitted)
+			notSent := admit.End{Result: admit.Canceled, NotRun: true}
+			if ctx.Err() != nil || !e.mayStart() {
+				// The verdict came too late, as after a suspension of this process.
+				cancel()
+				e.server.opts.Scheduler.AttemptEnded(v.ID, notSent)
+				e.handleOutcome(e.interruptedOutcome(ctx))
+				return
+			}
 			if e.hasQuarantinedPart() {
 				// It was quarantined while the request waited.
-				e.server.opts.Scheduler.AttemptEnded(v.ID, admit.End{Result: admit.Canceled, NotRun: true})
+				e.server.opts.Scheduler.AttemptEnded(v.ID, notSent)
 				e.refuseQuarantined()
 				return
 			}
