--- a/internal/edge/origin.go
+++ b/internal/edge/origin.go
@@ -68,6 +68,11 @@
 	if !known {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "unknown_stream", retryAfter: unknownOriginRetryAfter}
 	}
+	isRead := evidence == EvidenceRead || evidence == EvidencePeerRead
+	if isRead && e.hasRouteMoved() {
+		// The stream may have begun at another router that had the configuration before.
+		return &refusal{status: http.StatusServiceUnavailable, reason: "unknown_stream", retryAfter: unknownOriginRetryAfter}
+	}
 	e.record.OriginVersion, e.record.OriginEvidence = origin.Version, evidence
 	if !slices.ContainsFunc(e.route.Split, func(s routing.WeightedService) bool { return s.Service == origin.Service }) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "stream_service_removed"}
@@ -79,6 +84,14 @@
 	return nil
 }
 
+// hasRouteMoved reports whether requests like this one go to other services in the configuration
+// that is in force now, or went there a short time ago.
+func (e *exchange) hasRouteMoved() bool {
+	current := e.server.active.Load()
+	r := current.table.Find(e.r.Host, e.r.URL.Path)
+	return r == nil || len(r.Split) > 1 || current.moves.HasMoved(time.Now(), r)
+}
+
 // bindOrigin records where the stream begins, or goes on, when its first event has arrived, and
 // binds it to that. Attempts without events leave no note: the stream may begin elsewhere, and
 // of two notes a peer may get the first one only.
