--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -160,43 +160,9 @@
 		a := e.successor
 		e.successor = nil
 		if a == nil {
-			if !e.mayStart() {
-				e.handleOutcome(outcomeStopped)
+			if a = e.acquire(ctx); a == nil {
 				return
 			}
-			if e.hasQuarantinedPart() {
-				e.refuseQuarantined()
-				return
-			}
-			submitted := time.Now()
-			stopWaiting := e.whenTooLate(cancel)
-			v, decided := e.server.opts.Scheduler.Acquire(ctx, e.admitRequest(), e.logQueued)
-			stopWaiting()
-			if !decided {
-				e.handleOutcome(e.interruptedOutcome(ctx))
-				return
-			}
-			e.logDecision(v, time.Since(submitted))
-			if v.Refused != "" {
-				e.refuseByVerdict(v)
-				return
-			}
-			waited := time.Since(submitted)
-			notSent := admit.End{Result: admit.Canceled, NotRun: true}
-			if ctx.Err() != nil || !e.mayStart() {
-				// The verdict came too late, as after a suspension of this process.
-				cancel()
-				e.server.opts.Scheduler.AttemptEnded(v.ID, notSent)
-				e.handleOutcome(e.interruptedOutcome(ctx))
-				return
-			}
-			if e.hasQuarantinedPart() {
-				// It was quarantined while the request waited.
-				e.server.opts.Scheduler.AttemptEnded(v.ID, notSent)
-				e.refuseQuarantined()
-				return
-			}
-			a = e.newAttempt(v, waited)
 		}
 		outcome := e.attempt(ctx, a)
 		if e.handleOutcome(outcome) {
@@ -206,6 +172,53 @@
 	}
 }
 
+// acquire waits for a place at a target and returns an attempt there, or nil if it has ended the
+// request.
+func (e *exchange) acquire(ctx context.Context) *attempt {
+	if !e.mayStart() {
+		e.handleOutcome(outcomeStopped)
+		return nil
+	}
+	if e.hasQuarantinedPart() {
+		e.refuseQuarantined()
+		return nil
+	}
+	submitted := time.Now()
+	ctx, endWait := context.WithCancel(ctx)
+	defer endWait()
+	defer e.whenTooLate(endWait)()
+	v, decided := e.server.opts.Scheduler.Acquire(ctx, e.admitRequest(), e.logQueued)
+	if !decided {
+		e.handleOutcome(e.interruptedOutcome(ctx))
+		return nil
+	}
+	e.logDecision(v, time.Since(submitted))
+	if v.Refused != "" {
+		e.refuseByVerdict(v)
+		return nil
+	}
+	waited := time.Since(submitted)
+	if !e.mayStart() || ctx.Err() != nil {
+		// The verdict came too late, as after a suspension of this process.
+		endWait()
+		e.giveBack(v)
+		e.handleOutcome(e.interruptedOutcome(ctx))
+		return nil
+	}
+	if e.hasQuarantinedPart() {
+		// It was quarantined while the request waited.
+		e.giveBack(v)
+		e.refuseQuarantined()
+		return nil
+	}
+	return e.newAttempt(v, waited)
+}
+
+// giveBack returns a place at a target that the request does not use.
+func (e *exchange) giveBack(v admit.Verdict) {
+	e.server.opts.Scheduler.AttemptEnded(v.ID, admit.End{Result: admit.Canceled, NotRun: true})
+}
+
 // refuseQuarantined ends a request that would crash another target. There is no Retry-After,
 // since a retry by the caller would be refused too.
 func (e *exchange) refuseQuarantined() {
--- a/internal/node/fresh_calls_test.go
+++ b/internal/node/fresh_calls_test.go
@@ -50,14 +50,16 @@
 	var starts []time.Time
 	for range 4 {
 		if _, err := calls.do(t.Context(), "", func(context.Context) (any, error) {
-			starts = append(starts, time.Now())
+			calls.mu.Lock()
+			defer calls.mu.Unlock()
+			starts = append(starts, calls.started[""])
 			return nil, failure
 		}); !errors.Is(err, failure) {
 			t.Errorf("failing call: got error %v", err)
 		}
 	}
 	for i := 1; i < len(starts); i++ {
-		if got := starts[i].Sub(starts[i-1]); got < interval-time.Millisecond {
+		if got := starts[i].Sub(starts[i-1]); got < interval {
 			t.Errorf("call %d began %v after the one before, want %v", i, got, interval)
 		}
 	}
