--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -79,6 +79,39 @@
 	return max(0, 1-float64(requests)/float64(max(1, len(s.targets))))
 }
 
+// BacklogStatus is what waits for an engine service, for logs.
+type BacklogStatus struct {
+	Service string
+	// Waiting counts the requests that wait at this router, FleetWaiting those that do at all
+	// routers as last reported.
+	Waiting, FleetWaiting int
+	// Paused counts the targets that get no requests from this router since connections to them
+	// failed.
+	Paused int
+	// ExcessBound is the fraction of the bounds of engines that is open to workspaces beyond
+	// their fair share, before that of their rank.
+	ExcessBound float64
+}
+
+// Backlogs returns what waits for each engine service.
+func (ac *Controller) Backlogs(now time.Time) []BacklogStatus {
+	var all []BacklogStatus
+	for name, s := range ac.services {
+		if !s.isEngine() {
+			continue
+		}
+		status := BacklogStatus{Service: name, Waiting: s.queue.len(), ExcessBound: s.excessBoundScale(now)}
+		status.FleetWaiting, _ = s.fleetBacklog(now)
+		for _, t := range s.targets {
+			if !t.health.isAvailable(now) {
+				status.Paused++
+			}
+		}
+		all = append(all, status)
+	}
+	return all
+}
+
 // fleetBacklog returns the requests and prompt tokens that wait at all routers
 // together.
 func (s *service) fleetBacklog(now time.Time) (requests, tokens int) {
--- a/internal/core/pressure/pressure.go
+++ b/internal/core/pressure/pressure.go
@@ -50,3 +50,6 @@
 	}
 	return c.share
 }
+
+// Delay returns the smoothed scheduling delay.
+func (c *ShareController) Delay() time.Duration { return c.delay }
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -338,6 +338,13 @@
 	s.update(func(now time.Time) { s.admission.RecordLinkEnd(now, peer) })
 }
 
+// Backlogs returns what waits for each engine service.
+func (s *Scheduler) Backlogs() []admit.BacklogStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.admission.Backlogs(time.Now())
+}
+
 // TakeEvenness returns how evenly the targets of each service were loaded since the last call.
 func (s *Scheduler) TakeEvenness() []admit.Evenness {
 	s.mu.Lock()
--- a/internal/edge/shedding.go
+++ b/internal/edge/shedding.go
@@ -50,6 +50,8 @@
 	refuseShare  atomic.Uint64
 	linkShare    atomic.Uint64
 	shouldDivert atomic.Bool
+	// delay is the smoothed scheduling delay as a time.Duration.
+	delay atomic.Int64
 	// negativeChecks counts the load balancer's health checks answered since connections
 	// should be diverted.
 	negativeChecks atomic.Int32
@@ -105,6 +107,7 @@
 	linkShare := l.linkController.Observe(l.linkMeter.Use(now))
 	l.linkShare.Store(math.Float64bits(linkShare))
 	share := max(l.controller.Observe(delay), linkShare)
+	l.delay.Store(int64(l.controller.Delay()))
 	l.refuseShare.Store(math.Float64bits(share))
 	overload := share
 	if l.linkController.IsReceivingFull() {
@@ -172,6 +175,9 @@
 // RefuseShare returns the share of the requests to refuse, 0 to 1.
 func (l *LoadShedder) RefuseShare() float64 { return math.Float64frombits(l.refuseShare.Load()) }
 
+// Delay returns the smoothed delay with which runnable goroutines are scheduled.
+func (l *LoadShedder) Delay() time.Duration { return time.Duration(l.delay.Load()) }
+
 // LinkRefuseShare returns the share of the requests that the use of the link alone requires
 // to refuse, 0 to 1.
 func (l *LoadShedder) LinkRefuseShare() float64 { return math.Float64frombits(l.linkShare.Load()) }
--- a/internal/explain/logs.go
+++ b/internal/explain/logs.go
@@ -58,15 +58,27 @@
 // brace, such as the prefix of a log collector, and lines that are not JSON or have
 // no message or time. It returns an error if reading fails or a line exceeds 1 MiB.
 func ReadLog(r io.Reader) ([]Line, error) {
+	var out []Line
+	err := ScanLog(r, nil, func(line Line) { out = append(out, line) })
+	return out, err
+}
+
+// ScanLog calls visit with the lines that ReadLog returns. Of these it leaves out those that
+// contain none of the given messages, unless that is empty.
+func ScanLog(r io.Reader, messages []string, visit func(Line)) error {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLogLineBytes)
-	var out []Line
 	for scanner.Scan() {
-		if line, ok := parseLine(scanner.Bytes()); ok {
-			out = append(out, line)
+		raw := scanner.Bytes()
+		isWanted := func(message string) bool { return bytes.Contains(raw, []byte(message)) }
+		if len(messages) > 0 && !slices.ContainsFunc(messages, isWanted) {
+			continue
+		}
+		if line, ok := parseLine(raw); ok {
+			visit(line)
 		}
 	}
-	return out, errors.Wrap(scanner.Err(), "read the log")
+	return errors.Wrap(scanner.Err(), "read the log")
 }
 
 func parseLine(raw []byte) (Line, bool) {
--- a/internal/node/load_log.go
+++ b/internal/node/load_log.go
@@ -49,8 +49,13 @@
 		}
 		n.logger.WithFields(logrus.Fields{
 			"refuse_share": n.loadShedder.RefuseShare(), "link_refuse_share": n.loadShedder.LinkRefuseShare(), "diverts": n.loadShedder.ShouldDivert(),
-			"caller_conns": open, "caller_conns_accepted": accepted - before,
+			"caller_conns": open, "caller_conns_accepted": accepted - before, "sched_delay_ms": n.loadShedder.Delay().Milliseconds(),
 		}).Info("router load")
+		for _, b := range n.scheduler.Backlogs() {
+			n.logger.WithFields(logrus.Fields{
+				"service": b.Service, "waiting": b.Waiting, "fleet_waiting": b.FleetWaiting, "paused_targets": b.Paused, "excess_bound": rounded(b.ExcessBound),
+			}).Info("backlog")
+		}
 		for _, ws := range largestWorkspaces(loads) {
 			n.logger.WithFields(workspaceLoadFields(ws, loads[ws])).Info("workspace load")
 		}
--- a/internal/replay/simulation.go
+++ b/internal/replay/simulation.go
@@ -110,7 +110,7 @@
 	prefilledParts map[uint64]bool
 	servedWorth    map[ids.Workspace]float64
 	requests       map[ids.Workspace]int
-	fairness       fairness
+	shares         shareRecord
 	// turnedAwayAt is when an engine last turned an attempt of a router away.
 	turnedAwayAt map[[2]int]time.Duration
 	// limits hold the requests that each engine got and its limit.
@@ -183,7 +183,7 @@
 		r.Deadline = r.ArrivedAt.Add(r.kind.Deadline)
 	}
 	r.attempts++
-	s.fairness.recordRequested(s.now, r)
+	s.shares.recordRequested(s.now, r)
 	s.lastID++
 	r.ID = s.lastID
 	s.applyVerdict(r, s.routers[r.router].submit(s.virtualTime(), r))
@@ -204,7 +204,7 @@
 // or counts the request as refused after maxAttempts attempts or where the delay is
 // more than a third of the time left until the deadline.
 func (s *simulation) retryOrRefuse(r *request, after time.Duration) {
-	s.fairness.recordDenied(s.now, r)
+	s.shares.recordDenied(s.now, r)
 	remaining := r.arrivedAt + r.kind.Deadline - s.now
 	if r.attempts >= maxAttempts || after > remaining/3 {
 		s.result.Refused++
@@ -306,7 +306,7 @@
 	delete(s.inFlight, id)
 	s.routers[j.req.router].attemptEnded(s.virtualTime(), id, admit.End{Result: admit.Canceled})
 	s.result.Abandoned++
-	s.fairness.recordDenied(s.now, j.req)
+	s.shares.recordDenied(s.now, j.req)
 }
 
 // startStep starts an engine's next step unless one runs or the engine has no requests.
@@ -355,7 +355,7 @@
 		j.hasStarted = true
 		s.nameLimit(j)
 		s.routers[j.req.router].answerStarted(s.virtualTime(), j.req.ID)
-		s.fairness.recordBegun(s.now, j.req)
+		s.shares.recordBegun(s.now, j.req)
 		j.longestGap = 0
 		j.firstEventAt, j.lastEventAt, j.events = s.now, s.now, 1
 	}
@@ -446,7 +446,7 @@
 			r.WorstWorkspaceWorth = min(r.WorstWorkspaceWorth, s.servedWorth[ws]/float64(requests))
 		}
 	}
-	r.WorstShare = s.fairness.worstShare()
+	r.WorstShare = s.shares.worstShare()
 	for i := range s.limits {
 		r.MostOverLimit = max(r.MostOverLimit, s.limits[i].mostOver())
 	}
