--- a/internal/core/admit/subset_test.go
+++ b/internal/core/admit/subset_test.go
@@ -58,3 +58,15 @@
 		t.Errorf("sent to %s, want e39, the only idle engine of 40", v.Target.ID)
 	}
 }
+
+// Guards against a router with much of the load that fills the engines it prefers and lets
+// requests wait while others are idle (FAIR).
+func TestRequestsDoNotWaitWhileEnginesBeyondThePreferredOnesAreIdle(t *testing.T) {
+	h := newHarness(t, 40, 0)
+	h.ApplyFleetReport(start, nil, nil, nil)
+	for i := range 100 {
+		if v := h.submit(start, "a", "llm", admit.Part{Key: uint64(i), Tokens: 100}); v.Target.ID == "" {
+			t.Fatalf("request %d waits (%v) or is refused as %q while at least 20 of 40 engines are idle", i, v.Waiting, v.Refused)
+		}
+	}
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -142,3 +145,75 @@
 		t.Errorf("%.2f of the refused callers were asked to close their connections, want about 0.1", got)
 	}
 }
+
+// Guards against a flood whose connections end the early refusals of an overloaded router, and
+// which the router then asks to connect anew for each request (FAIR).
+func TestFloodOverManyConnectionsIsStillRefusedEarly(t *testing.T) {
+	logger, _ := logtest.NewNullLogger()
+	const descriptors, conns, requests = 160, 48, 200 // at most 80 connections
+	n := New(Settings{Instance: "r-0", Domain: "a", CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", MaxFDs: descriptors, ShareWindow: time.Second}, nopHeaderCodec{}, logger)
+	n.SetConfig(&routing.Config{
+		Version:  1,
+		Services: map[string]*routing.Service{"s": {Name: "s", Engine: &routing.Engine{}}},
+		Routes:   []routing.Route{{Name: "r", Host: "h", Prefix: "/", Split: []routing.WeightedService{{Service: "s", Weight: 1}}}},
+	}, "test")
+	l, err := n.openListeners()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		for _, s := range n.servers {
+			_ = s.Close()
+		}
+	}()
+	now := time.Unix(1000, 0)
+	for range 40 {
+		now = now.Add(50 * time.Millisecond)
+		n.loadShedder.Observe(now, 50*time.Millisecond)
+	}
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+		return conn
+	}
+	for range conns {
+		dial()
+	}
+	refused, closed := 0, 0
+	var conn net.Conn
+	var r *bufio.Reader
+	for range requests {
+		if conn == nil {
+			conn = dial()
+			r = bufio.NewReader(conn)
+		}
+		if _, err := io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"); err != nil {
+			t.Fatal(err)
+		}
+		if !(screen{n}).Enabled() {
+			t.Fatalf("requests are not refused early with %d of %d connections open", conns+1, descriptors/2)
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		if strings.Contains(string(body), "router_busy") {
+			refused++
+			if resp.Close {
+				closed++
+			}
+		}
+		if resp.Close {
+			_ = conn.Close()
+			conn = nil
+		}
+	}
+	if refused < requests/2 || closed > refused/2 {
+		t.Errorf("%d of %d requests were refused as router_busy and %d of them asked to connect anew, want most refused and less than half asked", refused, requests, closed)
+	}
+}
