--- a/internal/core/admit/choose.go
+++ b/internal/core/admit/choose.go
@@ -95,6 +95,11 @@
 	if preferLocal.best.hasRoom {
 		return preferLocal.best, preferLocal.found
 	}
+	if !anywhere.best.hasRoom && s.usesSubset() {
+		if idle, found := s.findIdle(sel, domain); found {
+			return idle, true
+		}
+	}
 	return anywhere.best, anywhere.found
 }
 
@@ -115,9 +120,17 @@
 		}
 		withRoom.offer(c)
 	})
+	if !withRoom.best.hasRoom && s.usesSubset() {
+		if idle, found := s.findIdle(sel, domain); found {
+			return idle, true
+		}
+	}
 	return withRoom.best, withRoom.found
 }
 
+// usesSubset reports whether only some of the engines are considered at first.
+func (s *service) usesSubset() bool { return s.isViewOld && s.isEngine() }
+
 // crossDomainCost returns the cost added to a request at a target in another failure
 // domain.
 func crossDomainCost(r *Request) time.Duration {
--- a/internal/core/admit/subset.go
+++ b/internal/core/admit/subset.go
@@ -12,7 +12,8 @@
 // older than the time between two requests for the same engine. If all routers considered
 // all engines, they would all send their next requests to the one that the last sum showed
 // as idle. Each router therefore considers few engines, which only few other routers
-// consider too, and those at which a request finds its shared parts.
+// consider too, and those at which a request finds its shared parts. If none of these has room,
+// it looks for an idle one among the others: a router may have much of the fleet's load.
 const (
 	// subsetLocal and subsetRemote are the numbers of engines that a router considers in
 	// its own failure domain and in the others.
@@ -21,6 +22,13 @@
 	// maxCachedCandidates bounds the further engines that are considered since they have
 	// the request's shared parts cached. A part that most requests share is at all engines.
 	maxCachedCandidates = 3
+	// idleShare is the fraction of an engine's slots below which it counts as idle. It leaves
+	// room for what the routers send there before a report shows it.
+	idleShare = 0.5
+	// maxIdleScanned and maxIdleEvaluated bound the engines that are looked at and the idle ones
+	// that are evaluated for one request, some microseconds of work each.
+	maxIdleScanned   = 256
+	maxIdleEvaluated = 8
 )
 
 // subset orders the engines of a service by this router's preference: those that come first
@@ -93,3 +101,31 @@
 	offerFirst(ss.remote, subsetRemote)
 	return len(visited) > 0
 }
+
+// findIdle returns the first usable engine in the router's order that is idle, has room for the
+// request and is expected to be on time, or false if there is none.
+func (s *service) findIdle(sel *selection, domain ids.Domain) (candidate, bool) {
+	scanned, evaluated := 0, 0
+	for _, list := range [][]*target{s.subset.local, s.subset.remote} {
+		for _, t := range list {
+			if scanned++; scanned > maxIdleScanned {
+				return candidate{}, false
+			}
+			running, _, _ := t.fleetLoad(sel.now)
+			if float64(running) >= idleShare*float64(max(1, t.Slots)) || !t.isUsable(sel.now, sel.req) {
+				continue
+			}
+			c := s.evaluate(sel, t)
+			if t.Domain != domain {
+				c = c.withAddedCost(crossDomainCost(sel.req))
+			}
+			if c.hasRoom && c.inputs.PredictedLatency <= sel.remaining {
+				return c, true
+			}
+			if evaluated++; evaluated == maxIdleEvaluated {
+				return candidate{}, false
+			}
+		}
+	}
+	return candidate{}, false
+}
