--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -21,7 +21,7 @@
 	"github.com/umberhill/umberhill/internal/sock"
 )
 
-// softLimitRatio is the fraction of the limit above which responses ask callers to
+// softLimitRatio is the fraction of the limit above which some responses ask callers to
 // close their connections. It is half, so that this takes effect well before the
 // limit is reached.
 const softLimitRatio = 0.5
@@ -220,9 +220,12 @@
 	return l.accepted, l.open()
 }
 
-// IsAboveSoftLimit reports whether responses should ask callers to close their
-// connections.
-func (l *Limiter) IsAboveSoftLimit() bool { return l.utilization() > softLimitRatio }
+// CloseShare returns the share of the responses that should ask callers to close their
+// connections: none up to the soft limit, all at the limit. A caller that is asked connects anew
+// for its next request, which costs more than a refusal.
+func (l *Limiter) CloseShare() float64 {
+	return min(max(0, (l.utilization()-softLimitRatio)/(1-softLimitRatio)), 1)
+}
 
 // IsAboveLimit reports whether requests should be refused until connections are
 // closed.
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"crypto/tls"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -72,8 +73,23 @@
 			t.Errorf("connection %d: got closed %v, want %v", i, got, want)
 		}
 	}
-	if !l.IsAboveSoftLimit() || l.IsAboveLimit() {
-		t.Errorf("%d connections open: got above soft limit %v, above limit %v, want true, false", len(l.conns), l.IsAboveSoftLimit(), l.IsAboveLimit())
+	if l.CloseShare() != 1 || l.IsAboveLimit() {
+		t.Errorf("%d connections open: got share to close %v, above limit %v, want 1, false", len(l.conns), l.CloseShare(), l.IsAboveLimit())
+	}
+}
+
+// Guards against callers that are all asked to connect anew, at the cost of a connection for each
+// request, while there is room for many more connections.
+func TestShareOfClosedConnectionsGrowsTowardsTheLimit(t *testing.T) {
+	const maxConns = 20
+	l := New(maxConns, ignoreClose)
+	address := startServer(t, l)
+	for open := 1; open <= maxConns; open++ {
+		openIdleConn(t, address)
+		want := max(0, float64(open)/maxConns-0.5) / 0.5
+		if got := l.CloseShare(); math.Abs(got-want) > 1e-9 {
+			t.Errorf("with %d of %d connections open the share is %v, want %v", open, maxConns, got, want)
+		}
 	}
 }
 
--- a/internal/edge/screen.go
+++ b/internal/edge/screen.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -50,6 +51,9 @@
 	} else if f = s.refuseEarly(r.admitRequest(now, current.config)); f == nil {
 		return nil, false
 	}
+	if share := s.opts.ConnCloseShare; share != nil && rand.Float64() < share() {
+		f.closesConn = true
+	}
 	s.recordEarly(now, current.config, &r, f)
 	return f.encode(now), f.closesConn
 }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -45,6 +45,9 @@
 	// IsNearConnLimit reports whether the router is about to run out of caller
 	// connections. If it is nil, connections are not limited.
 	IsNearConnLimit func() bool
+	// ConnCloseShare returns the share of the callers that responses ask to close their connections
+	// because of the number of these. If it is nil, none are.
+	ConnCloseShare func() float64
 	// Quarantine refuses requests that crash targets. If it is nil, no request is
 	// refused for this reason.
 	Quarantine Quarantine
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 
@@ -66,10 +67,10 @@
 	})
 }
 
-// serveCaller handles a caller's request. While the router is draining or has too
-// many callers' connections, its responses ask callers to close theirs.
+// serveCaller handles a caller's request. While the router is draining its responses ask callers
+// to close their connections; while it has many of them, some do.
 func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
-	if n.draining.Load() || n.callerConns.IsAboveSoftLimit() {
+	if n.draining.Load() || rand.Float64() < n.callerConns.CloseShare() {
 		w.Header().Set("Connection", "close")
 	}
 	n.server.ServeHTTP(w, r)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -199,6 +199,7 @@
 		StreamOrigins:         n.streamOrigins,
 		LoadShedder:           &n.loadShedder,
 		IsNearConnLimit:       n.callerConns.IsAboveLimit,
+		ConnCloseShare:        n.callerConns.CloseShare,
 		MaxTotalBodyBytes:     int64(bodyShare * float64(s.MemoryMB<<20)),
 		MaxTotalResponseBytes: int64(responseShare * float64(s.MemoryMB<<20)),
 		Scope:                 n.scope,
@@ -209,14 +210,12 @@
 	return n
 }
 
-// screen refuses requests early while responses need not ask callers to close their
-// connections.
+// screen refuses requests early while the node does not stop: its responses then ask all callers to
+// close their connections.
 type screen struct{ *Node }
 
 // Enabled implements connlimit.Screen.
-func (s screen) Enabled() bool {
-	return s.server.Enabled() && !s.draining.Load() && !s.callerConns.IsAboveSoftLimit()
-}
+func (s screen) Enabled() bool { return s.server.Enabled() && !s.draining.Load() }
 
 // Screen implements connlimit.Screen.
 func (s screen) Screen(request []byte) (response []byte, closes bool) {
