--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -333,7 +333,7 @@
 	}
 	// The end of a request of the old run must not change the load of the new one.
 	h.AttemptEnded(start, first.ID, admit.End{Result: admit.Failed})
-	loads, _, _ := h.LocalReport(start)
+	loads, _, _ := h.LocalReport(start, 0)
 	if len(loads) != 1 || loads[0].Running != 1 {
 		t.Errorf("got loads %+v, want one load with 1 running request", loads)
 	}
--- a/internal/core/admit/even_load_test.go
+++ b/internal/core/admit/even_load_test.go
@@ -114,7 +114,7 @@
 func TestSumDoesNotHoldTheRequestsSentWithinItsAge(t *testing.T) {
 	h := newPlainHarness(t, appTarget("a0", 1))
 	for range 3 {
-		h.LocalReport(start)
+		h.LocalReport(start, 0)
 	}
 	h.submit(start, "", "app")
 	h.ApplyFleetReport(start, []admit.Load{{Target: "a0", Running: 2}}, nil, nil)
@@ -131,7 +131,7 @@
 		t.Errorf("evenness of an idle service %+v, want a ratio of 0", got)
 	}
 	h.ApplyFleetReport(start, []admit.Load{{Target: "e0", Running: 30}, {Target: "e1", Running: 10}, {Target: "e2", Running: 10}, {Target: "e3", Running: 10}}, nil, nil)
-	h.LocalReport(start)
+	h.LocalReport(start, 0)
 	got := h.TakeEvenness(start)
 	if len(got) != 1 || got[0].Busiest != "e0" || got[0].Ratio != 2 || got[0].Targets != 4 {
 		t.Fatalf("evenness %+v, want e0 with 2 times the mean of 4 targets", got)
--- a/internal/core/admit/plain_fleet_test.go
+++ b/internal/core/admit/plain_fleet_test.go
@@ -271,7 +271,7 @@
 	backlog := admit.Backlog{Service: "app"}
 	for i, r := range s.routers {
 		if s.isReporting(i) {
-			loads, backlogs, _ := r.LocalReport(s.time())
+			loads, backlogs, _ := r.LocalReport(s.time(), 0)
 			s.reported[i], s.reportedAt[i] = loads, s.now
 			for _, b := range backlogs {
 				backlog.Requests += b.Requests
--- a/internal/core/admit/report.go
+++ b/internal/core/admit/report.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"time"
 
 	"github.com/umberhill/umberhill/internal/core/share"
@@ -70,8 +71,8 @@
 	}
 	for i := range backlogs {
 		if s := ac.services[backlogs[i].Service]; s != nil {
-			backlogs[i].Requests = max(0, backlogs[i].Requests-s.queue.len())
-			backlogs[i].Tokens = max(0, backlogs[i].Tokens-s.queue.tokens())
+			backlogs[i].Requests = max(0, backlogs[i].Requests-s.reportedBacklog.Requests)
+			backlogs[i].Tokens = max(0, backlogs[i].Tokens-s.reportedBacklog.Tokens)
 		}
 	}
 	for ws, own := range ac.window.LocalUsage(now) {
@@ -90,7 +91,11 @@
 
 // LocalReport returns this router's load, backlog and workspace usage for a report to
 // all peers, and samples the fleet's loads for TakeEvenness. CachedKeys are those recorded since the last call.
-func (ac *Controller) LocalReport(now time.Time) ([]Load, []Backlog, map[ids.Workspace]share.Usage) {
+//
+// refusedShare is the share of its requests that the router refuses for its own load. Its backlog is
+// reported without that share: what waits for the router is no claim on targets, for which others
+// would hold back.
+func (ac *Controller) LocalReport(now time.Time, refusedShare float64) ([]Load, []Backlog, map[ids.Workspace]share.Usage) {
 	var loads []Load
 	for id, t := range ac.targets {
 		unreported := t.cache.takeUnreported()
@@ -104,8 +109,10 @@
 	var backlogs []Backlog
 	for name, s := range ac.services {
 		s.sampleLoads(now)
-		if n := s.queue.len(); n > 0 {
-			backlogs = append(backlogs, Backlog{Service: name, Requests: n, Tokens: s.queue.tokens()})
+		claimed := func(waiting int) int { return int(math.Round(float64(waiting) * (1 - refusedShare))) }
+		s.reportedBacklog = Backlog{Service: name, Requests: claimed(s.queue.len()), Tokens: claimed(s.queue.tokens())}
+		if s.reportedBacklog.Requests > 0 {
+			backlogs = append(backlogs, s.reportedBacklog)
 		}
 	}
 	return loads, backlogs, ac.window.LocalUsage(now)
--- a/internal/core/admit/request.go
+++ b/internal/core/admit/request.go
@@ -207,7 +207,7 @@
 	CachedKeys []uint64
 }
 
-// Backlog is what waits in a router's queue for a service.
+// Backlog is what waits in a router's queue for the targets of a service.
 type Backlog struct {
 	Service string
 	// Requests and Tokens count the waiting requests and their prompt tokens.
--- a/internal/core/admit/service.go
+++ b/internal/core/admit/service.go
@@ -47,6 +47,8 @@
 	queue        queue
 	limits       *targetlimit.Limiter
 	peerBacklogs map[ids.Instance]peerBacklog
+	// reportedBacklog is that of this router in its last report.
+	reportedBacklog Backlog
 }
 
 type peerBacklog struct {
--- a/internal/core/admit/subset_test.go
+++ b/internal/core/admit/subset_test.go
@@ -70,3 +70,28 @@
 		}
 	}
 }
+
+// Guards against requests that wait for the processor of one router and for which all others hold
+// back the workspaces beyond their share, while engines are idle (FAIR).
+func TestBacklogOfAnOverloadedRouterIsNoClaimOnTargets(t *testing.T) {
+	h := newHarness(t, 1, 0)
+	for i := range 40 {
+		h.submit(start, "a", "llm", admit.Part{Key: uint64(i), Tokens: 100})
+	}
+	_, calm, _ := h.LocalReport(start, 0)
+	if len(calm) != 1 || calm[0].Requests < 10 {
+		t.Fatalf("got backlogs %v of a router that has processor time, want one of at least 10 requests", calm)
+	}
+	_, busy, _ := h.LocalReport(start, 0.9)
+	if len(busy) != 1 || busy[0].Requests > (calm[0].Requests+9)/10+1 || busy[0].Tokens >= calm[0].Tokens/2 {
+		t.Errorf("got backlogs %v of a router that refuses 0.9 of its load, want a tenth of %v", busy, calm)
+	}
+	// The router's own part of the fleet's sum is what it reported.
+	now := start.Add(100 * time.Millisecond)
+	h.ApplyFleetReport(now, nil, []admit.Backlog{{Service: "llm", Requests: busy[0].Requests + 7, Tokens: busy[0].Tokens + 700}}, nil)
+	for _, b := range h.Backlogs(now) {
+		if others := b.FleetWaiting - b.Waiting; others != 7 {
+			t.Errorf("%d requests wait at other routers, want 7", others)
+		}
+	}
+}
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -352,9 +352,10 @@
 	return s.admission.TakeEvenness(time.Now())
 }
 
-// LocalReport returns this router's state for reports to peers.
-func (s *Scheduler) LocalReport() ([]admit.Load, []admit.Backlog, map[ids.Workspace]share.Usage) {
+// LocalReport returns this router's state for reports to peers. refusedShare is the share of its
+// requests that it refuses for its own load.
+func (s *Scheduler) LocalReport(refusedShare float64) ([]admit.Load, []admit.Backlog, map[ids.Workspace]share.Usage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.admission.LocalReport(time.Now())
+	return s.admission.LocalReport(time.Now(), refusedShare)
 }
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -203,7 +203,7 @@
 }
 
 func (f *fleet) ownReport() *fleetv1.Report {
-	loads, backlogs, usage := f.node.scheduler.LocalReport()
+	loads, backlogs, usage := f.node.scheduler.LocalReport(f.node.loadShedder.RefuseShare())
 	r := &fleetv1.Report{Evacuations: f.node.evacuations.takeReport(time.Now())}
 	f.setRevisions(r)
 	f.node.streamOrigins.addTo(r)
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -21,7 +21,7 @@
 }
 
 func newReport(now time.Time, controller *admit.Controller) report {
-	loads, backlogs, usage := controller.LocalReport(now)
+	loads, backlogs, usage := controller.LocalReport(now, 0)
 	return report{loads, backlogs, usage, controller.LocalLimits(now), controller.LocalSpeeds(now)}
 }
 
