--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"mime"
+	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -20,6 +21,9 @@
 	maxResponseBytes = 8 << 20
 	// eventStreamType is the media type of server-sent events.
 	eventStreamType = "text/event-stream"
+	// lateShare is the fraction of a time-out for which a router that was late itself does not
+	// blame the target. Answers of sound targets take a few hundredths of the time-outs.
+	lateShare = 0.25
 )
 
 // attempt is one attempt to run a request at a target.
@@ -133,9 +137,14 @@
 
 // send sends the request to the target. Its outcome is outcomeSent if that succeeded.
 func (a *attempt) send(ctx context.Context) (attemptOutcome, error) {
+	dialedAt := time.Now()
 	conn, err := a.server.opts.Pool.Get(ctx, endpoint(a.verdict.Target))
 	if err != nil {
 		a.end = admit.End{Result: admit.Unreachable, NotRun: true, Refused: upstream.IsRefused(err)}
+		if isTimeout(err) && a.server.wasLate(dialedAt) {
+			a.end.Result = admit.Canceled
+			err = errors.Wrap(err, "this router was late")
+		}
 		return outcomeNotSent, err
 	}
 	if a.hasCallerDisconnected() {
@@ -173,6 +182,19 @@
 	return outcomeSent, nil
 }
 
+// isTimeout reports whether an error is that of a time-out.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// wasLate reports whether this router was late itself for much of the time since the given one, so
+// that an answer which has not come by now says nothing of the target.
+func (s *Server) wasLate(since time.Time) bool {
+	shedder := s.opts.LoadShedder
+	return shedder != nil && shedder.LatenessSince(since) >= time.Duration(lateShare*float64(time.Since(since)))
+}
+
 // receive reads the head of the response. If it fails, it closes the connection.
 func (a *attempt) receive() error {
 	if a.endSend != nil {
--- a/internal/edge/shedding.go
+++ b/internal/edge/shedding.go
@@ -69,6 +69,9 @@
 
 	mu      sync.Mutex
 	shedder pressure.Shedder
+
+	latenessMu sync.Mutex
+	lateness   pressure.Lateness
 }
 
 // errNoHistogram is the error of Run if the runtime does not provide the histogram.
@@ -104,6 +107,9 @@
 // Observe updates the shedder with a scheduling delay and the use of the link. Run calls it.
 // It must not be called by several goroutines.
 func (l *LoadShedder) Observe(now time.Time, delay time.Duration) {
+	l.latenessMu.Lock()
+	l.lateness.Observe(now, delay, observeInterval)
+	l.latenessMu.Unlock()
 	linkShare := l.linkController.Observe(l.linkMeter.Use(now))
 	l.linkShare.Store(math.Float64bits(linkShare))
 	share := max(l.controller.Observe(delay), linkShare)
@@ -178,6 +184,14 @@
 // Delay returns the smoothed delay with which runnable goroutines are scheduled.
 func (l *LoadShedder) Delay() time.Duration { return time.Duration(l.delay.Load()) }
 
+// LatenessSince returns the longest time since the given one for which this router did not run what
+// was due.
+func (l *LoadShedder) LatenessSince(since time.Time) time.Duration {
+	l.latenessMu.Lock()
+	defer l.latenessMu.Unlock()
+	return l.lateness.Since(time.Now(), since)
+}
+
 // LinkRefuseShare returns the share of the requests that the use of the link alone requires
 // to refuse, 0 to 1.
 func (l *LoadShedder) LinkRefuseShare() float64 { return math.Float64frombits(l.linkShare.Load()) }
