--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -33,6 +33,8 @@
 	*net.TCPConn
 	limiter *Limiter
 	writer  sock.Writer
+	// unread holds bytes that were read for the screen, and that Read has yet to return.
+	unread []byte
 	// screened is set if the limiter's screen has passed the current request.
 	screened atomic.Bool
 	// secure is the TLS on the connection, nil for none, and handshaken is set once its
@@ -75,6 +77,12 @@
 // read reads bytes of requests with readBytes.
 func (c *Conn) read(p []byte, readBytes func([]byte) (int, error)) (int, error) {
 	c.noteRead(len(p))
+	if len(c.unread) > 0 {
+		n := copy(p, c.unread)
+		c.unread = c.unread[n:]
+		c.recordRead()
+		return n, nil
+	}
 	for {
 		isScreening := c.isScreening(len(p))
 		n, err := readBytes(p)
@@ -83,7 +91,7 @@
 			if !isScreening {
 				return n, err
 			}
-			refused, refuseErr := c.refuse(p[:n])
+			refused, refuseErr := c.screen(p, n)
 			if !refused {
 				return n, err
 			}
@@ -197,8 +205,11 @@
 	return again
 }
 
-// hasUnread reports whether bytes have arrived that were not read.
+// hasUnread reports whether bytes have arrived that Read has not returned.
 func (c *Conn) hasUnread() bool {
+	if len(c.unread) > 0 {
+		return true
+	}
 	n, err := sock.Peek(c.TCPConn)
 	return err == nil && n > 0
 }
--- a/internal/connlimit/screen.go
+++ b/internal/connlimit/screen.go
@@ -1,11 +1,14 @@
 package connlimit
 
 import (
+	"bytes"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/umberhill/umberhill/internal/linkload"
+	"github.com/umberhill/umberhill/internal/sock"
 )
 
 // screenWriteTimeout is the time within which a caller must accept the response of a Screen.
@@ -41,6 +44,34 @@
 	return c.phase == waiting && c.secure == nil && bufferSize == c.fullRead
 }
 
+// screenBufferBytes is the size of the largest request that is screened, with its head.
+const screenBufferBytes = 68 << 10
+
+// screenBuffers are the buffers of requests that fill the buffer of net/http.
+var screenBuffers = sync.Pool{New: func() any { return new([screenBufferBytes]byte) }}
+
+// screen refuses the request of which the first n bytes are in p, if the screen refuses it. If
+// these fill p, it reads without waiting what else has arrived of the request.
+func (c *Conn) screen(p []byte, n int) (refused bool, err error) {
+	if n < len(p) || n >= screenBufferBytes {
+		return c.refuse(p[:n])
+	}
+	buffer, _ := screenBuffers.Get().(*[screenBufferBytes]byte)
+	defer screenBuffers.Put(buffer)
+	copy(buffer[:], p[:n])
+	more, err := sock.ReadArrived(c.TCPConn, buffer[n:])
+	if err != nil {
+		// The next read has the same error.
+		more = 0
+	}
+	c.limiter.linkMeter.Received(more)
+	refused, err = c.refuse(buffer[:n+more])
+	if !refused {
+		c.unread = bytes.Clone(buffer[n : n+more])
+	}
+	return refused, err
+}
+
 // refuse sends the screen's response, if it refuses the request, and reports whether it did.
 // It returns an error if the connection ends.
 func (c *Conn) refuse(request []byte) (refused bool, err error) {
--- a/internal/connlimit/screen_test.go
+++ b/internal/connlimit/screen_test.go
@@ -6,9 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 // pathScreen refuses whole requests for /no, and closes the connection after those for
@@ -106,3 +110,58 @@
 		t.Error("the connection is open 1 s after the drain began")
 	}
 }
+
+// passScreen passes all requests.
+type passScreen struct{}
+
+func (passScreen) Enabled() bool                { return true }
+func (passScreen) Screen([]byte) ([]byte, bool) { return nil, false }
+
+// Guards against bytes that are read for the screen and lost, doubled or given to the next request.
+func TestRequestsThatPassTheScreenKeepTheirBodies(t *testing.T) {
+	l := New(0, ignoreClose)
+	l.SetScreen(passScreen{})
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ConnState: l.Track, ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	})}
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(l.Listen(tcp.(*net.TCPListener))) }()
+	rapid.Check(t, func(rt *rapid.T) {
+		c, err := net.Dial("tcp", tcp.Addr().String())
+		if err != nil {
+			rt.Fatal(err)
+		}
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+		sizes := rapid.SliceOfN(rapid.SampledFrom([]int{0, 10, 3900, 4096, 9000, 66 << 10, 90 << 10}), 1, 3).Draw(rt, "sizes")
+		var sent []string
+		go func() {
+			var all strings.Builder
+			for i, size := range sizes {
+				body := strings.Repeat(string(rune('a'+i)), size)
+				all.WriteString("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + strconv.Itoa(size) + "\r\n\r\n" + body)
+			}
+			// Some requests arrive together.
+			_, _ = io.WriteString(c, all.String())
+		}()
+		for i, size := range sizes {
+			sent = append(sent, strings.Repeat(string(rune('a'+i)), size))
+		}
+		r := bufio.NewReader(c)
+		for i, want := range sent {
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				rt.Fatalf("request %d: %v", i, err)
+			}
+			got, err := io.ReadAll(resp.Body)
+			if err != nil || string(got) != want {
+				rt.Fatalf("request %d: got %d bytes (error %v), want the %d of its body", i, len(got), err, len(want))
+			}
+		}
+	})
+}
--- a/internal/edge/screen_test.go
+++ b/internal/edge/screen_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -127,3 +129,41 @@
 		t.Errorf("%d requests were refused early, want only the %d for engines with a known key", early(), requests)
 	}
 }
+
+// Guards against requests with bodies larger than a buffer of net/http, which an overloaded router
+// parsed and refused at many times the cost of an early refusal (FAIR).
+func TestRequestsWithLargeBodiesAreRefusedEarly(t *testing.T) {
+	scope, address := startOverloadedServer(t)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReader(conn)
+	const requests = 20
+	for i := range requests {
+		path, want := "/chat/x", "router_busy\n"
+		if i%2 == 1 {
+			// The bytes that were read to screen the request are its body.
+			path, want = "/none/x", "no_route\n"
+		}
+		body := strings.Repeat("x", 1<<10+2000*i)
+		if _, err := io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: h\r\nX-Key: k\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		got, err := io.ReadAll(resp.Body)
+		if err != nil || string(got) != want || resp.Close {
+			t.Fatalf("request %d: got %q (error %v, closed %v), want %q on an open connection", i, got, err, resp.Close, want)
+		}
+	}
+	if early := scope.Snapshot().Counters()["requests_refused_early+"].Value(); early != requests/2 {
+		t.Errorf("%d of %d refused requests were refused early, want all", early, requests/2)
+	}
+}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -1,4 +1,4 @@
-// Package sock looks at the state of sockets without reading from them.
+// Package sock looks at the state of sockets, and reads from them without waiting.
 package sock
 
 import (
@@ -44,3 +44,20 @@
 	})
 	return controlErr == nil && isClosed
 }
+
+// ReadArrived reads bytes that have arrived on a connection, without waiting for any. It returns 0
+// without an error if there are none or the remote side has closed the connection.
+func ReadArrived(conn syscall.Conn, p []byte) (n int, err error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	readErr := raw.Read(func(fd uintptr) bool {
+		n, err = unix.Read(int(fd), p)
+		return true
+	})
+	if errors.Is(err, unix.EAGAIN) {
+		err = nil
+	}
+	return max(n, 0), errors.CombineErrors(err, readErr)
+}
