--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -67,7 +67,7 @@
 
 // serve records that a request was served within 40 ms.
 func (h *harness) serve(v admit.Verdict, from time.Time) {
-	h.ResponseStarted(from.Add(20*time.Millisecond), v.ID)
+	h.ResponseStarted(from.Add(20*time.Millisecond), v.ID, false)
 	h.AttemptEnded(from.Add(40*time.Millisecond), v.ID, admit.End{Result: admit.Served})
 }
 
@@ -160,7 +160,7 @@
 		t.Fatalf("got verdicts %v although nothing changed, want none", got)
 	}
 	now := start.Add(150 * time.Millisecond)
-	h.ResponseStarted(now, first.ID)
+	h.ResponseStarted(now, first.ID, false)
 	got := h.Poll(now)
 	if len(got) != 1 || got[0].ID != second.ID || got[0].Target.ID != "e0" {
 		t.Errorf("got verdicts %v, want the waiting request sent to e0", got)
@@ -210,7 +210,7 @@
 	for range 200 {
 		v := h.submit(now, "a", "llm", admit.Part{Key: uint64(h.lastID) + 1000, Tokens: 100})
 		now = now.Add(objective * 3 / 2)
-		h.ResponseStarted(now, v.ID)
+		h.ResponseStarted(now, v.ID, false)
 		h.AttemptEnded(now, v.ID, admit.End{Result: admit.Served})
 	}
 	h.reportOverShare(now, "big", admit.Load{Target: "e0", Running: 1})
--- a/internal/core/admit/attempt.go
+++ b/internal/core/admit/attempt.go
@@ -29,8 +29,8 @@
 
 // ResponseStarted records that the response to a request has started. At an engine this
 // means that its prompt has been prefilled. Those of cold targets are no observations of
-// their speed.
-func (ac *Controller) ResponseStarted(now time.Time, id ID) {
+// their speed, nor are those that this router was late to see.
+func (ac *Controller) ResponseStarted(now time.Time, id ID, seenLate bool) {
 	a := ac.attempts[id]
 	if a == nil || a.responseStarted {
 		return
@@ -38,7 +38,7 @@
 	a.markResponseStarted()
 	a.endTurnAway(true)
 	s := ac.services[a.req.Service]
-	if s != nil && s.isEngine() && !a.sentCold {
+	if s != nil && s.isEngine() && !a.sentCold && !seenLate {
 		s.observeFirstEvent(now, a)
 	}
 }
@@ -84,7 +84,7 @@
 	if end.NotRun && s.isEngine() {
 		ac.window.ReturnStarted(now, a.sentAt, a.req.Workspace, a.req.weightedTokens())
 	}
-	if end.Result == Served && !a.sentCold {
+	if end.Result == Served && !a.sentCold && !end.SeenLate {
 		took := now.Sub(a.sentAt)
 		if s.isEngine() {
 			s.observeStream(now, t, end)
--- a/internal/core/admit/bench_test.go
+++ b/internal/core/admit/bench_test.go
@@ -35,7 +35,7 @@
 					PromptTokens: 9_500, OutputTokens: 400, ArrivedAt: now, Deadline: now.Add(10 * time.Second), Objective: time.Second,
 				})
 				if v.Target.ID != "" {
-					controller.ResponseStarted(now, id)
+					controller.ResponseStarted(now, id, false)
 					controller.AttemptEnded(now, id, admit.End{Result: admit.Served})
 				}
 			}
--- a/internal/core/admit/priority_test.go
+++ b/internal/core/admit/priority_test.go
@@ -28,7 +28,7 @@
 		t.Fatalf("got verdicts %+v and %+v, want both waiting", later, urgent)
 	}
 	now := start.Add(50 * time.Millisecond)
-	h.ResponseStarted(now, running.ID)
+	h.ResponseStarted(now, running.ID, false)
 	if got := h.Poll(now); len(got) != 1 || got[0].ID != urgent.ID {
 		t.Errorf("got verdicts %+v, want one for the urgent request", got)
 	}
@@ -87,7 +87,7 @@
 		t.Fatalf("got verdicts %+v and %+v, want both waiting, with the ranks fair and behind", near, behind)
 	}
 	now := start.Add(50 * time.Millisecond)
-	h.ResponseStarted(now, running.ID)
+	h.ResponseStarted(now, running.ID, false)
 	if got := h.Poll(now); len(got) != 1 || got[0].ID != behind.ID {
 		t.Errorf("got verdicts %+v, want one for the request of the workspace that is behind", got)
 	}
--- a/internal/core/admit/request.go
+++ b/internal/core/admit/request.go
@@ -177,6 +177,9 @@
 	// Refused is set if the connection was refused: the target's process has ended. Resets
 	// and timeouts do not show that.
 	Refused bool
+	// SeenLate is set if this router was late itself, so that the time that the attempt took says
+	// nothing of the target.
+	SeenLate bool
 	// Events is the number of events of a stream, and Streamed the time between the first and
 	// the last one. Both are 0 if the response was not a stream.
 	Events   int
--- a/internal/core/admit/turnaway_test.go
+++ b/internal/core/admit/turnaway_test.go
@@ -102,7 +102,7 @@
 		t.Fatalf("after one was served: got %d of the waiting requests sent, want 2", len(two))
 	}
 	// A stream is accepted once its response starts.
-	h.ResponseStarted(now, two[0].ID)
+	h.ResponseStarted(now, two[0].ID, false)
 	if four := h.Poll(now); len(four) != 4-1 {
 		t.Errorf("after a response started: got %d more of the waiting requests sent, want 3", len(four))
 	}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -105,6 +105,7 @@
 // release ends the attempt's use of its target.
 func (a *attempt) release() {
 	a.record.Duration, a.record.NotRun = time.Since(a.startedAt), a.end.NotRun
+	a.end.SeenLate = a.server.wasLate(a.startedAt)
 	a.countTokens()
 	a.exchange.record.Attempts = append(a.exchange.record.Attempts, a.record)
 	a.server.opts.Scheduler.AttemptEnded(a.verdict.ID, a.end)
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -180,9 +180,10 @@
 	return admit.Verdict{}, false
 }
 
-// ResponseStarted records that the response to a request has started.
-func (s *Scheduler) ResponseStarted(id admit.ID) {
-	s.update(func(now time.Time) { s.admission.ResponseStarted(now, id) })
+// ResponseStarted records that the response to a request has started, and whether this router was
+// late to see that.
+func (s *Scheduler) ResponseStarted(id admit.ID, seenLate bool) {
+	s.update(func(now time.Time) { s.admission.ResponseStarted(now, id, seenLate) })
 }
 
 // AttemptEnded records that a request no longer occupies its target.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -125,7 +125,7 @@
 	a.limitSilence(a.ctx, a.nextEventTimeout())
 	a.record.TimeToFirstByte = time.Since(a.startedAt)
 	a.countLoad(func(l *WorkspaceLoad) { l.StartedTokens += int64(a.verdict.Inputs.ChargedTokens) })
-	a.server.opts.Scheduler.ResponseStarted(a.verdict.ID)
+	a.server.opts.Scheduler.ResponseStarted(a.verdict.ID, a.server.wasLate(a.startedAt))
 }
 
 // recordEvents records that complete events have arrived, n of them with an id.
--- a/internal/replay/policy.go
+++ b/internal/replay/policy.go
@@ -76,7 +76,7 @@
 }
 
 func (d admitDispatcher) answerStarted(now time.Time, id admit.ID) {
-	d.controller.ResponseStarted(now, id)
+	d.controller.ResponseStarted(now, id, false)
 }
 
 func (d admitDispatcher) attemptEnded(now time.Time, id admit.ID, end admit.End) {
