--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -106,13 +106,18 @@
 // from it must report their states to Track.
 func (l *Limiter) Listen(tcp *net.TCPListener) net.Listener { return listener{tcp, l} }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It leaves out the connections whose first request the screen has
+// refused.
 func (l listener) Accept() (net.Conn, error) {
-	conn, err := l.accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.accept()
+		if err != nil {
+			return nil, err
+		}
+		if !conn.refuseFirst() {
+			return conn, nil
+		}
 	}
-	return conn, nil
 }
 
 func (l listener) accept() (*Conn, error) {
--- a/internal/connlimit/screen.go
+++ b/internal/connlimit/screen.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -20,8 +21,8 @@
 	Enabled() bool
 	// Screen examines what has arrived of a request. It returns a complete response that
 	// refuses the request if that has arrived whole, and nil otherwise. After a response with
-	// closes set the connection is closed.
-	Screen(request []byte) (response []byte, closes bool)
+	// closes set the connection is closed; if mustClose is set, all responses have it set.
+	Screen(request []byte, mustClose bool) (response []byte, closes bool)
 }
 
 // SetScreen sets the screen for requests on connections without TLS. It must be called before
@@ -72,10 +73,39 @@
 	return refused, err
 }
 
+// refuseFirst refuses the first request of a connection that has just been accepted, if it has
+// arrived and the screen refuses it, and closes the connection. It reports whether it did. It does so
+// for the share of the connections that would be closed after the response anyway: under a flood of
+// new connections this saves the goroutine and the buffers of net/http.
+func (c *Conn) refuseFirst() bool {
+	s := c.limiter.screen
+	if s == nil || rand.Float64() >= c.limiter.CloseShare() || !s.Enabled() {
+		return false
+	}
+	buffer, _ := screenBuffers.Get().(*[screenBufferBytes]byte)
+	defer screenBuffers.Put(buffer)
+	n, err := sock.ReadArrived(c.TCPConn, buffer[:])
+	if err != nil || n == 0 {
+		return false
+	}
+	c.limiter.linkMeter.Received(n)
+	response, _ := s.Screen(buffer[:n], true)
+	if response == nil {
+		c.unread = bytes.Clone(buffer[:n])
+		c.screened.Store(true)
+		return false
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(screenWriteTimeout))
+	_, _ = c.Write(response)
+	_ = c.Close()
+	c.limiter.updateState(c, http.StateClosed)
+	return true
+}
+
 // refuse sends the screen's response, if it refuses the request, and reports whether it did.
 // It returns an error if the connection ends.
 func (c *Conn) refuse(request []byte) (refused bool, err error) {
-	response, closes := c.limiter.screen.Screen(request)
+	response, closes := c.limiter.screen.Screen(request, false)
 	if response == nil {
 		c.screened.Store(true)
 		return false, nil
--- a/internal/connlimit/screen_test.go
+++ b/internal/connlimit/screen_test.go
@@ -21,7 +21,7 @@
 
 func (s *pathScreen) Enabled() bool { return true }
 
-func (s *pathScreen) Screen(request []byte) (response []byte, closes bool) {
+func (s *pathScreen) Screen(request []byte, _ bool) (response []byte, closes bool) {
 	if !bytes.HasSuffix(request, []byte("\r\n\r\n")) || !bytes.HasPrefix(request, []byte("GET /no")) {
 		s.passed.Add(1)
 		return nil, false
@@ -114,8 +114,8 @@
 // passScreen passes all requests.
 type passScreen struct{}
 
-func (passScreen) Enabled() bool                { return true }
-func (passScreen) Screen([]byte) ([]byte, bool) { return nil, false }
+func (passScreen) Enabled() bool                      { return true }
+func (passScreen) Screen([]byte, bool) ([]byte, bool) { return nil, false }
 
 // Guards against bytes that are read for the screen and lost, doubled or given to the next request.
 func TestRequestsThatPassTheScreenKeepTheirBodies(t *testing.T) {
--- a/internal/edge/screen.go
+++ b/internal/edge/screen.go
@@ -35,7 +35,7 @@
 
 // Screen implements connlimit.Screen. It refuses the requests that refuseEarly would refuse,
 // as far as that can be seen from a head in its usual form; all others pass.
-func (s *Server) Screen(data []byte) (response []byte, closes bool) {
+func (s *Server) Screen(data []byte, mustClose bool) (response []byte, closes bool) {
 	now := time.Now()
 	current := s.active.Load()
 	if isNearLimit := s.opts.IsNearConnLimit; current == nil || isNearLimit != nil && isNearLimit() {
@@ -51,7 +51,7 @@
 	} else if f = s.refuseEarly(r.admitRequest(now, current.config)); f == nil {
 		return nil, false
 	}
-	if share := s.opts.ConnCloseShare; share != nil && rand.Float64() < share() {
+	if share := s.opts.ConnCloseShare; mustClose || share != nil && rand.Float64() < share() {
 		f.closesConn = true
 	}
 	s.recordEarly(now, current.config, &r, f)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -218,8 +218,8 @@
 func (s screen) Enabled() bool { return s.server.Enabled() && !s.draining.Load() }
 
 // Screen implements connlimit.Screen.
-func (s screen) Screen(request []byte) (response []byte, closes bool) {
-	return s.server.Screen(request)
+func (s screen) Screen(request []byte, mustClose bool) (response []byte, closes bool) {
+	return s.server.Screen(request, mustClose)
 }
 
 // Logger returns the node's logger.
