--- a/internal/core/pressure/diverter_test.go
+++ b/internal/core/pressure/diverter_test.go
@@ -31,6 +31,8 @@
 		{"flood", 0.9, 30 * time.Second, 28 * time.Second, 29 * time.Second},
 		{"little is refused", 0.3, 30 * time.Second, 0, 0},
 		{"burst", 0.9, 800 * time.Millisecond, 0, 0},
+		{"all that can be refused", 0.95, 800 * time.Millisecond, 550 * time.Millisecond, 700 * time.Millisecond},
+		{"short burst", 0.95, 200 * time.Millisecond, 0, 0},
 	} {
 		var d pressure.Diverter
 		now := time.Unix(1000, 0)
--- a/internal/edge/overload_test.go
+++ b/internal/edge/overload_test.go
@@ -153,12 +153,14 @@
 type modelCaller struct {
 	*model
 	conn *modelRouter
+	// connectsAnew is set if each request goes on a new connection.
+	connectsAnew bool
 }
 
 // send sends a request. A refused one is repeated once, on a new connection.
 func (c *modelCaller) send(isRetry bool) {
 	connTime := time.Duration(0)
-	if c.conn == nil {
+	if c.conn == nil || c.connectsAnew {
 		c.conn, connTime = c.connect(), connCost
 	}
 	r, sentAt, refused := c.conn, c.now, false
@@ -188,7 +190,7 @@
 
 // flood lets callers that keep connections to the first router send requests at a rate, and
 // returns the requests served in each second.
-func (m *model) flood(callers int, perSecond float64, duration time.Duration) []int {
+func (m *model) flood(callers int, perSecond float64, duration time.Duration, connectAnew bool) []int {
 	m.served = make([]int, int(duration/time.Second)+10)
 	for _, r := range m.routers {
 		m.every(observeInterval, func() { m.observe(r) })
@@ -196,7 +198,7 @@
 	}
 	interval := time.Duration(float64(callers) / perSecond * float64(time.Second))
 	for range callers {
-		c := &modelCaller{model: m, conn: m.routers[0]}
+		c := &modelCaller{model: m, conn: m.routers[0], connectsAnew: connectAnew}
 		m.after(time.Duration(m.random.Float64()*float64(interval)), func() {
 			c.send(false)
 			m.every(interval, func() { c.send(false) })
@@ -210,13 +212,13 @@
 	return m.served[:int(duration/time.Second)]
 }
 
-// Guards against a workspace whose callers all reach one router short of processor time and
-// which gets less than half of what it is due, as the router refuses and closes (FAIR).
-func TestFloodAtOneRouterDoesNotStarveItsWorkspace(t *testing.T) {
-	// duePerSecond is what another workspace gets, and one router could serve.
-	const duePerSecond, wantedShare, seconds = 300, 0.8, 6
+// expectFloodServed expects that callers that flood one router get a share of what is due to them in
+// each six seconds, where one router could serve duePerSecond.
+func expectFloodServed(t *testing.T, perSecond float64, connectAnew bool, duePerSecond, wantedShare float64) {
+	t.Helper()
+	const seconds = 6
 	for seed := range uint64(24) {
-		served := newModel(10, seed).flood(1000, 1000, 20*time.Second)
+		served := newModel(10, seed).flood(1000, perSecond, 20*time.Second, connectAnew)
 		worst := 1.
 		for from := 0; from+seconds <= len(served); from++ {
 			sum := 0
@@ -231,3 +233,15 @@
 		}
 	}
 }
+
+// Guards against a workspace whose callers all reach one router short of processor time and
+// which gets less than half of what it is due, as the router refuses and closes (FAIR).
+func TestFloodAtOneRouterDoesNotStarveItsWorkspace(t *testing.T) {
+	expectFloodServed(t, 1000, false, 300, 0.8)
+}
+
+// Guards against the same while each request comes on a new connection, and callers that are told to
+// come back at once take the processor time of the requests that are accepted (FAIR).
+func TestFloodOfNewConnectionsAtOneRouterDoesNotStarveItsWorkspace(t *testing.T) {
+	expectFloodServed(t, 1300, true, 300, 0.5)
+}
--- a/internal/edge/shedding.go
+++ b/internal/edge/shedding.go
@@ -26,12 +26,14 @@
 	schedLatencyMetric = "/sched/latencies:seconds"
 	// delayQuantile is the quantile of the scheduling delays that is observed.
 	delayQuantile = 0.9
-	// busyRetryAfter is the Retry-After of an overloaded router whose callers' retries reach
-	// another router or find this one less loaded. divertedRetryAfter is that of a router
-	// which the load balancer has yet to take out of rotation, which takes some seconds.
-	// Both have a jitter of up to twice their value.
-	busyRetryAfter     = 100 * time.Millisecond
-	divertedRetryAfter = time.Second
+	// busyRetryAfter is the Retry-After of a caller whose retry reaches another router or this
+	// one once it accepts all load. While it accepts a share of its load, a caller would be accepted
+	// after one over that share such retries on average, and comes back after that time at once:
+	// the retries would take the processor time of the requests that are accepted.
+	// maxBusyRetryAfter bounds it, and is that of a router which the load balancer has yet to take
+	// out of rotation, which takes some seconds. All have a jitter of up to twice their value.
+	busyRetryAfter    = 100 * time.Millisecond
+	maxBusyRetryAfter = time.Second
 	// diversionChecks is the number of negative answers to its health checks after which a
 	// load balancer is taken to have taken the router out of rotation.
 	diversionChecks = 2
@@ -117,7 +119,7 @@
 	l.refuseShare.Store(math.Float64bits(share))
 	overload := share
 	if l.linkController.IsReceivingFull() {
-		overload = 1
+		overload = max(overload, pressure.DivertShare)
 	}
 	shouldDivert := l.diverter.Observe(now, overload)
 	if !shouldDivert {
@@ -138,14 +140,18 @@
 
 // newRefusal returns the refusal of a request for the router's own load.
 func (l *LoadShedder) newRefusal() *refusal {
-	f := &refusal{status: http.StatusServiceUnavailable, reason: "router_busy", retryAfter: withJitter(busyRetryAfter, l.random())}
+	f := &refusal{status: http.StatusServiceUnavailable, reason: "router_busy"}
+	base := min(time.Duration(float64(busyRetryAfter)/(1-l.RefuseShare())), maxBusyRetryAfter)
 	switch {
 	case !l.ShouldDivert():
 	case l.negativeChecks.Load() < diversionChecks:
-		f.retryAfter = withJitter(divertedRetryAfter, l.random())
+		base = maxBusyRetryAfter
 	default:
-		f.closesConn = l.random() < closeShare
+		if f.closesConn = l.random() < closeShare; f.closesConn {
+			base = busyRetryAfter
+		}
 	}
+	f.retryAfter = withJitter(base, l.random())
 	return f
 }
 
