--- a/internal/core/pressure/diverter.go
+++ b/internal/core/pressure/diverter.go
@@ -9,8 +9,10 @@
 	DivertShare  = 0.5
 	restoreShare = 0.1
 	// divertAfter is how long the refused share must have been that high: several
-	// observations, so that a short burst only leads to refusals.
+	// observations, so that a short burst only leads to refusals. Times below it subtract
+	// calmWeight of their length, since the share of an overload oscillates.
 	divertAfter = time.Second
+	calmWeight  = 0.25
 	// divertAtMaxAfter is how long it must have been at its maximum. As refusals cannot relieve the
 	// instance further, only fewer connections do.
 	divertAtMaxAfter = 200 * time.Millisecond
@@ -26,9 +28,12 @@
 // times what it can serve: refusing their requests takes most of its processor time,
 // and callers that reconnect reach the same instance again.
 type Diverter struct {
-	// overSince is when the refused share reached DivertShare, zero while it is below, and
-	// maxSince when it reached its maximum.
-	overSince, maxSince time.Time
+	// over is for how long the refused share has been at least DivertShare, up to divertAfter, as
+	// of observedAt.
+	over       time.Duration
+	observedAt time.Time
+	// maxSince is when the share reached its maximum, zero while it is below.
+	maxSince time.Time
 	// since is when the current diversion began, zero for none.
 	since time.Time
 }
@@ -36,12 +41,7 @@
 // Observe adds the current share of refused requests and reports whether new
 // connections should go to other instances.
 func (d *Diverter) Observe(now time.Time, refused float64) bool {
-	switch {
-	case refused < DivertShare:
-		d.overSince = time.Time{}
-	case d.overSince.IsZero():
-		d.overSince = now
-	}
+	d.updateOver(now, refused)
 	switch {
 	case refused < maxShare:
 		d.maxSince = time.Time{}
@@ -53,14 +53,21 @@
 		if refused < restoreShare && now.Sub(d.since) >= minDiversion {
 			d.since = time.Time{}
 		}
-	case isSince(d.overSince, now, divertAfter), isSince(d.maxSince, now, divertAtMaxAfter):
+	case d.over >= divertAfter, !d.maxSince.IsZero() && now.Sub(d.maxSince) >= divertAtMaxAfter:
 		d.since = now
 	}
 	return !d.since.IsZero()
 }
 
-// isSince reports whether something has lasted for d by now. It began at a time that is zero if it
-// does not last.
-func isSince(begin, now time.Time, d time.Duration) bool {
-	return !begin.IsZero() && now.Sub(begin) >= d
+func (d *Diverter) updateOver(now time.Time, refused float64) {
+	elapsed := time.Duration(0)
+	if !d.observedAt.IsZero() {
+		elapsed = now.Sub(d.observedAt)
+	}
+	d.observedAt = now
+	if refused >= DivertShare {
+		d.over = min(d.over+elapsed, divertAfter)
+		return
+	}
+	d.over = max(0, d.over-time.Duration(calmWeight*float64(elapsed)))
 }
--- a/internal/core/pressure/diverter_test.go
+++ b/internal/core/pressure/diverter_test.go
@@ -53,3 +53,18 @@
 		t.Error("new connections are still diverted 20 s after the flood")
 	}
 }
+
+// Guards against a router that stays in rotation while it refuses much of its load, since the share
+// that it refuses falls now and then (FAIR).
+func TestConnectionsAreDivertedWhileTheRefusedShareOscillates(t *testing.T) {
+	var d pressure.Diverter
+	now := time.Unix(1000, 0)
+	diverted := time.Duration(0)
+	for range 5 {
+		diverted += observeShare(&d, &now, 600*time.Millisecond, 0.8)
+		diverted += observeShare(&d, &now, 200*time.Millisecond, 0.3)
+	}
+	if diverted < 2*time.Second {
+		t.Errorf("new connections were diverted for %v of 4s, want at least half", diverted)
+	}
+}
