edge: a router counts as late from 15 ms on

Found while reading the change: answers of a few ms count as seen late at a router whose goroutines run some ms late as they do at any load, so that the times of fast targets are never learned. The late router's test has a case of it, which failed before (no target paused at 14 ms).

--- a/internal/core/pressure/lateness.go
+++ b/internal/core/pressure/lateness.go
@@ -12,7 +12,7 @@
 type Lateness struct {
 	observed [latenessMemory]observedDelay
 	next     int
-	// interval is the time between the last two observations.
+	// interval is the one at which observations are due.
 	interval time.Duration
 }
 
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -24,6 +24,8 @@
 	// lateShare is the fraction of a time-out for which a router that was late itself does not
 	// blame the target. Answers of sound targets take a few hundredths of the time-outs.
 	lateShare = 0.25
+	// minLateness is the least such delay. A router that keeps up has delays of some ms.
+	minLateness = 15 * time.Millisecond
 )
 
 // attempt is one attempt to run a request at a target.
@@ -193,7 +195,7 @@
 // that an answer which has not come by now says nothing of the target.
 func (s *Server) wasLate(since time.Time) bool {
 	shedder := s.opts.LoadShedder
-	return shedder != nil && shedder.LatenessSince(since) >= time.Duration(lateShare*float64(time.Since(since)))
+	return shedder != nil && shedder.LatenessSince(since) >= max(minLateness, time.Duration(lateShare*float64(time.Since(since))))
 }
 
 // receive reads the head of the response. If it fails, it closes the connection.
--- a/internal/edge/late_router_test.go
+++ b/internal/edge/late_router_test.go
@@ -30,6 +30,7 @@
 		isPaused bool
 	}{
 		{"late", dialTimeout, false},
+		{"some ms late", minLateness - time.Millisecond, true},
 		{"in time", time.Millisecond, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
