admit: an idle engine beyond the preferred ones does not repeat the prefill of shared parts

Change: only to engines that have or can fetch them.

TestIdleEnginesBeyondThePreferredOnesDoNotRepeatPrefill failed before.

--- a/internal/core/admit/subset.go
+++ b/internal/core/admit/subset.go
@@ -102,8 +102,15 @@
 	return len(visited) > 0
 }
 
+// repeatsPrefill reports whether a target would prefill shared parts that it lacks.
+func (s *service) repeatsPrefill(sel *selection, t *target) bool {
+	cached, sharedMissing := t.cachedTokens(sel.now, sel.req)
+	_, fetched := sel.fetchSource(t, cached)
+	return sharedMissing-fetched > smallPrefillTokens
+}
+
 // findIdle returns the first usable engine in the router's order that is idle, has room for the
-// request and is expected to be on time, or false if there is none.
+// request, has or can fetch its shared parts, and is expected to be on time, or false if there is none.
 func (s *service) findIdle(sel *selection, domain ids.Domain) (candidate, bool) {
 	scanned, evaluated := 0, 0
 	for _, list := range [][]*target{s.subset.local, s.subset.remote} {
@@ -112,7 +119,7 @@
 				return candidate{}, false
 			}
 			running, _, _ := t.fleetLoad(sel.now)
-			if float64(running) >= idleShare*float64(max(1, t.Slots)) || !t.isUsable(sel.now, sel.req) {
+			if float64(running) >= idleShare*float64(max(1, t.Slots)) || !t.isUsable(sel.now, sel.req) || s.repeatsPrefill(sel, t) {
 				continue
 			}
 			c := s.evaluate(sel, t)
--- a/internal/core/admit/subset_test.go
+++ b/internal/core/admit/subset_test.go
@@ -95,3 +95,33 @@
 		}
 	}
 }
+
+// Guards against requests that leave the engines with their shared parts for any idle one, where the
+// parts are prefilled again: that takes more of the engines' time than waiting.
+func TestIdleEnginesBeyondThePreferredOnesDoNotRepeatPrefill(t *testing.T) {
+	const engines, preferred = 40, 8
+	repeated := 0
+	for idle := 1; idle < engines; idle++ {
+		submit := func(parts ...admit.Part) admit.Verdict {
+			h := newHarness(t, engines, 0)
+			var loads []admit.Load
+			for i := range engines {
+				if i != idle {
+					loads = append(loads, admit.Load{Target: ids.Target(fmt.Sprintf("e%d", i)), Running: 8})
+				}
+			}
+			loads[0].CachedKeys = []uint64{7}
+			h.ApplyFleetReport(start, loads, nil, nil)
+			return h.submit(start.Add(10*time.Millisecond), "a", "llm", parts...)
+		}
+		if v := submit(admit.Part{Key: 9, Tokens: 3100}); v.Target.ID == "" {
+			t.Errorf("a request without shared parts was not sent to e%d, the only idle engine", idle)
+		}
+		if submit(prompt(7, 3000, 100)...).Target.ID != "" {
+			repeated++
+		}
+	}
+	if repeated > preferred {
+		t.Errorf("a request left its shared part for %d of %d idle engines, want at most the %d that the router prefers", repeated, engines-1, preferred)
+	}
+}
