--- a/internal/core/admit/subset.go
+++ b/internal/core/admit/subset.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/umberhill/umberhill/internal/core/rendezvous"
 	"github.com/umberhill/umberhill/internal/ids"
@@ -12,8 +13,9 @@
 // older than the time between two requests for the same engine. If all routers considered
 // all engines, they would all send their next requests to the one that the last sum showed
 // as idle. Each router therefore considers few engines, which only few other routers
-// consider too, and those at which a request finds its shared parts. If none of these has room,
-// it looks for an idle one among the others: a router may have much of the fleet's load.
+// consider too, and those at which a request finds its shared parts. If none of these has room
+// since the router has filled them itself, it has much of the fleet's load, and looks for an idle
+// one among the others. If the others have filled them, a view that shows an idle engine is old.
 const (
 	// subsetLocal and subsetRemote are the numbers of engines that a router considers in
 	// its own failure domain and in the others.
@@ -22,6 +24,9 @@
 	// maxCachedCandidates bounds the further engines that are considered since they have
 	// the request's shared parts cached. A part that most requests share is at all engines.
 	maxCachedCandidates = 3
+	// minOwnShare is the fraction of the requests at the preferred engines that must be this
+	// router's own for others to be looked for.
+	minOwnShare = 0.5
 	// idleShare is the fraction of an engine's slots below which it counts as idle. It leaves
 	// room for what the routers send there before a report shows it.
 	idleShare = 0.5
@@ -102,6 +107,21 @@
 	return len(visited) > 0
 }
 
+// hasFilledPreferred reports whether most requests at the engines that the router prefers are its
+// own.
+func (ss *subset) hasFilledPreferred(now time.Time) bool {
+	own, all := 0, 0
+	count := func(list []*target, n int) {
+		for _, t := range list[:min(n, len(list))] {
+			running, _, _ := t.fleetLoad(now)
+			own, all = own+t.running, all+running
+		}
+	}
+	count(ss.local, subsetLocal)
+	count(ss.remote, subsetRemote)
+	return all > 0 && float64(own) >= minOwnShare*float64(all)
+}
+
 // repeatsPrefill reports whether a target would prefill shared parts that it lacks.
 func (s *service) repeatsPrefill(sel *selection, t *target) bool {
 	cached, sharedMissing := t.cachedTokens(sel.now, sel.req)
@@ -110,8 +130,12 @@
 }
 
 // findIdle returns the first usable engine in the router's order that is idle, has room for the
-// request, has or can fetch its shared parts, and is expected to be on time, or false if there is none.
+// request, has or can fetch its shared parts, and is expected to be on time. It returns false if
+// there is none, or if the router has not filled the engines that it prefers.
 func (s *service) findIdle(sel *selection, domain ids.Domain) (candidate, bool) {
+	if !s.subset.hasFilledPreferred(sel.now) {
+		return candidate{}, false
+	}
 	scanned, evaluated := 0, 0
 	for _, list := range [][]*target{s.subset.local, s.subset.remote} {
 		for _, t := range list {
