Replace review case 8: a request that crashes workers is not quarantined

Cause: a worker that is gone after it broke off an answer that is no stream is not looked for, so that the crash counts as a cancelled attempt.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/umberhilld ] && [ -x target/review-rig ] || exit 2
-exec target/review-rig refused review/8/record.txt
+exec target/review-rig deadly review/8/record.txt
