platform: an object of the store makes no other one unreadable

Callers of a fleet that restarted got 503 (no_target) for good, because one object among the targets had a deep or odd member beside its spec. Running routers followed no change of that kind any more. Configuration, evacuations and the list of routers failed the same way.

Cause: a page was decoded as one document but for the values, so an error in one element was the error of the page. encoding/json refuses any depth above 10,000, and takes names in another case for the ones of the page.

Format.Split splits a response into its elements, for both protocols, lists and watches, and the adapters decode the name, the revision and the value of each. An element that cannot be decoded is counted and logged; after such an event the objects are listed again. A response that is no JSON because of an element is split all the same.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -24,6 +24,7 @@
 		Token:   d.settings.Platform.Token,
 		Timeout: milliseconds(d.settings.Platform.TimeoutMS),
 		Scope:   d.scope,
+		Logger:  d.logger,
 	})
 	if err := d.openTLS(); err != nil {
 		return err
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -13,13 +13,16 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"github.com/umberhill/umberhill/internal/api"
 	"github.com/umberhill/umberhill/internal/core/revision"
@@ -57,6 +60,8 @@
 	// Revision is the revision up to which the events are complete.
 	Revision uint64  `json:"revision"`
 	Events   []Event `json:"events"`
+	// Undecoded has an error for each event that cannot be decoded. Those are not among Events.
+	Undecoded []error `json:"-"`
 }
 
 // Condition makes a write conditional. The zero value is unconditional.
@@ -83,6 +88,8 @@
 	Wire Wire
 	// Scope receives the metrics. Default: none.
 	Scope tally.Scope
+	// Logger receives a warning about elements that cannot be decoded. Default: none.
+	Logger *logrus.Entry
 }
 
 // Client calls the service. It is safe for concurrent use.
@@ -96,8 +103,16 @@
 	http    *http.Client
 	// era is the highest era of a response so far.
 	era atomic.Uint64
+
+	logger *logrus.Entry
+	// undecodedLog bounds the warnings about elements that cannot be decoded.
+	undecodedLog rate.Sometimes
 }
 
+// undecodedLogInterval is the least time between warnings about elements that cannot be decoded.
+// One stays in the store for as long as its writer leaves it there, and lists repeat it.
+const undecodedLogInterval = time.Minute
+
 // New returns a client.
 func New(o Options) *Client {
 	if o.Timeout <= 0 {
@@ -109,6 +124,11 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
+	if o.Logger == nil {
+		discard := logrus.New()
+		discard.SetOutput(io.Discard)
+		o.Logger = logrus.NewEntry(discard)
+	}
 	if o.Wire == nil {
 		o.Wire = defaultWire{}
 	}
@@ -119,7 +139,11 @@
 		maxList: o.MaxListBytes,
 		scope:   o.Scope,
 		http:    newHTTPClient(o.Timeout),
+		logger:  o.Logger,
+
+		undecodedLog: rate.Sometimes{Interval: undecodedLogInterval},
 	}
+	c.scope.Counter("platform_undecoded_elements").Inc(0)
 	c.SetURL(o.URL)
 	return c
 }
@@ -204,6 +228,7 @@
 		if err != nil {
 			return nil, 0, err
 		}
+		c.recordUndecoded(cl, page.Undecoded)
 		pageRevision := revision.Join(pageEra, page.Revision)
 		if cl.After == "" {
 			listEra, asOf = pageEra, pageRevision
@@ -226,9 +251,21 @@
 	}
 }
 
+// recordUndecoded records elements of a response that cannot be decoded.
+func (c *Client) recordUndecoded(cl Call, undecoded []error) {
+	if len(undecoded) == 0 {
+		return
+	}
+	c.scope.Counter("platform_undecoded_elements").Inc(int64(len(undecoded)))
+	c.undecodedLog.Do(func() {
+		c.logger.WithError(undecoded[0]).WithFields(logrus.Fields{"step": cl.step(), "elements": len(undecoded)}).Warn("elements of the store's response cannot be decoded; the others are used")
+	})
+}
+
 // Watch waits for changes of the kinds after the revision since, for at most the
 // duration wait. The error is ErrCompacted if the service no longer has the events
-// after since, or has returned from an older copy.
+// after since, or has returned from an older copy, and if one of them cannot be decoded: a list
+// shows what it has changed.
 func (c *Client) Watch(ctx context.Context, kinds []api.Kind, since uint64, wait time.Duration) (WatchResult, error) {
 	sinceEra, storeSince := revision.Split(since)
 	cl := Call{Op: OpWatch, Kinds: kinds, Since: storeSince, Wait: wait}
@@ -240,6 +277,10 @@
 		if out, err = c.wire.Events(cl, body); err != nil {
 			return err
 		}
+		if len(out.Undecoded) > 0 {
+			c.recordUndecoded(cl, out.Undecoded)
+			return ErrCompacted
+		}
 		out.Revision = revision.Join(era, out.Revision)
 		for i := range out.Events {
 			out.Events[i].Object.Version = revision.Join(era, out.Events[i].Object.Version)
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/umberhill/umberhill/internal/api"
@@ -245,3 +247,30 @@
 	g.Expect(objects).To(HaveLen(2))
 	g.Expect(objects[0].Name).To(Equal("o3"))
 }
+
+// Guards against events that get lost since one beside them cannot be decoded, and against a log
+// that each read of an odd object fills.
+func TestUndecodedElementsAreCountedAndEventsListedAgain(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		array, element := "objects", `{"name":"odd","version":"x"}`
+		if r.URL.Query().Has("since") {
+			array, element = "events", `{"object":`+element+`}`
+		}
+		fmt.Fprintf(w, `{"revision":9,%q:[%s,%s]}`, array, element, strings.ReplaceAll(element, `"x"`, "7"))
+	})
+	scope := tally.NewTestScope("", nil)
+	logger, hook := logtest.NewNullLogger()
+	c.scope, c.logger = scope, logger.WithField("instance", "a")
+	_, err := c.Watch(context.Background(), []api.Kind{api.KindContract}, 3, 0)
+	g.Expect(err).To(MatchError(ErrCompacted))
+	objects, _, err := c.List(context.Background(), api.KindContract)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(objects).To(HaveLen(2))
+	g.Expect(objects[0].Value).To(BeNil())
+	g.Expect(objects[1].Version).To(Equal(uint64(7)))
+	g.Expect(scope.Snapshot().Counters()["platform_undecoded_elements+"].Value()).To(Equal(int64(2)))
+	g.Expect(hook.AllEntries()).To(HaveLen(1))
+	g.Expect(hook.LastEntry().Data[logrus.ErrorKey]).To(MatchError(ContainSubstring(`object "odd"`)))
+}
--- a/internal/platform/elements_test.go
+++ b/internal/platform/elements_test.go
@@ -78,6 +78,11 @@
 				t.Fatalf("object %d: got %+v, want %+v", i, o, want.Objects[i])
 			}
 		}
+		for _, other := range []string{`7`, `{}`, `"x"`, `[],"objects":[]`} {
+			if _, err := (defaultWire{}).Page(Call{}, []byte(`{"revision":9,"objects":`+other+`}`)); err == nil {
+				t.Fatalf("objects %s: got no error", other)
+			}
+		}
 		end := rapid.IntRange(0, len(body)-1).Draw(t, "end")
 		if _, err := (defaultWire{}).Page(Call{}, body[:end]); err == nil {
 			t.Fatalf("response that ends after %d of %d bytes: got no error", end, len(body))
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"net/url"
@@ -77,7 +78,11 @@
 
 // Page is one page of a list.
 type Page struct {
+	// Objects are the objects. One that cannot be decoded is among them, without a value, if its
+	// name can be.
 	Objects []Object
+	// Undecoded has an error for each element that cannot be decoded.
+	Undecoded []error
 	// Revision is the revision at which the page was read.
 	Revision uint64
 	// Next is the name after which the list continues. It is empty on the last
@@ -96,9 +101,9 @@
 	// Object decodes the object in the response to a get or put, or in a conflict
 	// response the current object, which is nil if it does not exist.
 	Object(c Call, body []byte) (*Object, error)
-	// Page decodes the response to a list.
+	// Page decodes the response to a list. No element makes another one unreadable.
 	Page(c Call, body []byte) (Page, error)
-	// Events decodes the response to a watch.
+	// Events decodes the response to a watch. No element makes another one unreadable.
 	Events(c Call, body []byte) (WatchResult, error)
 	// DeletionRevision decodes the revision of a deletion from its response. It is 0
 	// if the service does not report it.
@@ -182,52 +187,130 @@
 // Object implements Wire. A conflict response holds the current object in an error
 // envelope.
 func (defaultWire) Object(_ Call, body []byte) (*Object, error) {
-	var out struct {
-		Object
-		Error   string  `json:"error"`
-		Current *Object `json:"current"`
-	}
-	if err := json.Unmarshal(body, &out); err != nil {
+	var current *Object
+	isError := false
+	o, err := decodeObject(body, func(name string, text []byte) error {
+		switch name {
+		case "error":
+			isError = string(text) != `""`
+		case "current":
+			if string(text) == "null" {
+				return nil
+			}
+			c, err := decodeObject(text, nil)
+			current = &c
+			return err
+		}
+		return nil
+	})
+	switch {
+	case err != nil:
 		return nil, errors.Wrap(err, "bad answer")
+	case isError:
+		return current, nil
 	}
-	if out.Error != "" {
-		return out.Current, nil
+	return &o, nil
+}
+
+// decodeObject decodes an object, whose value may be any JSON. beside, if set, is called with the
+// other members. After an error the object has what was decoded before it, and no value.
+func decodeObject(text []byte, beside func(name string, text []byte) error) (Object, error) {
+	var o Object
+	err := EachMember(text, func(name string, text []byte) error {
+		switch name {
+		case "kind":
+			return json.Unmarshal(text, &o.Kind)
+		case "name":
+			return json.Unmarshal(text, &o.Name)
+		case "version":
+			return json.Unmarshal(text, &o.Version)
+		case "value":
+			o.Value = bytes.Clone(text)
+		default:
+			if beside != nil {
+				return beside(name, text)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		o.Value = nil
 	}
-	return &out.Object, nil
+	return o, errors.Wrap(err, "decode the object")
+}
+
+// decodeEvent decodes an event. After an error it has what was decoded before it.
+func decodeEvent(text []byte) (Event, error) {
+	var e Event
+	err := EachMember(text, func(name string, text []byte) (err error) {
+		switch name {
+		case "deleted":
+			return json.Unmarshal(text, &e.Deleted)
+		case "object":
+			e.Object, err = decodeObject(text, nil)
+		}
+		return err
+	})
+	return e, errors.Wrap(err, "decode the event")
 }
 
 // Page implements Wire.
 func (defaultWire) Page(_ Call, body []byte) (Page, error) {
-	var in struct {
-		Revision uint64 `json:"revision"`
-	}
 	var out Page
-	err := DecodeObjects(body, "objects", []string{"value"}, &in, func(element []byte, value json.RawMessage) error {
-		var o Object
-		err := json.Unmarshal(element, &o)
-		o.Value = value
-		out.Objects = append(out.Objects, o)
-		return err
-	})
-	out.Revision = in.Revision
-	return out, errors.Wrap(err, "bad answer")
+	elements, err := Format{Array: "objects", Members: []string{"revision"}, IsElement: func(text []byte) bool {
+		o, err := decodeObject(text, nil)
+		return err == nil && o.Name != ""
+	}}.Split(body)
+	if err == nil {
+		err = elements.Decode("revision", &out.Revision)
+	}
+	if err != nil {
+		return Page{}, errors.Wrap(err, "bad answer")
+	}
+	for _, text := range elements.Texts {
+		o, err := decodeObject(text, nil)
+		out.Add(o, err)
+	}
+	return out, nil
+}
+
+// Add adds an element, and the error of decoding it, if any.
+func (p *Page) Add(o Object, err error) {
+	if err != nil {
+		p.Undecoded = append(p.Undecoded, errors.Wrapf(err, "object %q", o.Name))
+	}
+	if err == nil || o.Name != "" {
+		p.Objects = append(p.Objects, o)
+	}
 }
 
 // Events implements Wire.
 func (defaultWire) Events(_ Call, body []byte) (WatchResult, error) {
-	var in struct {
-		Revision uint64 `json:"revision"`
-	}
 	var out WatchResult
-	err := DecodeObjects(body, "events", []string{"object", "value"}, &in, func(element []byte, value json.RawMessage) error {
-		var e Event
-		err := json.Unmarshal(element, &e)
-		e.Object.Value = value
-		out.Events = append(out.Events, e)
-		return err
-	})
-	out.Revision = in.Revision
-	return out, errors.Wrap(err, "bad answer")
+	elements, err := Format{Array: "events", Members: []string{"revision"}, IsElement: func(text []byte) bool {
+		e, err := decodeEvent(text)
+		return err == nil && e.Object.Name != ""
+	}}.Split(body)
+	if err == nil {
+		err = elements.Decode("revision", &out.Revision)
+	}
+	if err != nil {
+		return WatchResult{}, errors.Wrap(err, "bad answer")
+	}
+	for _, text := range elements.Texts {
+		e, err := decodeEvent(text)
+		out.Add(e, err)
+	}
+	return out, nil
+}
+
+// Add adds an event, or the error of decoding it.
+func (r *WatchResult) Add(e Event, err error) {
+	if err != nil {
+		r.Undecoded = append(r.Undecoded, errors.Wrapf(err, "event of object %q", e.Object.Name))
+		return
+	}
+	r.Events = append(r.Events, e)
 }
 
 // DeletionRevision implements Wire.
