upstream: a response with an invalid status is no interim response

Cause: every status below 200 was skipped as an interim response, and net/http accepts 000, +20 and -00. 101 was skipped too, although nobody asks for it.

Change: a status code is three digits from 100 on and not 101; anything else is a malformed response, so that the caller gets 502 or another target's answer. 600 and 999 are returned as before.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -422,6 +422,9 @@
 		if fields += countFields(resp.Header); fields > maxHeadFields {
 			return nil, errors.Newf("response head exceeds the limit of %d fields (%d fields read)", maxHeadFields, fields)
 		}
+		if err := CheckStatus(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -16,7 +16,7 @@
 // scriptConn is a connection on which a target sends data and then closes it.
 type scriptConn struct {
 	net.Conn
-	data *bytes.Reader
+	data io.Reader
 }
 
 func (c scriptConn) Read(p []byte) (int, error)      { return c.data.Read(p) }
