relay: an invalid status is a failure of the target, not a panic

In the product's own daemon the handler of a request panicked if its target's response had the status 000, +20 or the like ("invalid WriteHeader code 0"), and the caller of a target that answered 101 got an empty answer with that status.

Cause: net/http accepts such codes, and the relay gave them on unchecked.

Change: the relay makes the check that the platform's routers make. The caller gets 502, and the attempt counts as failed at the target.

TestInvalidStatusIsNoAnswer ended in the panic on and passes: six codes, engines and plain services, once-only work or not. TestStatusIsReturnedUnchanged passes: 600 and 999 too.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -13,6 +13,7 @@
 
 	"github.com/umberhill/umberhill/internal/filter"
 	"github.com/umberhill/umberhill/internal/outcome"
+	"github.com/umberhill/umberhill/internal/upstream"
 )
 
 // attempt is the state of one Call in progress.
@@ -41,6 +42,9 @@
 		return a.endWithoutResponse(err)
 	}
 	defer resp.Body.Close()
+	if err := upstream.CheckStatus(resp); err != nil {
+		return a.endFailed("the target's response is invalid: " + err.Error())
+	}
 	if !a.isOwnResponse(resp) {
 		a.client.counts.mismatched.Inc(1)
 		return a.endFailed("the target answered another request")
