relay: a reset while the request is written ends no response

In the product's own daemon, the caller of a plain service got a part of a body as the whole answer, if the service answered a long upload early, without a length, and then reset the connection.

Cause: the kernel reports a reset once. The write of the upload got the report, and the read found an end without one.

Change: connections to targets remember a reset that a write has seen, and the next read that finds the end returns it. A reset after a proper end is another error, so that a whole answer stays one.

TestClosedResponseWithoutALengthIsWhole passes before and after.

--- a/internal/relay/transport.go
+++ b/internal/relay/transport.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/umberhill/umberhill/internal/sock"
 )
 
 const (
@@ -19,7 +22,13 @@
 func newTransport(dialTimeout, idleTimeout time.Duration, keepAlive bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return sock.ReportResets(conn), nil
+		},
 		DisableKeepAlives:   !keepAlive,
 		DisableCompression:  true,
 		MaxIdleConns:        0,
