relay: a crash of an engine within a 5xx response is noticed

In the product's own daemon, a request that crashed each engine within the body of an error response was sent to engine after engine.

Cause: an engine's 5xx ended the attempt with its head; what became of the body was not looked at.

Change: the body is read, up to 64 KiB, and one that breaks off leads to the check of the engine as in any other response. An engine that goes on knows the attempt, so that truncation alone is no crash.

TestCrashOfAnEngineIsNoticedWithinAnyResponse failed before for the 500 and the 503, and passes; truncated responses of engines that go on count no crash in any of the six cases.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -61,7 +61,7 @@
 		a.result.Rejected = true
 		return newRejectedError(a.call)
 	case resp.StatusCode >= http.StatusInternalServerError:
-		return a.endFailed("the engine failed with " + resp.Status)
+		return a.endEngineError(resp)
 	case a.call.Stream && resp.StatusCode == http.StatusOK:
 		return a.relayStream(resp)
 	default:
@@ -69,6 +69,16 @@
 	}
 }
 
+// endEngineError ends an attempt whose engine answered with an error. An engine that crashes may
+// break off that answer as well as any other.
+func (a *attempt) endEngineError(resp *http.Response) error {
+	_, err := io.CopyN(io.Discard, a.watchedBody(resp), maxErrorBytes)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return a.endTruncated()
+	}
+	return a.endFailed("the engine failed with " + resp.Status)
+}
+
 // send sends the request and waits for the header of the response.
 func (a *attempt) send() (*http.Response, error) {
 	trace := &httptrace.ClientTrace{
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,8 @@
 const (
 	// maxResponseBytes bounds the body of an engine's response that is not streamed.
 	maxResponseBytes = 16 << 20
+	// maxErrorBytes bounds what is read of an engine's error response, which is not forwarded.
+	maxErrorBytes = 64 << 10
 	// cancelTimeout bounds one cancel request to an engine.
 	cancelTimeout = 2 * time.Second
 	// maxConcurrentCancels bounds the background cancel requests in progress.
