platform: names in another case are no fields of an object

A member such as "State" beside "state" counted in its place.

Change: jsontext.Unmarshal leaves out the members whose names differ from a field's in the case only, and decodes the rest with encoding/json.

--- a/Makefile
+++ b/Makefile
@@ -83,7 +83,7 @@
 # fuzz-input runs each native fuzz target of the input decoders for SECONDS.
 FUZZ_TARGETS := internal/peer:FuzzEnvelope internal/peer:FuzzHello internal/peer:FuzzCall internal/peer:FuzzLink \
 	internal/node:FuzzReport internal/upstream:FuzzReceive internal/callers:FuzzModelRequest internal/settings:FuzzParse internal/contract:FuzzParse internal/contract:FuzzObjects internal/platform:FuzzDecodeObjects \
-	internal/platform:FuzzElementDoesNotHarmOthers platform:FuzzObjectDoesNotHarmOthers internal/jsontext:FuzzSkip
+	internal/platform:FuzzElementDoesNotHarmOthers platform:FuzzObjectDoesNotHarmOthers internal/jsontext:FuzzSkip internal/jsontext:FuzzUnmarshal
 fuzz-input:
 	@for t in $(FUZZ_TARGETS); do \
 		$(GO) test ./$${t%%:*} -run xxx -fuzz "^$${t##*:}$$" -fuzztime $(SECONDS)s -parallel 2 || exit 1; \
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -14,6 +14,7 @@
 	"github.com/umberhill/umberhill/internal/api"
 	"github.com/umberhill/umberhill/internal/core/quarantine"
 	"github.com/umberhill/umberhill/internal/ids"
+	"github.com/umberhill/umberhill/internal/jsontext"
 	"github.com/umberhill/umberhill/internal/platform"
 )
 
@@ -239,7 +240,7 @@
 
 func decodeRecord(raw json.RawMessage) ([]quarantine.Crash, error) {
 	var in record
-	if err := json.Unmarshal(raw, &in); err != nil {
+	if err := jsontext.Unmarshal(raw, &in); err != nil {
 		return nil, errors.Wrap(err, "decode the record of crashes")
 	}
 	out := make([]quarantine.Crash, 0, len(in.Crashes))
