--- a/internal/jsontext/doc.go
+++ b/internal/jsontext/doc.go
@@ -1,3 +1,4 @@
-// Package jsontext finds values in JSON texts without decoding them. It accepts the grammar of
-// encoding/json, but has no limit of depth and compares names of members exactly.
+// Package jsontext reads JSON texts in which parts may be odd. It finds the ends of values by the
+// grammar of encoding/json, without a limit of depth and without decoding them, and compares the
+// names of members exactly.
 package jsontext
--- a/internal/jsontext/skip.go
+++ b/internal/jsontext/skip.go
@@ -10,6 +10,10 @@
 	"github.com/cockroachdb/errors"
 )
 
+// usualDepth is the depth for which Skip needs no memory on the heap. Objects of the platform are
+// no deeper.
+const usualDepth = 16
+
 // SyntaxError reports that a text is no JSON.
 type SyntaxError struct {
 	// Offset is where the text cannot be continued.
@@ -46,10 +50,6 @@
 	return s.at, nil
 }
 
-// usualDepth is the depth for which Skip needs no memory on the heap. Objects of the platform are
-// no deeper.
-const usualDepth = 16
-
 // skipper skips a value. It is iterative, so that the depth of the value has no limit.
 type skipper struct {
 	text []byte
