platform: a response that is no JSON is split in linear time

Change: the repair has a file and a type of its own, which marks the objects that a scan has shown to be no elements. A text is scanned as part of an enclosing one and by itself, and not again. What is accepted is the same.

--- a/internal/jsontext/skip.go
+++ b/internal/jsontext/skip.go
@@ -35,9 +35,12 @@
 
 // Skip returns the end of the value that begins at at, or after the white space there. The error
 // is a *SyntaxError.
-func Skip(text []byte, at int) (end int, err error) {
+func Skip(text []byte, at int) (end int, err error) { return SkipFunc(text, at, nil) }
+
+// SkipFunc is like Skip, and calls closed, if not nil, for each object and array that ends.
+func SkipFunc(text []byte, at int, closed func(start, end int)) (end int, err error) {
 	var shallow [usualDepth]int
-	s := skipper{text: text, at: at, open: shallow[:0]}
+	s := skipper{text: text, at: at, open: shallow[:0], closed: closed}
 	isDone, ok := false, true
 	for ok && !isDone {
 		if ok = s.skipToEnd(); ok {
@@ -56,9 +59,12 @@
 	at   int
 	// open are the offsets of the objects and arrays that at is in.
 	open []int
+	// closed, if not nil, is called for each of them that ends.
+	closed func(start, end int)
 }
 
-// skipToEnd skips to the end of the first value that ends.
+// skipToEnd skips up to the end of a scalar or of an empty object or array, and opens those that
+// enclose it.
 func (s *skipper) skipToEnd() (ok bool) {
 	for {
 		s.at = SkipSpace(s.text, s.at)
@@ -101,6 +107,9 @@
 		return false
 	}
 	s.at++
+	if s.closed != nil {
+		s.closed(s.open[innermost], s.at)
+	}
 	s.open = s.open[:innermost]
 	return true
 }
--- a/internal/platform/elements.go
+++ b/internal/platform/elements.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"bytes"
 	"encoding/json"
 	"slices"
 
@@ -29,10 +28,6 @@
 	members map[string][]byte
 }
 
-// maxRestBytes bounds what may follow the array in a response that is no JSON. The members beside
-// the array are numbers and booleans.
-const maxRestBytes = 4 << 10
-
 // Split splits a response. Elements are not decoded, so that none makes others unreadable: each
 // is the object of another writer.
 //
@@ -41,21 +36,22 @@
 // array that leaves an object or array open is an error if no known member follows: the response
 // may have been cut off in it.
 func (f Format) Split(body []byte) (Elements, error) {
-	elements, err := f.split(body, false)
+	elements, err := f.split(body, func(at int) ([][]byte, int, error) { return splitArray(body, at) })
 	if err != nil {
 		var repairErr error
-		if elements, repairErr = f.split(body, true); repairErr == nil {
+		if elements, repairErr = f.split(body, newRepairer(f, body).splitArray); repairErr == nil {
 			err = nil
 		}
 	}
 	return elements, errors.Wrapf(err, "split the elements of %q", f.Array)
 }
 
-func (f Format) split(body []byte, repairs bool) (Elements, error) {
+// split splits a response with a function that splits its array.
+func (f Format) split(body []byte, splitArray func(at int) (texts [][]byte, end int, err error)) (Elements, error) {
 	out := Elements{members: make(map[string][]byte, len(f.Members))}
 	end, err := jsontext.Members(body, 0, func(name string, at int) (end int, err error) {
 		if name == f.Array && at < len(body) && body[at] == '[' && out.Texts == nil {
-			out.Texts, end, err = f.splitArray(body, at, repairs)
+			out.Texts, end, err = splitArray(at)
 			return end, err
 		}
 		end, err = jsontext.Skip(body, at)
@@ -75,121 +71,36 @@
 	return out, err
 }
 
-// Decode decodes the member with the given name into v, which keeps its value if there is none.
-func (e Elements) Decode(name string, v any) error {
-	text, exists := e.members[name]
-	if !exists {
-		return nil
-	}
-	return errors.Wrapf(json.Unmarshal(text, v), "decode %q", name)
-}
-
 // splitArray splits the array that begins at at into its elements, and returns its end.
-func (f Format) splitArray(body []byte, at int, repairs bool) (texts [][]byte, end int, err error) {
+func splitArray(body []byte, at int) (texts [][]byte, end int, err error) {
 	texts = [][]byte{}
-	if at = jsontext.SkipSpace(body, at+1); at < len(body) && body[at] == ']' && f.isDelimiter(body, at, repairs) {
+	if at = jsontext.SkipSpace(body, at+1); at < len(body) && body[at] == ']' {
 		return texts, at + 1, nil
 	}
 	for {
 		end, err := jsontext.Skip(body, at)
-		delimiter := jsontext.SkipSpace(body, end)
-		isElement := err == nil && (!repairs || body[at] == '{')
-		switch {
-		case isElement && f.isDelimiter(body, delimiter, repairs):
-		case !repairs && err == nil:
-			return nil, 0, &jsontext.SyntaxError{Offset: delimiter}
-		case !repairs:
+		if err != nil {
 			return nil, 0, err
-		default:
-			if delimiter, err = f.endOfInvalid(body, at, err); err != nil {
-				return nil, 0, err
-			}
-			end = delimiter
 		}
 		texts = append(texts, body[at:end])
-		if body[delimiter] == ']' {
-			return texts, delimiter + 1, nil
-		}
-		at = jsontext.SkipSpace(body, delimiter+1)
-	}
-}
-
-// isDelimiter reports whether a comma between elements is at an offset, or the end of the array.
-// In a response that is no JSON, a bracket is that end only if the response ends properly after it.
-func (f Format) isDelimiter(body []byte, offset int, repairs bool) bool {
-	switch {
-	case offset == len(body):
-		return false
-	case body[offset] == ']' && repairs:
-		_, ok := f.membersAfter(body, offset+1)
-		return ok
-	}
-	return body[offset] == ',' || body[offset] == ']'
-}
-
-// endOfInvalid returns the offset of the delimiter after an element at at that is no JSON, or that
-// takes in what follows it. skipErr is the error of skipping it, if any. No text is skipped twice,
-// so that the time is linear in the size of the response.
-func (f Format) endOfInvalid(body []byte, at int, skipErr error) (delimiter int, err error) {
-	// endless has the starts of the objects and arrays that are known to have no end.
-	endless := make(map[int]bool)
-	addEndless := func(err error) {
-		var syntax *jsontext.SyntaxError
-		if errors.As(err, &syntax) {
-			for _, start := range syntax.Open {
-				endless[start] = true
-			}
-		}
-	}
-	addEndless(skipErr)
-	for i := at; ; {
-		comma := bytes.IndexByte(body[i:], ',')
-		if comma < 0 {
-			break
-		}
-		delimiter = i + comma
-		i = delimiter + 1
-		start := jsontext.SkipSpace(body, i)
-		if start == len(body) || body[start] != '{' || endless[start] {
-			continue
-		}
-		end, err := jsontext.Skip(body, start)
+		end = jsontext.SkipSpace(body, end)
 		switch {
-		case err != nil:
-			addEndless(err)
-		case !f.isDelimiter(body, jsontext.SkipSpace(body, end), true):
-		case f.IsElement(body[start:end]):
-			return delimiter, nil
-		default:
-			i = end
+		case end < len(body) && body[end] == ']':
+			return texts, end + 1, nil
+		case end == len(body) || body[end] != ',':
+			return nil, 0, &jsontext.SyntaxError{Offset: end}
 		}
+		at = jsontext.SkipSpace(body, end+1)
 	}
-	delimiter = bytes.LastIndexByte(body, ']')
-	known, ok := f.membersAfter(body, delimiter+1)
-	var syntax *jsontext.SyntaxError
-	mayBeCut := skipErr == nil || errors.As(skipErr, &syntax) && syntax.Offset == len(body)
-	if delimiter < at || !ok || known == 0 && mayBeCut {
-		return 0, errors.Newf("element at offset %d has no end", at)
-	}
-	return delimiter, nil
 }
 
-// membersAfter returns how many known members the rest of a response has, and whether it ends
-// properly.
-func (f Format) membersAfter(body []byte, at int) (known int, ok bool) {
-	rest := body[at:]
-	if len(rest) > maxRestBytes {
-		return 0, false
+// Decode decodes the member with the given name into v, which keeps its value if there is none.
+func (e Elements) Decode(name string, v any) error {
+	text, exists := e.members[name]
+	if !exists {
+		return nil
 	}
-	// Complete the rest to an object.
-	rest = slices.Concat([]byte(`{"":0`), rest)
-	end, err := jsontext.Members(rest, 0, func(name string, at int) (int, error) {
-		if slices.Contains(f.Members, name) {
-			known++
-		}
-		return jsontext.Skip(rest, at)
-	})
-	return known, err == nil && jsontext.SkipSpace(rest, end) == len(rest)
+	return errors.Wrapf(json.Unmarshal(text, v), "decode %q", name)
 }
 
 // EachMember calls visit with the name and the text of each member of an object. An error of visit
--- a/internal/platform/elements_test.go
+++ b/internal/platform/elements_test.go
@@ -5,8 +5,10 @@
 	"flag"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -89,3 +91,32 @@
 		}
 	})
 }
+
+// Guards against odd elements that take the router's processor for long, since parts of a response
+// that is no JSON are scanned again and again.
+func TestInvalidResponseIsSplitInLinearTime(t *testing.T) {
+	t.Parallel()
+	const elements = 100_000
+	sound := `{"name":"last","value":1}`
+	for name, odd := range map[string]string{
+		"open arrays":        strings.Repeat(`{"a":[0,`, elements),
+		"open elements":      strings.Repeat(`{"name":"x","value":[0,{"name":"b"},`, elements),
+		"no delimiter":       strings.Repeat(`{"a":[0,`, elements) + "{}" + strings.Repeat("]}", elements) + "Z,",
+		"closed arrays":      strings.Repeat(`[0,{}],`, elements),
+		"near ends":          strings.Repeat("Z,", elements) + strings.Repeat(`[0,{}],`, 500),
+		"open strings":       strings.Repeat(`"{,`, elements),
+		"invalid and sound":  strings.Repeat(`nul,{"name":"b"},`, elements),
+		"no elements":        strings.Repeat(`{"x":{}},Z,`, elements),
+		"nested in a string": `"` + strings.Repeat(`,{\"a\":[0`, elements) + ",",
+	} {
+		start := time.Now()
+		page, err := defaultWire{}.Page(Call{}, []byte(`{"objects":[`+odd+sound+`],"revision":9}`))
+		isLast := func(o Object) bool { return o.Name == "last" && string(o.Value) == "1" }
+		if err != nil || !slices.ContainsFunc(page.Objects, isLast) {
+			t.Errorf("%s: got %d objects, error %v, want the last one among them", name, len(page.Objects), err)
+		}
+		if took := time.Since(start); took > 5*time.Second {
+			t.Errorf("%s: took %v, want at most 5 s for some MB", name, took)
+		}
+	}
+}
