Reports on leaves: which router used a target for how long, and why

`umberhill report leaves` shows for each leave the delay to every router, with the last ones, the reason and their losses of the store. The line `target gone` has its source, cause, the time for which the entry was missing, and that since the list before was complete; a line tells that a missing entry is kept, a gauge how many are, a histogram for how long targets were used so. No decision changes.

The reader of logs is shared with `report changes` now. That left out each router that had stopped more than 5 s before a change and run again since; it counts them now (TestRouterThatRestartedBeforeTheChangeCounts fails before: 1 router of 2).

--- a/internal/changedelay/changedelay.go
+++ b/internal/changedelay/changedelay.go
@@ -1,45 +1,26 @@
 package changedelay
 
 import (
-	"bufio"
-	"bytes"
 	"cmp"
-	"encoding/json"
 	"io"
 	"maps"
-	"regexp"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
+	"github.com/umberhill/umberhill/internal/fleetlog"
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
-// The messages of the log lines that are read.
-const (
-	inForceMessage = "configuration in force"
-	startedMessage = "router started"
-	stoppedMessage = "router stop"
-)
+// inForceMessage is the message of the log lines that are read.
+const inForceMessage = "configuration in force"
 
 const (
-	// maxLogLineBytes bounds the length of one line of a log.
-	maxLogLineBytes = 1 << 20
-	// stopSlack is how long before its stop a router need not have a version.
-	stopSlack = 5 * time.Second
 	// endSlack is how long before the end of the logs a version need not be in force.
 	endSlack = time.Second
 	// maxNamed is the number of routers that are named as the last ones.
 	maxNamed = 3
 )
 
-// collectorPrefix is the prefix of a line from a log collector: the seconds since a time of its
-// own, and the instance.
-var collectorPrefix = regexp.MustCompile(`^\s*(-?[0-9]+(?:\.[0-9]+)?) (\S+) $`)
-
 // Router is when a version came into force at one router.
 type Router struct {
 	Instance ids.Instance `json:"instance"`
@@ -80,8 +61,8 @@
 }
 
 type routerLog struct {
-	held             []held
-	started, stopped []time.Time
+	held     []held
+	lifetime fleetlog.Lifetime
 }
 
 // held is a version that came into force.
@@ -91,63 +72,34 @@
 	Router
 }
 
-// line is a JSON log line, with the fields of those that are used.
-type line struct {
-	Time     time.Time    `json:"time"`
-	Instance ids.Instance `json:"instance"`
-	Message  string       `json:"msg"`
-	Version  uint64       `json:"version"`
-	Source   string       `json:"source"`
-	KnownMS  int64        `json:"known_ms"`
-	MaxDelay int64        `json:"max_delay_ms"`
+// inForceFields are the fields of a line that are used.
+type inForceFields struct {
+	Version  uint64 `json:"version"`
+	Source   string `json:"source"`
+	KnownMS  int64  `json:"known_ms"`
+	MaxDelay int64  `json:"max_delay_ms"`
 }
 
-// Read adds the lines of a log. Times and instances are those of a log collector's prefix, if
-// lines have one. Other lines are left out.
-func (l *Logs) Read(r io.Reader) error {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLogLineBytes)
-	for scanner.Scan() {
-		l.addLine(scanner.Bytes())
-	}
-	return errors.Wrap(scanner.Err(), "read the log")
-}
+// Read adds the lines of a log. Other lines are left out.
+func (l *Logs) Read(r io.Reader) error { return fleetlog.Scan(r, l.add) }
 
-func (l *Logs) addLine(raw []byte) {
-	start := bytes.IndexByte(raw, '{')
-	if start < 0 {
-		return
+func (l *Logs) add(line fleetlog.Line) error {
+	if line.Time.After(l.end) {
+		l.end = line.Time
 	}
-	var parsed line
-	if err := json.Unmarshal(raw[start:], &parsed); err != nil || parsed.Message == "" {
-		return
-	}
-	if prefix := collectorPrefix.FindSubmatch(raw[:start]); prefix != nil {
-		seconds, err := strconv.ParseFloat(string(prefix[1]), 64)
-		if err != nil {
-			return
-		}
-		parsed.Time, parsed.Instance = time.Unix(0, 0).UTC().Add(time.Duration(seconds*float64(time.Second))), ids.Instance(prefix[2])
+	router := l.router(line.Instance)
+	router.lifetime.Record(line)
+	if line.Message != inForceMessage {
+		return nil
 	}
-	if parsed.Instance == "" || parsed.Time.IsZero() {
-		return
-	}
-	if parsed.Time.After(l.end) {
-		l.end = parsed.Time
-	}
-	switch {
-	case parsed.Message == inForceMessage:
-		router := l.router(parsed.Instance)
-		router.held = append(router.held, held{parsed.Time, parsed.Version, Router{
-			Instance: parsed.Instance, Source: parsed.Source, KnownMS: parsed.KnownMS, MaxDelayMS: parsed.MaxDelay,
-		}})
-	case parsed.Message == startedMessage:
-		router := l.router(parsed.Instance)
-		router.started = append(router.started, parsed.Time)
-	case strings.HasPrefix(parsed.Message, stoppedMessage):
-		router := l.router(parsed.Instance)
-		router.stopped = append(router.stopped, parsed.Time)
+	var fields inForceFields
+	if err := line.Decode(&fields); err != nil {
+		return err
 	}
+	router.held = append(router.held, held{line.Time, fields.Version, Router{
+		Instance: line.Instance, Source: fields.Source, KnownMS: fields.KnownMS, MaxDelayMS: fields.MaxDelay,
+	}})
+	return nil
 }
 
 func (l *Logs) router(i ids.Instance) *routerLog {
@@ -184,7 +136,7 @@
 	v := Version{Version: version, FirstAt: first}
 	var all []Router
 	for name, r := range l.routers {
-		if !r.counts(first) {
+		if !r.lifetime.Counts(first) {
 			continue
 		}
 		i := slices.IndexFunc(r.held, func(h held) bool { return h.version >= version })
@@ -217,18 +169,3 @@
 	slices.Reverse(v.Last)
 	return v
 }
-
-// counts reports whether a router ran when a version was first in force.
-func (r *routerLog) counts(first time.Time) bool {
-	for _, at := range r.started {
-		if at.After(first) {
-			return false
-		}
-	}
-	for _, at := range r.stopped {
-		if at.Before(first.Add(stopSlack)) {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/changedelay/changedelay_test.go
+++ b/internal/changedelay/changedelay_test.go
@@ -57,3 +57,19 @@
 		t.Errorf("got %+v, want one version with a largest delay of 250 ms", versions)
 	}
 }
+
+// Guards against a router that does not count since it restarted long before the change.
+func TestRouterThatRestartedBeforeTheChangeCounts(t *testing.T) {
+	var l changedelay.Logs
+	for _, text := range []string{
+		`1.0 r-1 {"msg":"router started"}`, `1.0 r-2 {"msg":"router started"}`, `2.0 r-2 {"msg":"router stopping"}`, `3.0 r-2 {"msg":"router started"}`,
+		`20.0 r-1 {"msg":"configuration in force","version":2}`, `24.5 r-2 {"msg":"configuration in force","version":2}`,
+	} {
+		if err := l.Read(strings.NewReader(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if versions := l.Versions(); len(versions) != 1 || versions[0].Routers != 2 || versions[0].LargestMS != 4500 {
+		t.Errorf("got %+v, want one version at 2 routers, the last one after 4500 ms", versions)
+	}
+}
--- a/internal/cli/changedelay.go
+++ b/internal/cli/changedelay.go
@@ -12,9 +12,10 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/umberhill/umberhill/internal/changedelay"
+	"github.com/umberhill/umberhill/internal/ids"
 )
 
-// maxNeverCells is the number of routers without a version that a row names.
+// maxNeverCells is the number of routers without a change that a row names.
 const maxNeverCells = 6
 
 // Errors of the report on changes.
@@ -39,14 +40,9 @@
 }
 
 func reportChanges(_ context.Context, c *cli.Command) error {
-	if c.Args().Len() == 0 {
-		return usagef("name the logs of all routers; see %s --help", c.FullName())
-	}
 	var logs changedelay.Logs
-	for _, name := range c.Args().Slice() {
-		if err := readInput(c, name, logs.Read); err != nil {
-			return errors.Wrapf(err, "log %s", name)
-		}
+	if err := readLogs(c, logs.Read); err != nil {
+		return err
 	}
 	versions := logs.Versions()
 	if len(versions) == 0 {
@@ -64,6 +60,19 @@
 	return nil
 }
 
+// readLogs reads the logs that the arguments name.
+func readLogs(c *cli.Command, read func(io.Reader) error) error {
+	if c.Args().Len() == 0 {
+		return usagef("name the logs of all routers; see %s --help", c.FullName())
+	}
+	for _, name := range c.Args().Slice() {
+		if err := readInput(c, name, read); err != nil {
+			return errors.Wrapf(err, "log %s", name)
+		}
+	}
+	return nil
+}
+
 // readInput reads a file, or standard input if the name is -.
 func readInput(c *cli.Command, name string, read func(io.Reader) error) error {
 	if name == "-" {
@@ -79,20 +88,27 @@
 
 func changesTable(w io.Writer, versions []changedelay.Version) error {
 	t := newTable(w, "VERSION", "FIRST", "ROUTERS", "MEDIAN", "P99", "LARGEST", "STORE", "LAST", "NEVER")
-	seconds := func(ms int64) string { return fmt.Sprintf("%.2f s", float64(ms)/1000) }
 	for _, v := range versions {
-		var last, never []string
+		var last []string
 		for _, r := range v.Last {
-			last = append(last, fmt.Sprintf("%s %s from %s (known %s)", r.Instance, seconds(r.DelayMS), r.Source, seconds(r.KnownMS)))
-		}
-		for _, name := range v.Never[:min(len(v.Never), maxNeverCells)] {
-			never = append(never, string(name))
+			last = append(last, fmt.Sprintf("%s %s from %s (known %s)", r.Instance, formatSeconds(r.DelayMS), r.Source, formatSeconds(r.KnownMS)))
 		}
-		if rest := len(v.Never) - maxNeverCells; rest > 0 {
-			never = append(never, fmt.Sprintf("%d more", rest))
-		}
-		t.row(fmt.Sprint(v.Version), v.FirstAt.Format("15:04:05.000"), fmt.Sprint(v.Routers), seconds(v.MedianMS), seconds(v.P99MS),
-			seconds(v.LargestMS), fmt.Sprint(v.FromStore), strings.Join(last, "; "), strings.Join(never, " "))
+		t.row(fmt.Sprint(v.Version), v.FirstAt.Format("15:04:05.000"), fmt.Sprint(v.Routers), formatSeconds(v.MedianMS), formatSeconds(v.P99MS),
+			formatSeconds(v.LargestMS), fmt.Sprint(v.FromStore), strings.Join(last, "; "), neverCell(v.Never))
 	}
 	return t.flush()
 }
+
+func formatSeconds(ms int64) string { return fmt.Sprintf("%.2f s", float64(ms)/1000) }
+
+// neverCell names routers that never had a change in force, maxNeverCells at most.
+func neverCell(routers []ids.Instance) string {
+	var never []string
+	for _, name := range routers[:min(len(routers), maxNeverCells)] {
+		never = append(never, string(name))
+	}
+	if rest := len(routers) - maxNeverCells; rest > 0 {
+		never = append(never, fmt.Sprintf("%d more", rest))
+	}
+	return strings.Join(never, " ")
+}
--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -31,7 +31,7 @@
 			Description: "Examples:\n  umberhill report burn\n  umberhill report burn --html burn.html",
 			Flags:       []cli.Flag{&cli.StringFlag{Name: "html", Usage: "write a page with plots to `FILE`"}},
 			Action:      reportBurn,
-		}, fairnessCommand(), changesCommand()},
+		}, fairnessCommand(), changesCommand(), leavesCommand()},
 	}
 }
 
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -88,6 +88,38 @@
 	Removed bool
 }
 
+// Cause says how a router learned that it must not use a target any more.
+type Cause string
+
+const (
+	// Removed means that a list or an event without the entry decided it.
+	Removed Cause = "removed"
+	// NotBack means that the entry had been missing for the retention time.
+	NotBack Cause = "not_back"
+)
+
+// Missing is a target whose entry is missing in the store, and which is kept.
+type Missing struct {
+	ID      ids.Target
+	Service string
+}
+
+// Drop is the end of the use of a target.
+type Drop struct {
+	Cause Cause
+	// MissingFor is for how long the target was used although its entry was missing, 0 if
+	// the entry had not been missing before.
+	MissingFor time.Duration
+}
+
+// News are the changes of the list that are not in its entries.
+type News struct {
+	// Missing are the targets whose entries are missing since, and Drops those that are not
+	// used any more.
+	Missing []Missing
+	Drops   map[ids.Target]Drop
+}
+
 // Roster is the list of targets.
 type Roster struct {
 	// missingRetention is how long a target whose entry was removed during or after
@@ -110,6 +142,7 @@
 	// eraSince is when the store was first seen to have returned from an older copy, zero
 	// if it never has.
 	eraSince time.Time
+	news     News
 }
 
 type state struct {
@@ -256,14 +289,24 @@
 	if keepMissing {
 		if !current.missing {
 			current.missing, current.missingSince = true, now
+			r.news.Missing = append(r.news.Missing, Missing{id, current.Service})
 		}
 		return
 	}
-	r.deleteEntry(now, id, asOf)
+	r.deleteEntry(now, id, asOf, Removed)
 }
 
-func (r *Roster) deleteEntry(now time.Time, id ids.Target, asOf uint64) {
-	r.tombstones[id] = tombstone{revision: asOf, at: now, last: r.entries[id].Entry}
+func (r *Roster) deleteEntry(now time.Time, id ids.Target, asOf uint64, cause Cause) {
+	last := r.entries[id]
+	drop := Drop{Cause: cause}
+	if last.missing {
+		drop.MissingFor = now.Sub(last.missingSince)
+	}
+	if r.news.Drops == nil {
+		r.news.Drops = make(map[ids.Target]Drop)
+	}
+	r.news.Drops[id] = drop
+	r.tombstones[id] = tombstone{revision: asOf, at: now, last: last.Entry}
 	delete(r.entries, id)
 	for old, t := range r.tombstones {
 		if now.Sub(t.at) > tombstoneTTL {
@@ -298,7 +341,7 @@
 	dropped := false
 	for id, e := range r.entries {
 		if e.missing && now.Sub(r.retainedSince(now, e)) >= r.missingRetention {
-			r.deleteEntry(now, id, e.Revision)
+			r.deleteEntry(now, id, e.Revision, NotBack)
 			dropped = true
 		}
 	}
@@ -325,6 +368,24 @@
 	return b
 }
 
+// TakeNews returns the news since the last call.
+func (r *Roster) TakeNews() News {
+	news := r.news
+	r.news = News{}
+	return news
+}
+
+// MissingCount returns the number of targets that are used although their entries are missing.
+func (r *Roster) MissingCount() int {
+	n := 0
+	for _, e := range r.entries {
+		if e.missing {
+			n++
+		}
+	}
+	return n
+}
+
 // Entries returns the list to send to peers, without the entries that are missing
 // in the store.
 func (r *Roster) Entries() []Entry {
--- a/internal/node/conns_test.go
+++ b/internal/node/conns_test.go
@@ -14,7 +14,7 @@
 	for _, routers := range []int{1, 8, 80, 400} {
 		n := newNodeInFleet(routers)
 		n.SetConfig(&routing.Config{Version: 1, Services: map[string]*routing.Service{"app": {Name: "app", MaxConns: maxConns}}}, "test")
-		n.setTargets([]routing.Target{{ID: "t", Service: "app"}})
+		n.setTargets([]routing.Target{{ID: "t", Service: "app"}}, targetsUpdate{})
 		idle := n.maxIdle(upstream.Endpoint{Target: "t"})
 		if idle < 1 || (idle > 1 && idle*routers > maxConns*6/10) {
 			t.Errorf("%d routers keep %d idle connections each, of %d that the target accepts; want at least 1 each and at most 60 percent together", routers, idle, maxConns)
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
 	fleetv1 "github.com/umberhill/umberhill/api/fleet/v1"
@@ -26,54 +27,99 @@
 type Directory struct {
 	node    *Node
 	roster  *roster.Roster
-	changes chan func(now time.Time) (changed bool)
+	changes chan rosterChange
 	done    chan struct{}
+	// missingUse is for how long targets were used although their entries were missing.
+	missingUse tally.Histogram
+}
+
+// rosterChange is a change of the roster.
+type rosterChange struct {
+	// source is sourceStore or the peer from which the change comes, empty for neither.
+	source string
+	apply  func(now time.Time) (changed bool)
+}
+
+// targetsUpdate says where a list of targets comes from, for the log.
+type targetsUpdate struct {
+	source string
+	// age is the time since the list before was complete.
+	age  time.Duration
+	news roster.News
 }
 
 func newDirectory(n *Node) *Directory {
 	return &Directory{
 		node:    n,
 		roster:  roster.New(n.settings.DrainTimeout),
-		changes: make(chan func(time.Time) bool, changeQueueSize),
+		changes: make(chan rosterChange, changeQueueSize),
 		done:    make(chan struct{}),
+
+		missingUse: n.scope.Histogram("target_missing_use_seconds", stateDelayBuckets),
 	}
 }
 
 // run applies queued changes to the roster until ctx ends.
 func (d *Directory) run(ctx context.Context) {
 	defer close(d.done)
+	d.gaugeMissing()
 	ticker := time.NewTicker(missingCheckInterval)
 	defer ticker.Stop()
 	for {
 		var changed bool
+		var source string
+		var now time.Time
 		select {
 		case <-ctx.Done():
 			return
 		case change := <-d.changes:
-			changed = change(time.Now())
-		case now := <-ticker.C:
+			now = time.Now()
+			source, changed = change.source, change.apply(now)
+		case now = <-ticker.C:
 			d.roster.RecordRead(now.Add(-d.node.targetsState.age(now)))
 			changed = d.roster.DropMissing(now)
 		}
+		update := targetsUpdate{source: source, age: d.node.targetsState.age(now), news: d.roster.TakeNews()}
+		d.recordNews(update)
 		if changed {
-			d.node.setTargets(d.roster.Targets())
+			d.node.setTargets(d.roster.Targets(), update)
 			d.node.targetsState.recordHeld(d.roster.AsOf())
 		}
 	}
 }
 
+// recordNews logs which entries are missing, and updates the metrics.
+func (d *Directory) recordNews(u targetsUpdate) {
+	if len(u.news.Missing) == 0 && len(u.news.Drops) == 0 {
+		return
+	}
+	for _, m := range u.news.Missing {
+		d.node.logger.WithFields(logrus.Fields{
+			"target": m.ID, "service": m.Service, "source": u.source, "max_delay_ms": u.age.Milliseconds(),
+		}).Info("target's entry is missing; the target is kept")
+	}
+	for _, drop := range u.news.Drops {
+		d.missingUse.RecordDuration(drop.MissingFor)
+	}
+	d.gaugeMissing()
+}
+
+func (d *Directory) gaugeMissing() {
+	d.node.scope.Gauge("targets_missing").Update(float64(d.roster.MissingCount()))
+}
+
 // enqueue queues a change. It blocks while the queue is full, and drops the change
 // if run has returned.
-func (d *Directory) enqueue(change func(now time.Time) bool) {
+func (d *Directory) enqueue(source string, apply func(now time.Time) (changed bool)) {
 	select {
-	case d.changes <- change:
+	case d.changes <- rosterChange{source, apply}:
 	case <-d.done:
 	}
 }
 
 // Apply applies changes from the store, which are complete up to revision asOf.
 func (d *Directory) Apply(changes []roster.Change, asOf uint64) {
-	d.enqueue(func(now time.Time) bool {
+	d.enqueue(sourceStore, func(now time.Time) bool {
 		d.roster.MarkStoreUp(now)
 		d.roster.Apply(now, changes, asOf)
 		return true
@@ -82,7 +128,7 @@
 
 // Replace replaces the list by the store's full list at revision asOf.
 func (d *Directory) Replace(list []roster.Entry, asOf uint64) {
-	d.enqueue(func(now time.Time) bool {
+	d.enqueue(sourceStore, func(now time.Time) bool {
 		d.roster.MarkStoreUp(now)
 		d.roster.Replace(now, list, asOf)
 		return true
@@ -99,7 +145,7 @@
 // wait returns once all changes queued so far are in force.
 func (d *Directory) wait() {
 	done := make(chan struct{})
-	d.enqueue(func(time.Time) bool {
+	d.enqueue("", func(time.Time) bool {
 		close(done)
 		return false
 	})
@@ -111,17 +157,17 @@
 
 // MarkStoreDown records that the store does not respond.
 func (d *Directory) MarkStoreDown() {
-	d.enqueue(func(time.Time) bool { d.roster.MarkStoreDown(); return false })
+	d.enqueue("", func(time.Time) bool { d.roster.MarkStoreDown(); return false })
 }
 
 // MarkStoreUp records that the store responds, with or without changes.
 func (d *Directory) MarkStoreUp() {
-	d.enqueue(func(now time.Time) bool { d.roster.MarkStoreUp(now); return false })
+	d.enqueue("", func(now time.Time) bool { d.roster.MarkStoreUp(now); return false })
 }
 
 // merge merges a peer's list. Unlike Apply and Replace it does not mark the store
 // as up, because this router itself may not reach it.
-func (d *Directory) merge(list *fleetv1.TargetList) {
+func (d *Directory) merge(from ids.Instance, list *fleetv1.TargetList) {
 	entries := make([]roster.Entry, 0, len(list.GetTargets()))
 	for _, e := range list.GetTargets() {
 		if slots := e.GetSlots(); slots < 1 || slots > routing.MaxSlots {
@@ -142,7 +188,7 @@
 			StatesCold:      e.ColdMs != nil,
 		}})
 	}
-	d.enqueue(func(now time.Time) bool {
+	d.enqueue(string(from), func(now time.Time) bool {
 		d.roster.Merge(now, entries, revision.Join(list.GetEra(), list.GetAsOf()), list.GetSettled())
 		return true
 	})
@@ -151,7 +197,7 @@
 // list returns the list to send to peers, or nil if ctx or run has ended.
 func (d *Directory) list(ctx context.Context) *fleetv1.TargetList {
 	result := make(chan *fleetv1.TargetList, 1)
-	d.enqueue(func(now time.Time) bool {
+	d.enqueue("", func(now time.Time) bool {
 		era, asOf := revision.Split(d.roster.AsOf())
 		out := &fleetv1.TargetList{Era: era, AsOf: asOf, Settled: d.roster.IsSettled(now)}
 		for _, e := range d.roster.Entries() {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -363,12 +363,12 @@
 
 // applyTargets applies a list of targets that was pulled from a peer. It returns once the list
 // is in force.
-func (f *fleet) applyTargets(_ ids.Instance, raw []byte) error {
+func (f *fleet) applyTargets(from ids.Instance, raw []byte) error {
 	list := new(fleetv1.TargetList)
 	if err := proto.Unmarshal(raw, list); err != nil {
 		return errors.Wrap(err, "decode the list of targets")
 	}
-	f.node.directory.merge(list)
+	f.node.directory.merge(from, list)
 	f.node.directory.wait()
 	return nil
 }
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -28,7 +28,7 @@
 		n.SetConfig(&routing.Config{Version: 1, Services: map[string]*routing.Service{
 			"llm": {Name: "llm", Engine: &routing.Engine{MemoryTokens: 400_000}}, "app": {Name: "app"},
 		}}, "test")
-		n.setTargets([]routing.Target{{ID: "e", Service: "llm", Domain: "a", Slots: 4}, {ID: "p", Service: "app", Domain: "a"}})
+		n.setTargets([]routing.Target{{ID: "e", Service: "llm", Domain: "a", Slots: 4}, {ID: "p", Service: "app", Domain: "a"}}, targetsUpdate{})
 	}
 	hubName := nodes[0].fleet.plan.Load().Hubs["a"][0]
 	seed := func(r *fleetv1.Report) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -284,7 +284,7 @@
 
 // setTargets applies a list of targets. Until the evacuations are known they get no
 // requests: one might go to an evacuated domain.
-func (n *Node) setTargets(all []routing.Target) {
+func (n *Node) setTargets(all []routing.Target, update targetsUpdate) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for i := range all {
@@ -301,7 +301,7 @@
 		time.AfterFunc(n.evacuations.startWait(), n.evacuations.stopWaiting)
 	}
 	n.streamOrigins.setTargets(all)
-	n.logTargets(old)
+	n.logTargets(old, update)
 }
 
 // releaseTargets lets the targets get requests that awaited the evacuations.
@@ -314,11 +314,12 @@
 	}
 }
 
-func (n *Node) logTargets(old *routing.Targets) {
+func (n *Node) logTargets(old *routing.Targets, u targetsUpdate) {
+	origin := logrus.Fields{"source": u.source, "max_delay_ms": u.age.Milliseconds()}
 	for _, t := range n.targets.All() {
 		previous, known := old.Get(t.ID)
 		if !known || !previous.HasSameContent(t) {
-			n.logger.WithFields(logrus.Fields{
+			n.logger.WithFields(origin).WithFields(logrus.Fields{
 				"target": t.ID, "service": t.Service, "address": t.Address, "leaving": t.Draining, "born": t.StartTimeMS,
 				"target_version": t.SoftwareVersion,
 			}).Info("target listed")
@@ -326,7 +327,10 @@
 	}
 	for _, t := range old.All() {
 		if _, listed := n.targets.Get(t.ID); !listed {
-			n.logger.WithFields(logrus.Fields{"target": t.ID, "service": t.Service}).Info("target gone")
+			drop := u.news.Drops[t.ID]
+			n.logger.WithFields(origin).WithFields(logrus.Fields{
+				"target": t.ID, "service": t.Service, "cause": drop.Cause, "missing_ms": drop.MissingFor.Milliseconds(),
+			}).Info("target gone")
 		}
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -70,7 +70,7 @@
 	logger, _ := logtest.NewNullLogger()
 	n := New(Settings{Instance: "r-0", Domain: "a", ShareWindow: time.Second}, nopHeaderCodec{}, logger)
 	n.SetConfig(&routing.Config{Version: 1, Services: map[string]*routing.Service{"s": {Name: "s"}}}, "test")
-	n.setTargets([]routing.Target{{ID: "t", Service: "s", Address: "127.0.0.1:1", Slots: 1}})
+	n.setTargets([]routing.Target{{ID: "t", Service: "s", Address: "127.0.0.1:1", Slots: 1}}, targetsUpdate{})
 	if !n.isReady() {
 		t.Fatal("not ready before the overload")
 	}
--- a/internal/node/report_bench_test.go
+++ b/internal/node/report_bench_test.go
@@ -27,7 +27,7 @@
 			for i := range 60 {
 				total.Workspaces = append(total.Workspaces, &fleetv1.WorkspaceUse{Workspace: fmt.Sprint("w", i), Asked: 100_000, Started: 90_000})
 			}
-			n.setTargets(list)
+			n.setTargets(list, targetsUpdate{})
 			raw, err := proto.Marshal(total)
 			if err != nil {
 				b.Fatal(err)
