roster: losses of contact do not extend the use of a removed target

What callers saw: a target that had left got requests for as long as a router's contact with the store came and went (DRAIN). Cause: the retention of a missing entry ran from the later of two times, when the entry was missed and when the router regained the store. Each loss and return moved the second one.

The retention runs from when the entry was first missed. Only a later entry of the target, or a later full list that has it, ends it. An entry is kept beyond that only while this router has lost the store and knows of no read of it by any router since: where peers report that, as before; without peers for lack of another target only.

--- a/internal/core/roster/leave_test.go
+++ b/internal/core/roster/leave_test.go
@@ -23,6 +23,8 @@
 	leaveStep = 50 * time.Millisecond
 	// readInterval is the longest time between two reads of the store by a router that reaches it.
 	readInterval = 1400 * time.Millisecond
+	// checkInInterval is the interval at which targets write their entries.
+	checkInInterval = 1200 * time.Millisecond
 )
 
 // Guards against a removed target that is used for longer with each loss and return of the router's
@@ -110,6 +112,46 @@
 	}
 }
 
+// Guards against live targets that are lost since the store goes away again before they could write
+// their entries, and against the use of one that left by a router that only lost its own contact.
+func TestEntriesThatLapsedAreKeptInASecondOutageOnly(t *testing.T) {
+	listed := entry(9, false)
+	listed.ID = "b"
+	for _, c := range []struct {
+		name                string
+		peers, readsGoOn    bool
+		isOtherListed, want bool
+	}{
+		{"peers report that none reads the store", true, false, true, true},
+		{"peers read the store", true, true, true, false},
+		{"no peers", false, false, true, false},
+		{"no peers, and no other target", false, false, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRosterWithOneTarget()
+			r.MarkStoreDown()
+			at := func(d time.Duration) time.Time { return start.Add(time.Minute + d) }
+			r.MarkStoreUp(at(0))
+			list := []roster.Entry{}
+			if c.isOtherListed {
+				list = append(list, listed)
+			}
+			r.Replace(at(0), list, 9)
+			r.MarkStoreDown()
+			r.RecordPeers(c.peers)
+			for d := time.Duration(0); d <= 10*time.Second; d += 100 * time.Millisecond {
+				if c.readsGoOn {
+					r.RecordRead(at(d))
+				}
+				r.DropMissing(at(d))
+			}
+			if got := isListed(r, "a"); got != c.want {
+				t.Errorf("target is used 10 s after its entry lapsed: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 func isListed(r *roster.Roster, id ids.Target) bool {
 	return slices.ContainsFunc(r.Targets(), func(t routing.Target) bool { return t.ID == id })
 }
@@ -159,14 +201,19 @@
 		m.put(modelTarget(i))
 	}
 	m.start()
-	m.peer = roster.New(leaveBound)
+	m.peer = m.newRoster()
 	m.peer.Replace(m.now, m.list(), m.revision)
 	return m
 }
 
+// newRoster returns an empty roster.
+func (m *leaveModel) newRoster() *roster.Roster {
+	return roster.New(leaveBound)
+}
+
 // start starts the router, which reads the store.
 func (m *leaveModel) start() {
-	m.router, m.hasLost = roster.New(leaveBound), false
+	m.router, m.hasLost = m.newRoster(), false
 	m.readList()
 }
 
@@ -223,11 +270,10 @@
 }
 
 // stepStore lets targets leave and the store go away and return. Entries of live targets lapse
-// in an outage of three check-ins, and are written again within two seconds of its end.
+// in an outage of two check-in intervals, and are written again within two seconds of its end.
 func (m *leaveModel) stepStore() {
-	const checkIns = 3600 * time.Millisecond
 	switch {
-	case m.isAway() && m.now.Sub(m.awaySince) > checkIns && m.chance(30):
+	case m.isAway() && m.now.Sub(m.awaySince) > 2*checkInInterval && m.chance(30):
 		m.backAt = m.now
 		for i := range 8 {
 			if id := modelTarget(i); m.isAlive[id] && m.random.IntN(2) == 0 {
@@ -283,6 +329,7 @@
 	if m.chance(100) {
 		m.isLinked = !m.isLinked
 	}
+	m.router.RecordPeers(m.isLinked)
 	if !m.isLinked {
 		return
 	}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -3,9 +3,10 @@
 // it from peers that still reach the store. It is a deterministic state machine
 // without I/O or clock.
 //
-// Invariants: targets whose entries expire while the store is unavailable are
-// kept until the store has been available for long enough for them to register
-// again. An update with an older revision than the recorded one has no effect; revisions
+// Invariants: a target whose entry lapses in an outage of the store is kept until it has had
+// time to write its entry again. The time for which a target is used counts from when a router
+// first knew that the store lacks its entry; only a later entry ends it, and nothing begins it
+// anew. An update with an older revision than the recorded one has no effect; revisions
 // are ordered as in package revision. After the store has returned from an older copy, an
 // entry in it that its target has changed since does not replace the newer one.
 package roster
@@ -19,16 +20,6 @@
 )
 
 const (
-	// SettleTime is how long after the recovery of the store the entry of a live
-	// target may still be missing: the platform's bound on the entry's
-	// re-registration, and a margin.
-	SettleTime = 2500 * time.Millisecond
-	// removalMargin is an upper bound on the time until the removal of a target is
-	// received and applied: a watch and a check of the list, with a safety margin.
-	removalMargin = 500 * time.Millisecond
-	// confirmTime is how long after an entry was missing a peer has to have read the store,
-	// so that its target has had time to register again.
-	confirmTime = 500 * time.Millisecond
 	// tombstoneTTL is how long the tombstone of a removed entry is kept, so that
 	// updates with an older revision cannot add the entry again. It is far above any delay of a read.
 	tombstoneTTL = time.Minute
@@ -88,72 +79,29 @@
 	Removed bool
 }
 
-// Cause says how a router learned that it must not use a target any more.
-type Cause string
-
-const (
-	// Removed means that a list or an event without the entry decided it.
-	Removed Cause = "removed"
-	// NotBack means that the entry had been missing for the retention time.
-	NotBack Cause = "not_back"
-)
-
-// Missing is a target whose entry is missing in the store, and which is kept.
-type Missing struct {
-	ID      ids.Target
-	Service string
-}
-
-// Drop is the end of the use of a target.
-type Drop struct {
-	Cause Cause
-	// MissingFor is for how long the target was used although its entry was missing, 0 if
-	// the entry had not been missing before.
-	MissingFor time.Duration
-}
-
-// News are the changes of the list that are not in its entries.
-type News struct {
-	// Missing are the targets whose entries are missing since, and Drops those that are not
-	// used any more.
-	Missing []Missing
-	Drops   map[ids.Target]Drop
-}
-
 // Roster is the list of targets.
 type Roster struct {
-	// missingRetention is how long a target whose entry was removed during or after
-	// an outage is kept.
-	missingRetention time.Duration
-	entries          map[ids.Target]*state
-	tombstones       map[ids.Target]tombstone
+	retention  retention
+	outages    outages
+	entries    map[ids.Target]*state
+	tombstones map[ids.Target]tombstone
 	// asOf is the store revision at which the list last changed.
 	asOf uint64
 	// settledAsOf is the last revision whose list is settled: it came from the store
 	// at this router or at a peer, after SettleTime had passed since the store's
 	// recovery. Targets that are not on a settled list have been removed.
 	settledAsOf uint64
-	storeDown   bool
-	// storeUpSince is when the store last recovered, zero if it was never
-	// unavailable.
-	storeUpSince time.Time
-	// lastReadAt is when any router last read the store.
-	lastReadAt time.Time
 	// eraSince is when the store was first seen to have returned from an older copy, zero
 	// if it never has.
 	eraSince time.Time
-	news     News
+	// arePeersReporting is set while peers report when the store was last read.
+	arePeersReporting bool
+	news              News
 }
 
 type state struct {
 	Entry
-	// missing is true while the entry is kept although it is not in the store;
-	// missingSince is when that was first seen.
-	missing      bool
-	missingSince time.Time
-	// missingAtPeerSince is when a peer that reaches the store first reported the entry as
-	// missing, zero if none has.
-	missingAtPeerSince time.Time
+	lack lack
 }
 
 type tombstone struct {
@@ -166,7 +114,7 @@
 // New returns an empty roster. A draining target must get no more requests after
 // drainTimeout, which therefore bounds how long a removed entry is kept.
 func New(drainTimeout time.Duration) *Roster {
-	return &Roster{missingRetention: min(SettleTime, max(0, drainTimeout-removalMargin)), entries: make(map[ids.Target]*state), tombstones: make(map[ids.Target]tombstone)}
+	return &Roster{retention: newRetention(drainTimeout), entries: make(map[ids.Target]*state), tombstones: make(map[ids.Target]tombstone)}
 }
 
 // AsOf returns the store revision at which the list last changed.
@@ -179,22 +127,22 @@
 	for _, c := range changes {
 		switch {
 		case c.Removed:
-			r.handleRemoval(now, c.ID, c.Revision, r.isSettling(now))
+			r.handleRemoval(now, c.ID, c.Revision, asOf, r.outages.isSettling(now))
 		case r.entries[c.ID] == nil && c.Revision <= r.asOf:
 			// A later list lacks it, so it was removed since.
 		default:
-			r.upsert(now, c.Entry)
+			r.upsert(now, c.Entry, 0)
 		}
 	}
 	r.asOf = max(r.asOf, asOf)
-	r.markSettled(r.isSettling(now))
+	r.markSettled(r.outages.isSettling(now))
 }
 
 // Replace replaces the list by the store's full list at revision asOf. A list
 // that is older than the current one is ignored.
 func (r *Roster) Replace(now time.Time, list []Entry, asOf uint64) {
 	r.observeEra(now, asOf)
-	r.replace(now, list, asOf, r.isSettling(now))
+	r.replace(now, list, asOf, r.outages.isSettling(now))
 }
 
 // Merge replaces the list by a peer's full list at revision asOf, unless it is
@@ -202,28 +150,18 @@
 // on it are removed, even if this router cannot reach the store itself.
 func (r *Roster) Merge(now time.Time, list []Entry, asOf uint64, settled bool) {
 	r.observeEra(now, asOf)
-	// A revision that no router had before shows that the store responds to one.
-	isFromStore := asOf > r.asOf
-	r.replace(now, list, asOf, !settled)
-	if isFromStore {
-		r.markMissingAtPeer(now)
-	}
-}
-
-// markMissingAtPeer records that the store lacks the missing entries.
-func (r *Roster) markMissingAtPeer(now time.Time) {
-	for _, e := range r.entries {
-		if e.missing && e.missingAtPeerSince.IsZero() {
-			e.missingAtPeerSince = now
-		}
+	if !settled && asOf == r.asOf {
+		// The list of this router has the same revision, and shows what the store had then.
+		return
 	}
+	r.replace(now, list, asOf, !settled)
 }
 
 // IsSettled reports whether targets that are not on the list have been removed:
 // either this router reaches the store and SettleTime has passed since the store's
 // recovery, or the list came from a peer for which this holds.
 func (r *Roster) IsSettled(now time.Time) bool {
-	return !r.isSettling(now) || (r.asOf > 0 && r.settledAsOf == r.asOf)
+	return !r.outages.isSettling(now) || (r.asOf > 0 && r.settledAsOf == r.asOf)
 }
 
 // markSettled records that the current list is settled, unless isSettling.
@@ -240,11 +178,11 @@
 	listed := make(map[ids.Target]bool, len(list))
 	for _, e := range list {
 		listed[e.ID] = true
-		r.upsert(now, e)
+		r.upsert(now, e, asOf)
 	}
 	for id := range r.entries {
 		if !listed[id] {
-			r.handleRemoval(now, id, asOf, keepMissing)
+			r.handleRemoval(now, id, asOf, asOf, keepMissing)
 		}
 	}
 	r.asOf = asOf
@@ -255,12 +193,19 @@
 // after the copy are missing until their targets write them again.
 func (r *Roster) observeEra(now time.Time, asOf uint64) {
 	if r.asOf > 0 && revision.IsLaterEra(asOf, r.asOf) {
-		r.storeUpSince, r.eraSince = now, now
+		r.outages.recordEnd(now)
+		r.eraSince = now
 	}
 }
 
-func (r *Roster) upsert(now time.Time, e Entry) {
+// upsert adds or updates an entry. listAsOf is the revision of the full list that has it, 0 for an
+// event.
+func (r *Roster) upsert(now time.Time, e Entry, listAsOf uint64) {
 	if current := r.entries[e.ID]; current != nil {
+		if current.lack.isKnown() && e.Revision <= current.Revision && listAsOf <= current.lack.asOf {
+			// The entry is from before its removal.
+			return
+		}
 		if e.Revision < current.Revision || revision.IsLaterEra(e.Revision, current.Revision) && e.isOlderThan(current.Entry) {
 			return
 		}
@@ -280,27 +225,25 @@
 }
 
 // handleRemoval marks the entry as missing if keepMissing is true, and deletes it
-// otherwise. A removal older than the entry is ignored.
-func (r *Roster) handleRemoval(now time.Time, id ids.Target, asOf uint64, keepMissing bool) {
+// otherwise. A removal older than the entry is ignored. asOf is the revision up to which the
+// update is complete that has the removal.
+func (r *Roster) handleRemoval(now time.Time, id ids.Target, revision, asOf uint64, keepMissing bool) {
 	current := r.entries[id]
-	if current == nil || asOf < current.Revision {
+	if current == nil || revision < current.Revision {
 		return
 	}
 	if keepMissing {
-		if !current.missing {
-			current.missing, current.missingSince = true, now
-			r.news.Missing = append(r.news.Missing, Missing{id, current.Service})
-		}
+		r.markMissing(id, now, asOf)
 		return
 	}
-	r.deleteEntry(now, id, asOf, Removed)
+	r.deleteEntry(now, id, revision, Removed)
 }
 
 func (r *Roster) deleteEntry(now time.Time, id ids.Target, asOf uint64, cause Cause) {
 	last := r.entries[id]
 	drop := Drop{Cause: cause}
-	if last.missing {
-		drop.MissingFor = now.Sub(last.missingSince)
+	if last.lack.isKnown() {
+		drop.MissingFor = now.Sub(last.lack.since)
 	}
 	if r.news.Drops == nil {
 		r.news.Drops = make(map[ids.Target]Drop)
@@ -315,83 +258,24 @@
 	}
 }
 
-// MarkStoreDown records that the store does not respond.
-func (r *Roster) MarkStoreDown() { r.storeDown = true }
+// MarkStoreDown records that the store does not respond to this router.
+func (r *Roster) MarkStoreDown() { r.outages.contactLost = true }
 
-// MarkStoreUp records that the store responds.
+// MarkStoreUp records that the store responds to this router.
 func (r *Roster) MarkStoreUp(now time.Time) {
-	if r.storeDown {
-		r.storeDown = false
-		r.storeUpSince = now
-	}
+	r.outages.recordRead(now)
+	r.outages.contactLost = false
 }
 
 // RecordRead records when any router last read the store.
-func (r *Roster) RecordRead(at time.Time) { r.lastReadAt = at }
-
-// isSettling reports whether entries of live targets may be missing in the store,
-// because it is unavailable or recovered less than SettleTime ago.
-func (r *Roster) isSettling(now time.Time) bool {
-	return r.storeDown || (!r.storeUpSince.IsZero() && now.Sub(r.storeUpSince) < SettleTime)
-}
-
-// DropMissing deletes the entries that have been missing for the retention time
-// since the store recovered, here or at a peer, and reports whether it deleted any.
-func (r *Roster) DropMissing(now time.Time) bool {
-	dropped := false
-	for id, e := range r.entries {
-		if e.missing && now.Sub(r.retainedSince(now, e)) >= r.missingRetention {
-			r.deleteEntry(now, id, e.Revision, NotBack)
-			dropped = true
-		}
-	}
-	return dropped
-}
-
-// retainedSince returns the start of the retention time of a missing entry, now if it has
-// not begun. Without the store it begins when a peer that reaches it misses the entry, and
-// counts once a router has read the store after that.
-func (r *Roster) retainedSince(now time.Time, e *state) time.Time {
-	switch {
-	case !r.storeDown:
-		return later(e.missingSince, r.storeUpSince)
-	case e.missingAtPeerSince.IsZero() || r.lastReadAt.Sub(e.missingAtPeerSince) < confirmTime:
-		return now
-	}
-	return e.missingAtPeerSince
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// TakeNews returns the news since the last call.
-func (r *Roster) TakeNews() News {
-	news := r.news
-	r.news = News{}
-	return news
-}
-
-// MissingCount returns the number of targets that are used although their entries are missing.
-func (r *Roster) MissingCount() int {
-	n := 0
-	for _, e := range r.entries {
-		if e.missing {
-			n++
-		}
-	}
-	return n
-}
+func (r *Roster) RecordRead(at time.Time) { r.outages.recordRead(at) }
 
 // Entries returns the list to send to peers, without the entries that are missing
 // in the store.
 func (r *Roster) Entries() []Entry {
 	out := make([]Entry, 0, len(r.entries))
 	for _, e := range r.entries {
-		if !e.missing {
+		if !e.lack.isKnown() {
 			out = append(out, e.Entry)
 		}
 	}
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -18,6 +18,9 @@
 const (
 	// missingCheckInterval is how often missing entries are checked for expiry.
 	missingCheckInterval = 100 * time.Millisecond
+	// peerReportTTL is for how long a report shows that peers tell this router what they read. Reports are
+	// sent at least each 80 ms, and arrive 300 ms late at most.
+	peerReportTTL = time.Second
 	// changeQueueSize is the number of changes that may be queued for the roster.
 	changeQueueSize = 64
 )
@@ -77,6 +80,7 @@
 			source, changed = change.source, change.apply(now)
 		case now = <-ticker.C:
 			d.roster.RecordRead(now.Add(-d.node.targetsState.age(now)))
+			d.roster.RecordPeers(d.node.targetsState.sinceReport(now) < peerReportTTL)
 			changed = d.roster.DropMissing(now)
 		}
 		update := targetsUpdate{source: source, age: d.node.targetsState.age(now), news: d.roster.TakeNews()}
@@ -188,8 +192,9 @@
 			StatesCold:      e.ColdMs != nil,
 		}})
 	}
+	asOf := revision.Join(list.GetEra(), list.GetAsOf())
 	d.enqueue(string(from), func(now time.Time) bool {
-		d.roster.Merge(now, entries, revision.Join(list.GetEra(), list.GetAsOf()), list.GetSettled())
+		d.roster.Merge(now, entries, asOf, list.GetSettled())
 		return true
 	})
 }
--- a/internal/node/synced_state.go
+++ b/internal/node/synced_state.go
@@ -48,6 +48,8 @@
 
 	mu      sync.Mutex
 	tracker *catchup.Tracker
+	// reportedAt is when a peer last reported what it holds and as of when that is complete.
+	reportedAt time.Time
 	// isRefreshing is set while the state is read again for its age, and refreshAt is when the
 	// next such read may begin.
 	isRefreshing bool
@@ -89,6 +91,13 @@
 	return age
 }
 
+// sinceReport returns the time since a peer last reported as of when its state is complete.
+func (s *syncedState) sinceReport(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.reportedAt)
+}
+
 // claimedAge returns the same according to peers alone, counting state that this router is
 // about to pull.
 func (s *syncedState) claimedAge(now time.Time) time.Duration {
@@ -102,6 +111,9 @@
 func (s *syncedState) recordReport(now time.Time, from ids.Instance, r catchup.Report) bool {
 	s.mu.Lock()
 	s.tracker.RecordReport(now, from, r)
+	if !r.CompleteAt.IsZero() {
+		s.reportedAt = now
+	}
 	isLacking := !s.tracker.LackedSince().IsZero()
 	holdsAll := r.Revision <= s.tracker.Held()
 	s.mu.Unlock()
