Routers tell each other since when they miss an entry

What callers saw: a target that had left got requests for longer at followers than at their hubs. Cause: a follower counted the retention of a missing entry from its receipt of a list that is not settled, so that waits in a row added up: the hub's watch, the follower's call, and the whole retention again.

A list names the entries that its sender misses and for how long (a new field, which earlier releases ignore and do not send); the earliest time counts.

--- a/internal/core/roster/leave_test.go
+++ b/internal/core/roster/leave_test.go
@@ -112,6 +112,24 @@
 	}
 }
 
+// Guards against waits that add up: a router that gets a list which is not settled counts the
+// retention of a missing entry from its own receipt of that list.
+func TestRetentionOfAnEntryCountsFromTheFirstRouterThatMissedIt(t *testing.T) {
+	hub, follower := newRosterWithOneTarget(), newRosterWithOneTarget()
+	for _, r := range []*roster.Roster{hub, follower} {
+		r.MarkStoreDown()
+		r.MarkStoreUp(start)
+	}
+	hub.Replace(start, nil, 9)
+	at := start.Add(time.Second)
+	passMissing(hub, follower)
+	follower.Merge(at, hub.Entries(), hub.AsOf(), hub.IsSettled(at))
+	follower.DropMissing(start.Add(drainTimeout - 200*time.Millisecond))
+	if isListed(follower, "a") {
+		t.Error("the follower uses the target for longer than the hub that told it of the removal")
+	}
+}
+
 // Guards against live targets that are lost since the store goes away again before they could write
 // their entries, and against the use of one that left by a router that only lost its own contact.
 func TestEntriesThatLapsedAreKeptInASecondOutageOnly(t *testing.T) {
@@ -156,6 +174,9 @@
 	return slices.ContainsFunc(r.Targets(), func(t routing.Target) bool { return t.ID == id })
 }
 
+// passMissing tells a router which entries a peer misses.
+func passMissing(from, to *roster.Roster) { to.MergeLacks(from.Lacks(), from.AsOf()) }
+
 // leaveModel is a store, its targets and one router, with a peer that reads the store.
 type leaveModel struct {
 	random   *rand.Rand
@@ -336,6 +357,7 @@
 	m.router.RecordRead(m.peerRead)
 	if m.peer.AsOf() > m.router.AsOf() && m.chance(3) {
 		list := m.peer.Entries()
+		passMissing(m.peer, m.router)
 		m.router.Merge(m.now, list, m.peer.AsOf(), m.peer.IsSettled(m.now))
 		m.recordKnown(list)
 	}
--- a/internal/core/roster/retention.go
+++ b/internal/core/roster/retention.go
@@ -103,6 +103,18 @@
 	return out
 }
 
+// MergeLacks records which entries a peer misses whose list has revision asOf. It precedes the
+// Merge of that list, so that the time for which the peer has missed an entry counts here, too.
+func (r *Roster) MergeLacks(lacks []Lack, asOf uint64) {
+	for _, l := range lacks {
+		current := r.entries[l.ID]
+		if current == nil || asOf < current.Revision || asOf <= r.asOf && !current.lack.isKnown() {
+			continue
+		}
+		r.markMissing(l.ID, l.Since, asOf)
+	}
+}
+
 // RecordPeers records whether peers report at present when the store was last read.
 func (r *Roster) RecordPeers(areReporting bool) { r.arePeersReporting = areReporting }
 
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -194,6 +194,11 @@
 	}
 	asOf := revision.Join(list.GetEra(), list.GetAsOf())
 	d.enqueue(string(from), func(now time.Time) bool {
+		lacks := make([]roster.Lack, 0, len(list.GetMissing()))
+		for _, m := range list.GetMissing() {
+			lacks = append(lacks, roster.Lack{ID: ids.Target(m.GetId()), Since: now.Add(-time.Duration(m.GetMissingMs()) * time.Millisecond)})
+		}
+		d.roster.MergeLacks(lacks, asOf)
 		d.roster.Merge(now, entries, asOf, list.GetSettled())
 		return true
 	})
@@ -227,6 +232,9 @@
 				ColdMs:          coldMS,
 			})
 		}
+		for _, l := range d.roster.Lacks() {
+			out.Missing = append(out.Missing, &fleetv1.MissingTarget{Id: string(l.ID), MissingMs: ageMS(now.Sub(l.Since))})
+		}
 		result <- out
 		return false
 	})
