roster: a router's loss of contact is no outage of the store

Cause: any loss of contact counted as an outage, after which entries that the store lacks are kept for 2.5 s.

Measured: TestBriefLossOfContactIsNoOutage failed before (2 of 3 forms: kept after 0.5 s without contact, and after 4 s while others read the store).

--- a/internal/core/roster/leave_test.go
+++ b/internal/core/roster/leave_test.go
@@ -170,6 +170,37 @@
 	}
 }
 
+// Guards against targets that are used after their removal, since the router lost its own contact for
+// less time than an entry takes to lapse.
+func TestBriefLossOfContactIsNoOutage(t *testing.T) {
+	for name, c := range map[string]struct {
+		peerRead, returned time.Duration
+		wantKept           bool
+	}{
+		"brief":                        {-time.Second, 500 * time.Millisecond, false},
+		"long, others read the store":  {3 * time.Second, 4 * time.Second, false},
+		"long, nobody reads the store": {-time.Second, 4 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := roster.New(drainTimeout, roster.WithCheckInInterval(checkInInterval))
+			r.Apply(start, []roster.Change{{Entry: entry(5, false)}}, 5)
+			at := func(d time.Duration) time.Time { return start.Add(time.Minute + d) }
+			for d := -time.Minute; d <= c.peerRead; d += time.Second {
+				if d == 0 {
+					r.MarkStoreDown()
+				}
+				r.RecordRead(at(d))
+			}
+			r.MarkStoreDown()
+			r.MarkStoreUp(at(c.returned))
+			r.Replace(at(c.returned), nil, 9)
+			if got := isListed(r, "a"); got != c.wantKept {
+				t.Errorf("entry that the store lacks is kept after the loss: %v, want %v", got, c.wantKept)
+			}
+		})
+	}
+}
+
 func isListed(r *roster.Roster, id ids.Target) bool {
 	return slices.ContainsFunc(r.Targets(), func(t routing.Target) bool { return t.ID == id })
 }
@@ -194,6 +225,8 @@
 	usedBefore map[ids.Target]bool
 
 	router *roster.Roster
+	// knowsCheckIns is set if routers know the interval at which targets write their entries.
+	knowsCheckIns bool
 	// hasPeer is set if the router has a peer, isLinked while their link is up.
 	hasPeer, isLinked bool
 	// isCut is set while the router does not reach the store, and hasLost once it knows.
@@ -215,7 +248,7 @@
 	m := &leaveModel{
 		random: rand.New(rand.NewPCG(seed, 2)), now: start, entries: make(map[ids.Target]roster.Entry),
 		isAlive: make(map[ids.Target]bool), returnsAt: make(map[ids.Target]time.Time), knownAt: make(map[ids.Target]time.Time),
-		hasPeer: seed%3 > 0, isLinked: seed%3 > 0,
+		hasPeer: seed%3 > 0, isLinked: seed%3 > 0, knowsCheckIns: seed%2 > 0,
 	}
 	for i := range 8 {
 		m.isAlive[modelTarget(i)] = true
@@ -227,8 +260,11 @@
 	return m
 }
 
-// newRoster returns an empty roster.
+// newRoster returns a roster that knows the targets' check-in interval, or not.
 func (m *leaveModel) newRoster() *roster.Roster {
+	if m.knowsCheckIns {
+		return roster.New(leaveBound, roster.WithCheckInInterval(checkInInterval))
+	}
 	return roster.New(leaveBound)
 }
 
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -111,10 +111,23 @@
 	last Entry
 }
 
+// Option is an option of New.
+type Option func(*Roster)
+
+// WithCheckInInterval sets the interval at which targets write their entries, which lapse after
+// three without a write. Without it any loss of contact counts as an outage of the store.
+func WithCheckInInterval(d time.Duration) Option {
+	return func(r *Roster) { r.outages.minSilence = time.Duration(lapseIntervals * float64(d)) }
+}
+
 // New returns an empty roster. A draining target must get no more requests after
 // drainTimeout, which therefore bounds how long a removed entry is kept.
-func New(drainTimeout time.Duration) *Roster {
-	return &Roster{retention: newRetention(drainTimeout), entries: make(map[ids.Target]*state), tombstones: make(map[ids.Target]tombstone)}
+func New(drainTimeout time.Duration, options ...Option) *Roster {
+	r := &Roster{retention: newRetention(drainTimeout), entries: make(map[ids.Target]*state), tombstones: make(map[ids.Target]tombstone)}
+	for _, o := range options {
+		o(r)
+	}
+	return r
 }
 
 // AsOf returns the store revision at which the list last changed.
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -54,7 +54,7 @@
 func newDirectory(n *Node) *Directory {
 	return &Directory{
 		node:    n,
-		roster:  roster.New(n.settings.DrainTimeout),
+		roster:  roster.New(n.settings.DrainTimeout, roster.WithCheckInInterval(n.settings.CheckInInterval)),
 		changes: make(chan rosterChange, changeQueueSize),
 		done:    make(chan struct{}),
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,6 +75,9 @@
 	ConfigDelay time.Duration
 	// DrainTimeout bounds how long a draining target may still receive requests.
 	DrainTimeout time.Duration
+	// CheckInInterval is the interval at which targets write their entries, 0 if unknown. An entry
+	// lapses after three without a write.
+	CheckInInterval time.Duration
 	// EvacuationDelay bounds the time from the evacuation of a failure domain until its
 	// targets get no more requests. If it is 0, there are no evacuations.
 	EvacuationDelay time.Duration
