Claims of freshness name the read, so that they do not grow younger while they are passed on

What callers saw: requests at a target 4.0 s after it had said that it leaves (DRAIN), from routers of any domain, and none later.

Cause: a report tells as of when its sender's state is complete. The receiver counts the age from receipt, passes the claim on, and the sender gets it back, younger by what the ways took.

Evidence: the age of a router's list grew by 0.85 s a second (median of 3,535 pairs of log lines).

A claim names the read: who read, and its number. Of all claims about one read the earliest counts at each router (internal/core/freshness), so that only a claim's first ways count, once. The same for the set of evacuations, and for the evidence by which streams are resumed. Claims of earlier releases count as before.

--- a/internal/core/catchup/catchup.go
+++ b/internal/core/catchup/catchup.go
@@ -18,6 +18,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/umberhill/umberhill/internal/core/freshness"
 	"github.com/umberhill/umberhill/internal/core/rendezvous"
 	"github.com/umberhill/umberhill/internal/ids"
 )
@@ -56,6 +57,8 @@
 	Self ids.Instance
 	// Bound is the time within which a change must be in force.
 	Bound time.Duration
+	// Origin identifies this process in claims, 0 if it does not name its reads.
+	Origin uint64
 }
 
 // Report is what a peer says of one kind of state.
@@ -65,8 +68,12 @@
 	// CompleteAt is the time as of which that state is complete, zero if the peer does not
 	// tell.
 	CompleteAt time.Time
+	// Read is the read by which it is.
+	Read freshness.Read
 }
 
+func (r Report) claim() freshness.Claim { return freshness.Claim{Read: r.Read, At: r.CompleteAt} }
+
 // Action is what the router is to do now. Each is to be followed by
 // RecordCall, or by RecordRead or RecordReadFailure.
 type Action struct {
@@ -92,9 +99,12 @@
 	spread   float64
 
 	held uint64
-	// completeAt is the time as of which the state held is complete; claimedAt is the same by
-	// claims of peers alone.
-	completeAt, claimedAt time.Time
+	// complete is as of when the state held is complete; claimed is the same by claims of peers
+	// alone.
+	complete, claimed freshness.Freshness
+	// ownReadAt is when this router's latest read began, and reads counts these.
+	ownReadAt time.Time
+	reads     uint64
 	// pending are the revisions that peers hold and this router lacks, in ascending order.
 	pending []pendingRevision
 	peers   map[ids.Instance]*peerState
@@ -107,9 +117,8 @@
 type pendingRevision struct {
 	revision uint64
 	namedAt  time.Time
-	// completeAt is the time as of which the router will be complete once it holds the
-	// revision, zero if unknown.
-	completeAt time.Time
+	// claim is as of when the router will be complete once it holds the revision.
+	claim freshness.Claim
 }
 
 // peerState is what is known of a peer.
@@ -170,18 +179,21 @@
 }
 
 // CompleteAt returns the time as of which the state held is complete, zero if it is not known.
-func (t *Tracker) CompleteAt() time.Time { return t.completeAt }
+func (t *Tracker) CompleteAt() time.Time { return t.complete.Latest().At }
+
+// Complete returns that time, and the read by which it is known.
+func (t *Tracker) Complete() freshness.Claim { return t.complete.Latest() }
 
 // ClaimedAt returns the latest time as of which the state of a peer is complete that this
 // router holds, or lacks for so short a time that it has not read the store for it.
 func (t *Tracker) ClaimedAt(now time.Time) time.Time {
-	claimedAt := t.claimedAt
+	claimed := t.claimed.Latest()
 	if since := t.LackedSince(); !since.IsZero() && now.Before(t.readAt(since)) {
 		for _, p := range t.pending {
-			claimedAt = later(claimedAt, p.completeAt)
+			claimed = freshness.Later(claimed, p.claim)
 		}
 	}
-	return claimedAt
+	return claimed.At
 }
 
 // LackedSince returns since when the router has known of a revision that it lacks, zero if it
@@ -205,20 +217,20 @@
 	}
 	p.revision = r.Revision
 	if r.Revision <= t.held {
-		t.claim(r.CompleteAt)
+		t.claim(r.claim())
 		return
 	}
 	i, known := slices.BinarySearchFunc(t.pending, r.Revision, func(e pendingRevision, revision uint64) int {
 		return cmp.Compare(e.revision, revision)
 	})
 	if known {
-		t.pending[i].completeAt = later(t.pending[i].completeAt, r.CompleteAt)
+		t.pending[i].claim = freshness.Later(t.pending[i].claim, r.claim())
 		return
 	}
-	t.pending = slices.Insert(t.pending, i, pendingRevision{revision: r.Revision, namedAt: now, completeAt: r.CompleteAt})
+	t.pending = slices.Insert(t.pending, i, pendingRevision{revision: r.Revision, namedAt: now, claim: r.claim()})
 	if n := len(t.pending); n > maxPending {
 		before, last := t.pending[n-2], &t.pending[n-1]
-		last.completeAt = later(last.completeAt, before.completeAt)
+		last.claim = freshness.Later(last.claim, before.claim)
 		if before.namedAt.Before(last.namedAt) {
 			last.namedAt = before.namedAt
 		}
@@ -227,9 +239,9 @@
 }
 
 // claim records that the state held is complete as of a time, according to a peer.
-func (t *Tracker) claim(at time.Time) {
-	t.claimedAt = later(t.claimedAt, at)
-	t.completeAt = later(t.completeAt, at)
+func (t *Tracker) claim(c freshness.Claim) {
+	t.claimed.Record(c)
+	t.complete.Record(c)
 }
 
 // RecordLinkEnd forgets a peer. What it held may still be lacked.
@@ -244,13 +256,13 @@
 	if since := t.LackedSince(); !since.IsZero() {
 		c.KnownFor = now.Sub(since)
 	}
-	if !t.completeAt.IsZero() {
-		c.MaxDelay = now.Sub(t.completeAt)
+	if at := t.CompleteAt(); !at.IsZero() {
+		c.MaxDelay = now.Sub(at)
 	}
 	t.held = revision
 	obtained := 0
 	for obtained < len(t.pending) && t.pending[obtained].revision <= revision {
-		t.claim(t.pending[obtained].completeAt)
+		t.claim(t.pending[obtained].claim)
 		obtained++
 	}
 	t.pending = slices.Delete(t.pending, 0, obtained)
@@ -262,7 +274,14 @@
 }
 
 // RecordComplete records that the state held is complete as of the start of a read of the store.
-func (t *Tracker) RecordComplete(at time.Time) { t.completeAt = later(t.completeAt, at) }
+func (t *Tracker) RecordComplete(at time.Time) {
+	if !at.After(t.ownReadAt) {
+		return
+	}
+	t.ownReadAt = at
+	t.reads++
+	t.complete.Record(freshness.Claim{Read: freshness.Read{Origin: t.settings.Origin, Number: t.reads}, At: at})
+}
 
 // RecordCall records that a call to a peer has ended. helped is set if it returned later state
 // than was held.
@@ -359,10 +378,3 @@
 func (t *Tracker) weight(peer ids.Instance) uint64 {
 	return rendezvous.Mix(xxhash.Sum64String(string(t.settings.Self)) ^ xxhash.Sum64String(string(peer)))
 }
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
--- a/internal/node/evacuations.go
+++ b/internal/node/evacuations.go
@@ -9,6 +9,7 @@
 
 	fleetv1 "github.com/umberhill/umberhill/api/fleet/v1"
 	"github.com/umberhill/umberhill/internal/core/evacuation"
+	"github.com/umberhill/umberhill/internal/core/freshness"
 	"github.com/umberhill/umberhill/internal/core/revision"
 	"github.com/umberhill/umberhill/internal/ids"
 )
@@ -35,7 +36,9 @@
 
 	// freshness tracks as of when the set is complete, claimed the same by claims of peers
 	// alone.
-	freshness, claimed freshness
+	freshness, claimed sharedFreshness
+	// reads counts the reads of the set by this router.
+	reads atomic.Uint64
 	// refresher, if set, starts a read of the set.
 	refresher func()
 
@@ -76,8 +79,7 @@
 
 // RecordRefresh records that this router has read the set again, in a read that began at a time.
 func (e *Evacuations) RecordRefresh(start time.Time) {
-	now := time.Now()
-	e.freshness.observe(now, now.Sub(start))
+	e.freshness.record(freshness.Claim{Read: freshness.Read{Origin: e.node.readOrigin(), Number: e.reads.Add(1)}, At: start})
 }
 
 // isUpdatedByHub reports whether this router is a follower and its set is recent enough that
@@ -104,9 +106,9 @@
 	e.mu.Unlock()
 	// Only a peer that sends the set tells how old its set is.
 	if received.AgeMs != nil && holdsAll {
-		now := time.Now()
-		e.freshness.observe(now, age)
-		e.claimed.observe(now, age)
+		c := freshness.Claim{Read: decodeRead(received.GetRead()), At: time.Now().Add(-age)}
+		e.freshness.record(c)
+		e.claimed.record(c)
 	}
 }
 
@@ -170,12 +172,12 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	age := e.freshness.age(now)
+	complete := e.freshness.latest()
 	state, ok := e.set.TakeReport(now)
 	if !ok {
 		return nil
 	}
-	out := &fleetv1.Evacuations{AgeMs: encodeAge(age)}
+	out := &fleetv1.Evacuations{AgeMs: encodeAge(now.Sub(complete.At)), Read: encodeRead(complete.Read)}
 	out.Era, out.Revision = revision.Split(state.AsOf)
 	for _, d := range state.Domains {
 		out.Domains = append(out.Domains, string(d))
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -235,8 +235,10 @@
 // that state is complete.
 func (f *fleet) setRevisions(r *fleetv1.Report) {
 	now := time.Now()
-	targets, targetsAge := f.node.targetsState.claim(now)
-	config, configAge := f.node.configState.claim(now)
+	targets, targetsComplete := f.node.targetsState.claim()
+	config, configComplete := f.node.configState.claim()
+	targetsAge, configAge := now.Sub(targetsComplete.At), now.Sub(configComplete.At)
+	r.ConfigRead, r.TargetsRead = encodeRead(configComplete.Read), encodeRead(targetsComplete.Read)
 	r.ClockMs = uint32(f.node.clock(now).Milliseconds())
 	r.StoreEra, r.TargetsAsOf = revision.Split(targets)
 	r.ConfigVersion = config
@@ -293,11 +295,12 @@
 	f.node.evacuations.receive(sentAt, from.Instance, report)
 	f.handleReport(from, report)
 	targetsAsOf := revision.Join(report.GetStoreEra(), report.GetTargetsAsOf())
-	f.node.configState.recordReport(now, from.Instance, catchup.Report{Revision: report.GetConfigVersion(), CompleteAt: decodeAge(sentAt, report.ConfigAgeMs)})
-	targets := catchup.Report{Revision: targetsAsOf, CompleteAt: decodeAge(sentAt, report.TargetsAgeMs)}
+	f.node.configState.recordReport(now, from.Instance, catchup.Report{Revision: report.GetConfigVersion(), CompleteAt: decodeAge(sentAt, report.ConfigAgeMs), Read: decodeRead(report.GetConfigRead())})
+	targets := catchup.Report{Revision: targetsAsOf, CompleteAt: decodeAge(sentAt, report.TargetsAgeMs), Read: decodeRead(report.GetTargetsRead())}
 	if holdsAll := f.node.targetsState.recordReport(now, from.Instance, targets); holdsAll && !targets.CompleteAt.IsZero() {
 		// This router lacks nothing of what the peer has listed.
-		f.node.streamOrigins.recordComplete(targets.CompleteAt)
+		_, complete := f.node.targetsState.claim()
+		f.node.streamOrigins.recordComplete(complete.At)
 	}
 }
 
--- a/internal/node/freshness.go
+++ b/internal/node/freshness.go
@@ -9,6 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	fleetv1 "github.com/umberhill/umberhill/api/fleet/v1"
+	"github.com/umberhill/umberhill/internal/core/freshness"
 	"github.com/umberhill/umberhill/internal/core/rendezvous"
 	"github.com/umberhill/umberhill/internal/ids"
 )
@@ -38,25 +40,40 @@
 	refreshRetryDelay = 300 * time.Millisecond
 )
 
-// freshness tracks as of when state is complete.
-type freshness struct {
-	mu         sync.Mutex
-	completeAt time.Time
+// sharedFreshness tracks as of when state is complete. It is safe for concurrent use.
+type sharedFreshness struct {
+	mu    sync.Mutex
+	state freshness.Freshness
 }
 
-// observe records that the state was complete an age ago.
-func (f *freshness) observe(now time.Time, age time.Duration) {
+func (f *sharedFreshness) record(c freshness.Claim) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if at := now.Add(-age); at.After(f.completeAt) {
-		f.completeAt = at
-	}
+	f.state.Record(c)
 }
 
-func (f *freshness) age(now time.Time) time.Duration {
+func (f *sharedFreshness) latest() freshness.Claim {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return now.Sub(f.completeAt)
+	return f.state.Latest()
+}
+
+func (f *sharedFreshness) age(now time.Time) time.Duration { return now.Sub(f.latest().At) }
+
+// readOrigin identifies this process in claims about its reads.
+func (n *Node) readOrigin() uint64 {
+	return rendezvous.Mix(xxhash.Sum64String(string(n.settings.Instance)) ^ uint64(n.incarnation))
+}
+
+func encodeRead(r freshness.Read) *fleetv1.StateRead {
+	if r.Origin == 0 {
+		return nil
+	}
+	return &fleetv1.StateRead{Origin: r.Origin, Number: r.Number}
+}
+
+func decodeRead(r *fleetv1.StateRead) freshness.Read {
+	return freshness.Read{Origin: r.GetOrigin(), Number: r.GetNumber()}
 }
 
 // SetReaders sets the functions that read the configuration and the list of targets in the
--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -7,14 +7,15 @@
 
 	fleetv1 "github.com/umberhill/umberhill/api/fleet/v1"
 	"github.com/umberhill/umberhill/internal/core/catchup"
+	"github.com/umberhill/umberhill/internal/core/freshness"
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
 func TestAgeIsThatOfTheNewestRead(t *testing.T) {
 	now := time.Unix(1000, 0)
-	var f freshness
-	f.observe(now, 500*time.Millisecond)
-	f.observe(now, 900*time.Millisecond)
+	var f sharedFreshness
+	f.record(freshness.Claim{At: now.Add(-500 * time.Millisecond)})
+	f.record(freshness.Claim{At: now.Add(-900 * time.Millisecond)})
 	if got := f.age(now.Add(time.Second)); got != 1500*time.Millisecond {
 		t.Errorf("age after the newest read: got %v, want 1.5s", got)
 	}
--- a/internal/node/load_log.go
+++ b/internal/node/load_log.go
@@ -48,9 +48,9 @@
 			continue
 		}
 		now := time.Now()
-		version, configAge := n.configState.claim(now)
+		version, config := n.configState.claim()
 		n.logger.WithFields(logrus.Fields{
-			"config_version": version, "config_age_ms": ageMS(configAge), "targets_age_ms": ageMS(n.targetsState.age(now)),
+			"config_version": version, "config_age_ms": ageMS(now.Sub(config.At)), "targets_age_ms": ageMS(n.targetsState.age(now)),
 			"refuse_share": n.loadShedder.RefuseShare(), "link_refuse_share": n.loadShedder.LinkRefuseShare(), "diverts": n.loadShedder.ShouldDivert(),
 			"caller_conns": open, "caller_conns_accepted": accepted - before, "sched_delay_ms": n.loadShedder.Delay().Milliseconds(),
 		}).Info("router load")
--- a/internal/node/synced_state.go
+++ b/internal/node/synced_state.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/umberhill/umberhill/internal/core/catchup"
+	"github.com/umberhill/umberhill/internal/core/freshness"
 	"github.com/umberhill/umberhill/internal/ids"
 )
 
@@ -65,7 +66,7 @@
 		node: n, method: method, lacking: make(chan struct{}, 1),
 		lacked: scope.Histogram("state_lacked_seconds", stateDelayBuckets), maxDelay: scope.Histogram("state_max_delay_seconds", stateDelayBuckets),
 		reads:   scope.Counter("state_lacked_reads"),
-		tracker: catchup.New(catchup.Settings{Self: n.settings.Instance, Bound: n.changeDelay()}),
+		tracker: catchup.New(catchup.Settings{Self: n.settings.Instance, Bound: n.changeDelay(), Origin: n.readOrigin()}),
 	}
 	s.reads.Inc(0)
 	return s
@@ -78,17 +79,17 @@
 	return s.tracker.Held()
 }
 
-// claim returns the revision that this router holds and the age as of which it is complete.
-func (s *syncedState) claim(now time.Time) (revision uint64, age time.Duration) {
+// claim returns the revision that this router holds, and as of when it is complete.
+func (s *syncedState) claim() (revision uint64, c freshness.Claim) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tracker.Held(), now.Sub(s.tracker.CompleteAt())
+	return s.tracker.Held(), s.tracker.Complete()
 }
 
 // age returns the time since the state was complete.
 func (s *syncedState) age(now time.Time) time.Duration {
-	_, age := s.claim(now)
-	return age
+	_, c := s.claim()
+	return now.Sub(c.At)
 }
 
 // sinceReport returns the time since a peer last reported as of when its state is complete.
