node: the gauge of missing targets also falls when entries come back

It changed only when a target became missing or was dropped: after an outage of the store it stayed at the number of entries that had lapsed and come back (0 wanted). By reading; the tests of the metrics pass.

--- a/internal/core/roster/retention.go
+++ b/internal/core/roster/retention.go
@@ -131,10 +131,10 @@
 	return dropped
 }
 
-// isHeld reports whether a missing entry is kept beyond the retention time: this router has lost the
-// store, and none is known to have read it since the target could write its entry again. If peers report that, the store itself
-// is away. A router without peers can not tell that from a loss of its own contact; it
-// uses the target for lack of another only.
+// isHeld reports whether a missing entry is kept beyond the retention time: this router has lost
+// the store, and no router is known to have read it since the target could write its entry again.
+// If peers report, the store itself is away. A router without peers cannot tell that from a loss of
+// its own contact, and uses the target for lack of another only.
 func (r *Roster) isHeld(e *state) bool {
 	if !r.outages.contactLost || !r.outages.lastReadAt.Before(e.lack.since.Add(confirmTime)) {
 		return false
@@ -161,4 +161,12 @@
 }
 
 // MissingCount returns the number of targets that are used although their entries are missing.
-func (r *Roster) MissingCount() int { return len(r.Lacks()) }
+func (r *Roster) MissingCount() int {
+	n := 0
+	for _, e := range r.entries {
+		if e.lack.isKnown() {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -65,7 +65,7 @@
 // run applies queued changes to the roster until ctx ends.
 func (d *Directory) run(ctx context.Context) {
 	defer close(d.done)
-	d.gaugeMissing()
+	missing := d.node.scope.Gauge("targets_missing")
 	ticker := time.NewTicker(missingCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -82,6 +82,7 @@
 			d.roster.RecordRead(now.Add(-d.node.targetsState.age(now)))
 			d.roster.RecordPeers(d.node.targetsState.sinceReport(now) < peerReportTTL)
 			changed = d.roster.DropMissing(now)
+			missing.Update(float64(d.roster.MissingCount()))
 		}
 		update := targetsUpdate{source: source, age: d.node.targetsState.age(now), news: d.roster.TakeNews()}
 		d.recordNews(update)
@@ -92,11 +93,9 @@
 	}
 }
 
-// recordNews logs which entries are missing, and updates the metrics.
+// recordNews logs which entries are missing, and for how long the targets that are not used any
+// more were used so.
 func (d *Directory) recordNews(u targetsUpdate) {
-	if len(u.news.Missing) == 0 && len(u.news.Drops) == 0 {
-		return
-	}
 	for _, m := range u.news.Missing {
 		d.node.logger.WithFields(logrus.Fields{
 			"target": m.ID, "service": m.Service, "source": u.source, "max_delay_ms": u.age.Milliseconds(),
@@ -105,11 +104,6 @@
 	for _, drop := range u.news.Drops {
 		d.missingUse.RecordDuration(drop.MissingFor)
 	}
-	d.gaugeMissing()
-}
-
-func (d *Directory) gaugeMissing() {
-	d.node.scope.Gauge("targets_missing").Update(float64(d.roster.MissingCount()))
 }
 
 // enqueue queues a change. It blocks while the queue is full, and drops the change
