--- a/internal/cli/leavedelay.go
+++ b/internal/cli/leavedelay.go
@@ -83,8 +83,11 @@
 // lastRouterCell describes a router and why it stopped using the target only then.
 func lastRouterCell(r leavedelay.Router) string {
 	parts := []string{string(r.Instance), formatSeconds(r.DelayMS)}
-	if r.Cause != "" {
-		parts = append(parts, fmt.Sprintf("%s from %s, missing for %s", r.Cause, r.Source, formatSeconds(r.MissingMS)))
+	if r.MissingMS > 0 {
+		parts = append(parts, "missing for "+formatSeconds(r.MissingMS))
+	}
+	if r.Source != "" {
+		parts = append(parts, "told by "+r.Source)
 	}
 	for _, c := range r.Contacts {
 		event := "store regained"
