roster: a change from before a removal does not end the lack of the entry

What callers saw: nothing by itself; a target that had left could be used beyond 3 s by a router whose watch began anew at an older revision. Cause: an event with a later revision than the entry that the router had counted as a later entry, also if it was from before the removal, which a list had told of.

An event ends the lack of an entry only if its revision is above that at which the entry was missing.

--- a/internal/core/roster/leave_test.go
+++ b/internal/core/roster/leave_test.go
@@ -96,19 +96,26 @@
 // Guards against a removed target that is used for longer since events from before its removal are
 // read again.
 func TestEventsFromBeforeARemovalDoNotExtendTheUseOfTheTarget(t *testing.T) {
-	r := roster.New(leaveBound)
-	listed := []roster.Change{{Entry: entry(5, false)}}
-	r.Apply(start, listed, 5)
-	r.MarkStoreDown()
-	r.MarkStoreUp(start)
-	for i := range 20 {
-		at := start.Add(time.Duration(i) * 200 * time.Millisecond)
-		// The watch begins anew at the revision of an older list.
-		r.Apply(at, listed, 6)
-		r.Apply(at, removal(9), 9)
-		if r.DropMissing(at); at.Sub(start) > useBound && isListed(r, "a") {
-			t.Fatalf("the target is used %v after its removal, want at most %v", at.Sub(start), useBound)
-		}
+	for name, before := range map[string]roster.Change{"entry as known": {Entry: entry(5, false)}, "later change": {Entry: entry(7, false)}} {
+		t.Run(name, func(t *testing.T) {
+			r := roster.New(leaveBound)
+			r.Apply(start, []roster.Change{{Entry: entry(5, false)}}, 5)
+			r.MarkStoreDown()
+			r.MarkStoreUp(start)
+			r.Replace(start, nil, 9)
+			for d := time.Duration(0); d <= 2*useBound; d += 200 * time.Millisecond {
+				// The watch begins anew at the revision of an older list, and returns a part.
+				r.MarkStoreDown()
+				r.MarkStoreUp(start.Add(d))
+				r.Apply(start.Add(d), []roster.Change{before}, 8)
+				if r.DropMissing(start.Add(d)); d > useBound && isListed(r, "a") {
+					t.Fatalf("the target is used %v after its removal, want at most %v", d, useBound)
+				}
+			}
+			if r.Apply(start.Add(time.Hour), []roster.Change{{Entry: entry(10, false)}}, 10); !isListed(r, "a") {
+				t.Error("a target that has written its entry again is not used")
+			}
+		})
 	}
 }
 
@@ -351,6 +358,10 @@
 			delete(m.returnsAt, id)
 		}
 	}
+	if id := modelTarget(m.random.IntN(8)); !m.isAway() && m.isAlive[id] && m.chance(10) {
+		m.put(id)
+		delete(m.returnsAt, id)
+	}
 	isStable := !m.isAway() && (m.awaySince.IsZero() || m.now.Sub(m.backAt) > leaveBound)
 	if id := modelTarget(m.random.IntN(8)); isStable && m.isAlive[id] && m.hasOther(id) && m.chance(60) {
 		m.isAlive[id] = false
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -140,7 +140,7 @@
 	for _, c := range changes {
 		switch {
 		case c.Removed:
-			r.handleRemoval(now, c.ID, c.Revision, asOf, r.outages.isSettling(now))
+			r.handleRemoval(now, c.ID, c.Revision, r.outages.isSettling(now))
 		case r.entries[c.ID] == nil && c.Revision <= r.asOf:
 			// A later list lacks it, so it was removed since.
 		default:
@@ -195,7 +195,7 @@
 	}
 	for id := range r.entries {
 		if !listed[id] {
-			r.handleRemoval(now, id, asOf, asOf, keepMissing)
+			r.handleRemoval(now, id, asOf, keepMissing)
 		}
 	}
 	r.asOf = asOf
@@ -215,7 +215,7 @@
 // event.
 func (r *Roster) upsert(now time.Time, e Entry, listAsOf uint64) {
 	if current := r.entries[e.ID]; current != nil {
-		if current.lack.isKnown() && e.Revision <= current.Revision && listAsOf <= current.lack.asOf {
+		if current.lack.isKnown() && e.Revision <= max(current.Revision, current.lack.asOf) && listAsOf <= current.lack.asOf {
 			// The entry is from before its removal.
 			return
 		}
@@ -238,18 +238,17 @@
 }
 
 // handleRemoval marks the entry as missing if keepMissing is true, and deletes it
-// otherwise. A removal older than the entry is ignored. asOf is the revision up to which the
-// update is complete that has the removal.
-func (r *Roster) handleRemoval(now time.Time, id ids.Target, revision, asOf uint64, keepMissing bool) {
+// otherwise. A removal older than the entry is ignored.
+func (r *Roster) handleRemoval(now time.Time, id ids.Target, asOf uint64, keepMissing bool) {
 	current := r.entries[id]
-	if current == nil || revision < current.Revision {
+	if current == nil || asOf < current.Revision {
 		return
 	}
 	if keepMissing {
 		r.markMissing(id, now, asOf)
 		return
 	}
-	r.deleteEntry(now, id, revision, Removed)
+	r.deleteEntry(now, id, asOf, Removed)
 }
 
 func (r *Roster) deleteEntry(now time.Time, id ids.Target, asOf uint64, cause Cause) {
