--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -62,3 +62,21 @@
 	}
 	return addresses, nil
 }
+
+// Listen listens on an address that was not returned before. It stays free for a program that
+// listens on it again.
+func (p *Pool) Listen() (net.Listener, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		listener, err := net.Listen("tcp", net.JoinHostPort(p.ip, "0"))
+		if err != nil {
+			return nil, errors.Wrap(err, "loopback: listen")
+		}
+		if address := listener.Addr().String(); !p.taken[address] {
+			p.taken[address] = true
+			return listener, nil
+		}
+		_ = listener.Close()
+	}
+}
